--- /dev/null
+++ b/Makefile
@@ -0,0 +1,41 @@
+# Thin front end over CMake. `make help` lists the targets.
+BUILD ?= build
+JOBS ?= $(shell nproc)
+
+.PHONY: help deps build unit test demo bench format format-check lint clean
+
+help:
+	@echo "make build | test | demo | bench | format | format-check | lint | clean"
+
+deps:
+	@sh .ci/install-deps
+
+$(BUILD)/build.ninja: deps
+	cmake -S . -B $(BUILD) -G Ninja >/dev/null
+
+build: $(BUILD)/build.ninja
+	cmake --build $(BUILD) -j $(JOBS)
+
+unit: build
+	ctest --test-dir $(BUILD) --output-on-failure -j 4
+
+test: unit
+	python3 testsuite/runtest.py --build $(BUILD)
+
+demo: build
+	python3 testsuite/demo.py --build $(BUILD)
+
+bench: build
+	python3 testsuite/bench.py --build $(BUILD)
+
+format:
+	git ls-files -co --exclude-standard 'src/*.cpp' 'src/*.h' | xargs clang-format -i
+
+format-check:
+	git ls-files -co --exclude-standard 'src/*.cpp' 'src/*.h' | xargs clang-format --dry-run --Werror
+
+lint: $(BUILD)/build.ninja
+	git ls-files 'src/*.cpp' | grep -v _test.cpp | grep -v testmain.cpp | xargs -P $(JOBS) -n 2 clang-tidy -p $(BUILD) --quiet
+
+clean:
+	rm -rf $(BUILD)
--- /dev/null
+++ b/src/base/metrics.cpp
@@ -0,0 +1,74 @@
+#include "cyclamencross/base/metrics.h"
+
+#include <mutex>
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace Cyclamen
+{
+
+namespace
+{
+
+// Seconds. Finer around the targets of 74 ms between outputs and 420 ms to the first output.
+const prometheus::Histogram::BucketBoundaries LatencyBuckets{0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.074, 0.1,
+                                                             0.2,    0.3,   0.42,  0.6,   1,    2,    5,    10,    30};
+
+}
+
+struct Metrics::Members
+{
+    mutable std::mutex mutex;
+    prometheus::Registry registry;
+    std::map<std::string, prometheus::Family<prometheus::Counter> *> counters;
+    std::map<std::string, prometheus::Family<prometheus::Gauge> *> gauges;
+    std::map<std::string, prometheus::Family<prometheus::Histogram> *> histograms;
+};
+
+Metrics::Metrics()
+    : members(std::make_unique<Members>())
+{
+}
+
+Metrics::~Metrics() = default;
+
+void Metrics::count(const std::string &name, const Labels &labels, double amount)
+{
+    const std::scoped_lock lock(this->members->mutex);
+    auto &family = this->members->counters[name];
+    if (family == nullptr) {
+        family = &prometheus::BuildCounter().Name(name).Register(this->members->registry);
+    }
+    family->Add(labels).Increment(amount);
+}
+
+void Metrics::set(const std::string &name, double value, const Labels &labels)
+{
+    const std::scoped_lock lock(this->members->mutex);
+    auto &family = this->members->gauges[name];
+    if (family == nullptr) {
+        family = &prometheus::BuildGauge().Name(name).Register(this->members->registry);
+    }
+    family->Add(labels).Set(value);
+}
+
+void Metrics::observe(const std::string &name, double seconds, const Labels &labels)
+{
+    const std::scoped_lock lock(this->members->mutex);
+    auto &family = this->members->histograms[name];
+    if (family == nullptr) {
+        family = &prometheus::BuildHistogram().Name(name).Register(this->members->registry);
+    }
+    family->Add(labels, LatencyBuckets).Observe(seconds);
+}
+
+std::string Metrics::text() const
+{
+    return prometheus::TextSerializer().Serialize(this->members->registry.Collect());
+}
+
+}
--- /dev/null
+++ b/src/cyclamencross/stopsignal.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "cyclamencross/base/timing.h"
+
+namespace Cyclamen
+{
+
+/// Counts SIGTERM and SIGINT instead of letting them end the process.
+class StopSignal
+{
+public:
+    /// Installs the handlers and ignores SIGPIPE.
+    StopSignal();
+
+    /// Returns how many stop signals have arrived.
+    int count() const;
+    /// Waits until more than @p seen signals have arrived or @p timeout has passed.
+    /// @return the number that has arrived.
+    int wait(int seen, Millis timeout) const;
+};
+
+}
--- /dev/null
+++ b/src/emu/main.cpp
@@ -0,0 +1,7 @@
+#include <iostream>
+
+int main()
+{
+    std::cerr << "usage: cyclamencross-emu engine|service|platform|load\n";
+    return 2;
+}
--- /dev/null
+++ b/src/include/cyclamencross/base/backend.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <string>
+
+namespace Cyclamen
+{
+
+enum class BackendKind { Engine, Service };
+enum class EngineRole { None, Prefill, Decode };
+enum class BackendState { Live, Leaving };
+
+/// A backend server as the platform's host list describes it.
+struct Backend
+{
+    std::string address; ///< "IP:PORT", also its identity.
+    BackendKind kind = BackendKind::Engine;
+    std::string pool; ///< For a plain service, the NAME in /services/NAME/.
+    std::string model; ///< Empty for plain services.
+    EngineRole role = EngineRole::None;
+    std::string zone;
+    BackendState state = BackendState::Live;
+    bool checksOrders = true; ///< Whether it refuses an order with an old fencing number.
+
+    bool operator==(const Backend &) const = default;
+    auto operator<=>(const Backend &) const = default;
+};
+
+}
--- /dev/null
+++ b/src/include/cyclamencross/base/member.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace Cyclamen
+{
+
+enum class MemberState : std::uint8_t { Alive, Suspect, Draining, Left, Dead };
+
+/// One entry process as the membership protocol knows it.
+struct Member
+{
+    std::string name;
+    std::uint64_t incarnation = 0; ///< New at each start of the process.
+    std::uint64_t heartbeat = 0; ///< Raised by the member itself to refute a suspicion.
+    MemberState state = MemberState::Alive;
+    std::string callerAddress;
+    std::string adminAddress;
+    std::string gossipAddress;
+    std::string zone;
+    std::string region;
+    std::uint64_t configRevision = 0;
+    std::uint32_t load = 0; ///< Requests in progress.
+
+    bool operator==(const Member &) const = default;
+};
+
+/// Returns whether @p member may be given new work and owned engines.
+inline bool isAvailable(const Member &member)
+{
+    return member.state == MemberState::Alive || member.state == MemberState::Suspect;
+}
+
+}
--- /dev/null
+++ b/src/include/cyclamencross/base/metrics.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace Cyclamen
+{
+
+/// Counters, gauges and histograms of this process, exposed in the Prometheus text format. Thread-safe.
+class Metrics
+{
+public:
+    using Labels = std::map<std::string, std::string>;
+
+    Metrics();
+    ~Metrics();
+
+    /// Adds @p amount to the counter @p name.
+    void count(const std::string &name, const Labels &labels = {}, double amount = 1);
+    /// Sets the gauge @p name.
+    void set(const std::string &name, double value, const Labels &labels = {});
+    /// Adds @p seconds to the latency histogram @p name.
+    void observe(const std::string &name, double seconds, const Labels &labels = {});
+    /// Returns all metrics in the Prometheus text format.
+    std::string text() const;
+
+private:
+    struct Members;
+    std::unique_ptr<Members> members;
+};
+
+}
