--- /dev/null
+++ b/src/fleet/gossipmessage.cpp
@@ -0,0 +1,242 @@
+#include "gossipmessage.h"
+
+#include "cyclamencross/net/socketaddress.h"
+
+#include <array>
+#include <sstream>
+
+#include <arpa/inet.h>
+#include <cereal/archives/portable_binary.hpp>
+
+namespace Cyclamen
+{
+
+namespace
+{
+
+using Output = cereal::PortableBinaryOutputArchive;
+using Input = cereal::PortableBinaryInputArchive;
+
+// Packed forms: a name with one length byte, an IPv4 address with its port in 6 bytes. cereal's own string form takes
+// 8 bytes for the length, which would double a record.
+constexpr std::size_t LongestName = 255;
+constexpr std::size_t AddressBytes = 6;
+
+std::size_t nameBytes(const std::string &name)
+{
+    return 1 + std::min(name.size(), LongestName);
+}
+
+void saveName(Output &archive, const std::string &name)
+{
+    const auto size = static_cast<std::uint8_t>(std::min(name.size(), LongestName));
+    archive(size, cereal::binary_data(name.data(), size));
+}
+
+std::string loadName(Input &archive)
+{
+    std::uint8_t size = 0;
+    archive(size);
+    std::string name(size, '\0');
+    archive(cereal::binary_data(name.data(), size));
+    return name;
+}
+
+void saveAddress(Output &archive, const std::string &text)
+{
+    const auto address = parseAddress(text);
+    in_addr ip{};
+    if (address) {
+        inet_pton(AF_INET, address->ip.c_str(), &ip);
+    }
+    archive(std::uint32_t(ntohl(ip.s_addr)), std::uint16_t(address ? address->port : 0));
+}
+
+std::string loadAddress(Input &archive)
+{
+    std::uint32_t ip = 0;
+    std::uint16_t port = 0;
+    archive(ip, port);
+    if (ip == 0 && port == 0) {
+        return {};
+    }
+    const in_addr native{htonl(ip)};
+    std::array<char, INET_ADDRSTRLEN> text{};
+    inet_ntop(AF_INET, &native, text.data(), text.size());
+    return std::string(text.data()) + ":" + std::to_string(port);
+}
+
+std::uint8_t packState(Health health, Lifecycle lifecycle)
+{
+    return static_cast<std::uint8_t>(static_cast<unsigned>(health) | (static_cast<unsigned>(lifecycle) << 4U));
+}
+
+void loadState(Input &archive, Health &health, Lifecycle &lifecycle)
+{
+    std::uint8_t state = 0;
+    archive(state);
+    const unsigned healthBits = state & 0xFU;
+    const unsigned lifecycleBits = state >> 4U;
+    if (healthBits > static_cast<unsigned>(Health::Dead) || lifecycleBits > static_cast<unsigned>(Lifecycle::Left)) {
+        throw cereal::Exception("unknown member state");
+    }
+    health = static_cast<Health>(healthBits);
+    lifecycle = static_cast<Lifecycle>(lifecycleBits);
+}
+
+// The order of the alternatives of GossipItem is the tag on the wire.
+struct ItemSaver
+{
+    void operator()(const MemberRecord &record) const
+    {
+        saveName(archive, record.name);
+        archive(record.incarnation, record.heartbeat, packState(record.health, record.lifecycle), record.stamp,
+                record.load, record.configRevision);
+        saveAddress(archive, record.callerAddress);
+        saveAddress(archive, record.adminAddress);
+        saveAddress(archive, record.gossipAddress);
+        saveName(archive, record.zone);
+        saveName(archive, record.region);
+    }
+    void operator()(const MemberBrief &brief) const
+    {
+        saveName(archive, brief.name);
+        archive(brief.incarnation, brief.heartbeat, packState(brief.health, brief.lifecycle));
+    }
+    void operator()(const CrashReport &report) const
+    {
+        archive(report.fingerprint, report.unixTime);
+        saveAddress(archive, report.backend);
+        saveName(archive, report.reporter);
+    }
+    void operator()(const CrashLift &lift) const
+    {
+        archive(lift.fingerprint, lift.upTo);
+    }
+
+    Output &archive;
+};
+
+MemberRecord loadRecord(Input &archive)
+{
+    MemberRecord record;
+    record.name = loadName(archive);
+    archive(record.incarnation, record.heartbeat);
+    loadState(archive, record.health, record.lifecycle);
+    archive(record.stamp, record.load, record.configRevision);
+    record.callerAddress = loadAddress(archive);
+    record.adminAddress = loadAddress(archive);
+    record.gossipAddress = loadAddress(archive);
+    record.zone = loadName(archive);
+    record.region = loadName(archive);
+    return record;
+}
+
+GossipItem loadItem(Input &archive)
+{
+    std::uint8_t tag = 0;
+    archive(tag);
+    if (tag == 0) {
+        return loadRecord(archive);
+    }
+    if (tag == 1) {
+        MemberBrief brief;
+        brief.name = loadName(archive);
+        archive(brief.incarnation, brief.heartbeat);
+        loadState(archive, brief.health, brief.lifecycle);
+        return brief;
+    }
+    if (tag == 2) {
+        CrashReport report;
+        archive(report.fingerprint, report.unixTime);
+        report.backend = loadAddress(archive);
+        report.reporter = loadName(archive);
+        return report;
+    }
+    if (tag == 3) {
+        CrashLift lift;
+        archive(lift.fingerprint, lift.upTo);
+        return lift;
+    }
+    throw cereal::Exception("unknown gossip item");
+}
+
+struct ItemBytes
+{
+    std::size_t operator()(const MemberRecord &record) const
+    {
+        return nameBytes(record.name) + nameBytes(record.zone) + nameBytes(record.region) + 3 * AddressBytes
+            + sizeof record.incarnation + sizeof record.heartbeat + 1 + sizeof record.stamp + sizeof record.load
+            + sizeof record.configRevision;
+    }
+    std::size_t operator()(const MemberBrief &brief) const
+    {
+        return nameBytes(brief.name) + sizeof brief.incarnation + sizeof brief.heartbeat + 1;
+    }
+    std::size_t operator()(const CrashReport &report) const
+    {
+        return sizeof report.fingerprint + sizeof report.unixTime + AddressBytes + nameBytes(report.reporter);
+    }
+    std::size_t operator()(const CrashLift &lift) const
+    {
+        return sizeof lift.fingerprint + sizeof lift.upTo;
+    }
+};
+
+}
+
+std::size_t wireBytes(const GossipItem &item)
+{
+    return 1 + std::visit(ItemBytes(), item);
+}
+
+std::size_t wireBytes(const GossipMessage &header)
+{
+    constexpr std::size_t EndianByte = 1;
+    constexpr std::size_t ItemCountBytes = 2;
+    return EndianByte + sizeof header.number + AddressBytes + 1 + nameBytes(header.pageAfter) + ItemCountBytes;
+}
+
+std::string encodeGossip(const GossipMessage &message)
+{
+    std::ostringstream stream;
+    Output archive(stream);
+    archive(message.number);
+    saveAddress(archive, message.target);
+    archive(static_cast<std::uint8_t>(message.page));
+    saveName(archive, message.pageAfter);
+    archive(static_cast<std::uint16_t>(message.items.size()));
+    for (const GossipItem &item : message.items) {
+        archive(static_cast<std::uint8_t>(item.index()));
+        std::visit(ItemSaver{archive}, item);
+    }
+    return stream.str();
+}
+
+std::optional<GossipMessage> decodeGossip(const std::string &bytes)
+{
+    try {
+        std::istringstream stream(bytes);
+        Input archive(stream);
+        GossipMessage message;
+        archive(message.number);
+        message.target = loadAddress(archive);
+        std::uint8_t page = 0;
+        archive(page);
+        if (page > static_cast<std::uint8_t>(GossipMessage::Page::Last)) {
+            return std::nullopt;
+        }
+        message.page = static_cast<GossipMessage::Page>(page);
+        message.pageAfter = loadName(archive);
+        std::uint16_t count = 0;
+        archive(count);
+        for (std::uint16_t i = 0; i < count; ++i) {
+            message.items.push_back(loadItem(archive));
+        }
+        return message;
+    } catch (const std::exception &) {
+        return std::nullopt;
+    }
+}
+
+}
