Add the stand-ins for engines, services and the platform, and the test harness

The request path and the fleet state need something to run against: no third-party server is used in tests. cyclamencross-emu gets the subcommands engine, service and platform, which take faults over HTTP while they run; testsuite/harness.py starts them and the entries on free loopback ports.

--- /dev/null
+++ b/src/emu/hostlist.cpp
@@ -0,0 +1,41 @@
+#include "hostlist.h"
+
+namespace Cyclamen
+{
+
+HostList::HostList(Millis lag)
+    : lag(lag)
+{
+    this->versions.push_back({Clock::now(), {{"version", 0}, {"hosts", nlohmann::json::array()}}});
+}
+
+std::uint64_t HostList::set(const nlohmann::json &hosts)
+{
+    const std::lock_guard lock(this->mutex);
+    const std::uint64_t version = this->nextVersion++;
+    this->versions.push_back({Clock::now() + this->lag, {{"version", version}, {"hosts", hosts}}});
+    return version;
+}
+
+nlohmann::json HostList::newestVisible()
+{
+    while (this->versions.size() > 1 && this->versions[1].visible <= Clock::now()) {
+        this->versions.pop_front();
+    }
+    return this->versions.front().list;
+}
+
+nlohmann::json HostList::visible()
+{
+    const std::lock_guard lock(this->mutex);
+    return this->frozen ? this->frozenList : this->newestVisible();
+}
+
+void HostList::freeze(bool on)
+{
+    const std::lock_guard lock(this->mutex);
+    this->frozenList = this->newestVisible();
+    this->frozen = on;
+}
+
+}
--- /dev/null
+++ b/testsuite/harness.py
@@ -0,0 +1,360 @@
+"""Starts the stand-ins and the entries of a test fleet, talks to them, and ends every process it started.
+
+    with Fleet(build) as fleet:
+        fleet.start_platform()
+        fleet.start_engines(prefill=2, decode=2)
+        fleet.start_entries(3)
+        reply = fleet.complete("a prompt", max_tokens=8)
+
+Every wait polls for an observed event with a generous limit, so that a busy machine makes a test slow but not red.
+"""
+
+import argparse
+import base64
+import contextlib
+import json
+import os
+import pathlib
+import re
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+
+from client import Reply, Stream, event_text, expected_text, prompt_tag, send, stream  # noqa: F401
+
+WAIT_LIMIT_S = 60
+SHARED_KEY = "loopback-test-key-0123456789abcdef"
+
+
+class Timeout(Exception):
+    """An awaited event did not come within its limit."""
+
+
+def wait_until(condition, what, limit=WAIT_LIMIT_S, period=0.02):
+    """Polls until condition() returns a true value, and returns it."""
+    end = time.monotonic() + limit
+    while True:
+        value = condition()
+        if value:
+            return value
+        if time.monotonic() >= end:
+            raise Timeout(f"{what}: not seen within {limit} s")
+        time.sleep(period)
+
+
+def free_ports(count, kind=socket.SOCK_STREAM):
+    """Returns loopback ports that are free now. They are held open together, so that all differ."""
+    sockets = [socket.socket(socket.AF_INET, kind) for _ in range(count)]
+    try:
+        for one in sockets:
+            one.bind(("127.0.0.1", 0))
+        return [one.getsockname()[1] for one in sockets]
+    finally:
+        for one in sockets:
+            one.close()
+
+
+class Process:
+    """A process that the harness started. Its output goes to a file in the fleet's folder."""
+
+    def __init__(self, name, command, folder, address):
+        self.name = name
+        self.command = [str(part) for part in command]
+        self.address = address
+        self.log = pathlib.Path(folder) / f"{name}.log"
+        with open(self.log, "ab") as log:
+            # No shell and no group: each process is ended by its own id.
+            self.child = subprocess.Popen(self.command, stdin=subprocess.DEVNULL, stdout=log, stderr=log, cwd=folder)
+
+    @property
+    def pid(self):
+        return self.child.pid
+
+    def running(self):
+        return self.child.poll() is None
+
+    def kill(self):
+        """Ends the process at once with SIGKILL."""
+        if self.running():
+            self.child.kill()
+        self.child.wait(WAIT_LIMIT_S)
+
+    def freeze(self):
+        os.kill(self.pid, signal.SIGSTOP)
+
+    def resume(self):
+        os.kill(self.pid, signal.SIGCONT)
+
+    def terminate(self):
+        """Sends SIGTERM without waiting."""
+        if self.running():
+            self.child.terminate()
+
+    def wait_end(self, limit=WAIT_LIMIT_S):
+        """Waits for the end of the process and returns its exit code."""
+        try:
+            return self.child.wait(limit)
+        except subprocess.TimeoutExpired:
+            raise Timeout(f"{self.name} did not end within {limit} s") from None
+
+    def log_lines(self):
+        """Returns the JSON lines that the process has logged."""
+        lines = []
+        for line in self.log.read_text(errors="replace").splitlines():
+            with contextlib.suppress(ValueError):
+                lines.append(json.loads(line))
+        return [line for line in lines if isinstance(line, dict)]
+
+    def counts(self):
+        return send(self.address, "GET", "/counts").json()
+
+    def fault(self, kind, **parameters):
+        """Gives a stand-in a fault; docs/emulator.md lists the kinds."""
+        return send(self.address, "POST", "/fault", {"kind": kind, **parameters})
+
+    def clear_faults(self):
+        return send(self.address, "DELETE", "/fault")
+
+
+class Entry(Process):
+    """An entry process with its three addresses."""
+
+    def __init__(self, name, command, folder, caller, admin, gossip, zone):
+        super().__init__(name, command, folder, caller)
+        self.caller = caller
+        self.admin = admin
+        self.gossip = gossip
+        self.zone = zone
+
+    def ready(self):
+        return self.running() and send(self.caller, "GET", "/readyz", timeout=5).status == 200
+
+
+class Fleet:
+    """A platform, engines, services and entries on loopback."""
+
+    def __init__(self, build, zones=("a", "b", "c")):
+        self.build = pathlib.Path(build).resolve()
+        self.zones = zones
+        self.processes = []
+        self.entries = []
+        self.hosts = []
+        self.platform = None
+        self.folder = None
+
+    def __enter__(self):
+        self.folder = tempfile.mkdtemp(prefix="cyclamencross-test-")
+        return self
+
+    def __exit__(self, kind, fault, trace):
+        if kind is not None:
+            self.show_logs()
+        self.stop()
+        shutil.rmtree(self.folder, ignore_errors=True)
+
+    def stop(self):
+        """Ends every process that this fleet started."""
+        for process in self.processes:
+            process.kill()
+
+    def show_logs(self, lines=15):
+        for process in self.processes:
+            tail = process.log.read_text(errors="replace").splitlines()[-lines:]
+            print(f"--- {process.name} (exit code {process.child.poll()})", *tail, sep="\n", file=sys.stderr)
+
+    # Stand-ins
+
+    def start_emu(self, command, label, address=None, **flags):
+        """Starts a stand-in. A flag slots=5 is passed as --slots=5; address is chosen if not given."""
+        address = address or f"127.0.0.1:{free_ports(1)[0]}"
+        arguments = [f"--{key.replace('_', '-')}={value}" for key, value in flags.items()]
+        process = Process(label, [self.build / "src" / "cyclamencross-emu", command, f"--listen={address}", *arguments],
+                          self.folder, address)
+        self.processes.append(process)
+        self.wait_answer(process)
+        return process
+
+    def wait_answer(self, process):
+        def answers():
+            if not process.running():
+                raise RuntimeError(f"{process.name} ended with code {process.child.returncode}")
+            return send(process.address, "GET", "/counts", timeout=5).status == 200
+        wait_until(answers, f"{process.name} answers")
+
+    def start_platform(self, **flags):
+        self.platform = self.start_emu("platform", "platform", **flags)
+        return self.platform
+
+    def start_engine(self, role, name, model="model", pool="engines", zone=None, **flags):
+        """Starts an engine and puts it on the host list (which set_hosts() publishes)."""
+        process = self.start_emu("engine", name, role=role, model=model, **flags)
+        self.hosts.append({"address": process.address, "kind": "engine", "pool": pool, "model": model, "role": role,
+                           "zone": zone or self.next_zone(), "state": "live",
+                           "checks_orders": flags.get("fencing", "check") == "check"})
+        return process
+
+    def start_engines(self, prefill, decode, prefill_flags=None, decode_flags=None, **common):
+        """Starts engines, publishes the host list and returns them as (prefill engines, decode engines)."""
+        first = [self.start_engine("prefill", f"prefill{n}", **common, **(prefill_flags or {})) for n in range(prefill)]
+        second = [self.start_engine("decode", f"decode{n}", **common, **(decode_flags or {})) for n in range(decode)]
+        self.set_hosts()
+        return first, second
+
+    def start_service(self, pool, name, zone=None, **flags):
+        process = self.start_emu("service", name, name=name, **flags)
+        self.hosts.append({"address": process.address, "kind": "service", "pool": pool, "model": "", "role": "",
+                           "zone": zone or self.next_zone(), "state": "live", "checks_orders": True})
+        self.set_hosts()
+        return process
+
+    def restart(self, process):
+        """Starts an ended stand-in again with the same flags and address."""
+        again = Process(process.name, process.command, self.folder, process.address)
+        self.processes.append(again)
+        self.wait_answer(again)
+        return again
+
+    def next_zone(self):
+        return self.zones[len(self.hosts) % len(self.zones)]
+
+    def set_hosts(self):
+        if self.platform:
+            send(self.platform.address, "PUT", "/v1/hosts", {"hosts": self.hosts})
+
+    def set_host_state(self, address, state):
+        for host in self.hosts:
+            if host["address"] == address:
+                host["state"] = state
+        self.set_hosts()
+
+    def remove_host(self, address):
+        self.hosts = [host for host in self.hosts if host["address"] != address]
+        self.set_hosts()
+
+    # Entries
+
+    def write_settings(self, name, zone, caller, admin, gossip, join, changes=None):
+        """Writes the settings of an entry. changes maps "section.key" to a value."""
+        values = {
+            "entry": {"name": name, "region": "test-region", "zone": zone},
+            "listen": {"caller": caller, "admin": admin, "gossip": gossip},
+            "platform": {"key_value": self.platform.address, "hosts": self.platform.address},
+            "peers": {"join": ", ".join(join), "shared_key": SHARED_KEY},
+        }
+        for key, value in (changes or {}).items():
+            section, member = key.split(".", 1)
+            values.setdefault(section, {})[member] = value
+        path = pathlib.Path(self.folder) / f"{name}.ini"
+        lines = []
+        for section, members in values.items():
+            lines += [f"[{section}]", *(f"{key} = {value}" for key, value in members.items()), ""]
+        path.write_text("\n".join(lines))
+        return path
+
+    def start_entries(self, count, changes=None, wait=True):
+        """Starts entries that know one another's gossip address, and waits until all are ready."""
+        ports = free_ports(count * 2)
+        gossip = [f"127.0.0.1:{port}" for port in free_ports(count, socket.SOCK_DGRAM)]
+        started = []
+        for number in range(count):
+            started.append(self.start_entry(f"entry{len(self.entries)}", self.zones[number % len(self.zones)],
+                                            f"127.0.0.1:{ports[2 * number]}", f"127.0.0.1:{ports[2 * number + 1]}",
+                                            gossip[number], [one for one in gossip if one != gossip[number]], changes))
+        if wait:
+            for entry in started:
+                self.wait_ready(entry)
+            self.wait_members(started)
+        return started
+
+    def start_entry(self, name, zone, caller, admin, gossip, join, changes=None):
+        settings = self.write_settings(name, zone, caller, admin, gossip, join, changes)
+        entry = Entry(name, [self.build / "src" / "cyclamencross", "entry", settings], self.folder, caller, admin,
+                      gossip, zone)
+        self.processes.append(entry)
+        self.entries.append(entry)
+        return entry
+
+    def restart_entry(self, entry):
+        """Starts an ended entry again with its settings; it gets a new incarnation."""
+        again = Entry(entry.name, entry.command, self.folder, entry.caller, entry.admin, entry.gossip, entry.zone)
+        self.processes.append(again)
+        self.entries[self.entries.index(entry)] = again
+        self.wait_ready(again)
+        return again
+
+    def wait_ready(self, entry):
+        def ready():
+            if not entry.running():
+                raise RuntimeError(f"{entry.name} ended with code {entry.child.returncode}")
+            return entry.ready()
+        wait_until(ready, f"{entry.name} is ready")
+
+    def wait_members(self, entries):
+        """Waits until each of the entries can hand out the address of each other one."""
+        wanted = {entry.caller for entry in entries}
+
+        def knows_all(entry):
+            seen = set()
+            for session in range(40 * len(wanted)):
+                reply = send(entry.caller, "GET", f"/v1/entry?workspace=probe&session={session}", timeout=5)
+                seen.add(reply.json().get("address"))
+                if wanted <= seen:
+                    return True
+            return False
+        for entry in entries:
+            wait_until(lambda entry=entry: knows_all(entry), f"{entry.name} knows all entries")
+
+    # Requests
+
+    def complete(self, prompt, max_tokens=8, entry=None, streamed=False, headers=None, model="model", **options):
+        """Sends POST /v1/completions to an entry (the first one if not given)."""
+        entry = entry or self.entries[0]
+        body = {"model": model, "prompt": prompt, "max_tokens": max_tokens, "stream": streamed}
+        headers = {"Workspace": "acme", **(headers or {})}
+        if streamed:
+            return stream(entry.caller, "/v1/completions", body, headers, **options)
+        return send(entry.caller, "POST", "/v1/completions", body, headers, **options)
+
+    def held(self, engines):
+        """Returns how many requests the engines hold."""
+        return sum(engine.counts().get("held", 0) for engine in engines if engine.running())
+
+    def read_key(self, key):
+        """Returns the value of a key in the key-value service, or None."""
+        body = {"key": base64.b64encode(key.encode()).decode()}
+        found = send(self.platform.address, "POST", "/v3/kv/range", body).json().get("kvs")
+        return base64.b64decode(found[0].get("value", "")) if found else None
+
+
+class Normaliser:
+    """Replaces ids, addresses and times in a transcript, so that two runs print the same text."""
+
+    PATTERNS = [
+        (re.compile(r"127\.0\.0\.1:\d+"), "ADDRESS"),
+        (re.compile(r"\bcxt1\.[\w.:-]+"), "TICKET"),
+        (re.compile(r"\b[\w-]+\.[0-9a-f]{16}\.\d+\b"), "REQUEST"),
+        (re.compile(r"\b[0-9a-f]{32}\b"), "HASH"),
+        (re.compile(r"\b[0-9a-f]{16}\b"), "NUMBER"),
+        (re.compile(r"\b\d+(\.\d+)? ?ms\b"), "N ms"),
+    ]
+
+    def __init__(self, names=None):
+        self.names = dict(names or {})
+
+    def __call__(self, text):
+        for value, name in self.names.items():
+            text = text.replace(value, name)
+        for pattern, replacement in self.PATTERNS:
+            text = pattern.sub(replacement, text)
+        return text
+
+
+def build_argument():
+    """Returns the build folder given on the command line of a session."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--build", required=True)
+    return parser.parse_args().build
