--- a/src/emu/commands.h
+++ b/src/emu/commands.h
@@ -7,5 +7,6 @@
 int runEngine(int argc, char **argv);
 int runService(int argc, char **argv);
 int runPlatform(int argc, char **argv);
+int runLoad(int argc, char **argv);
 
 }
--- a/src/emu/main.cpp
+++ b/src/emu/main.cpp
@@ -24,6 +24,9 @@
         if (command == "platform") {
             return runPlatform(argc - 1, argv + 1);
         }
+        if (command == "load") {
+            return runLoad(argc - 1, argv + 1);
+        }
     } catch (const cxxopts::exceptions::exception &fault) {
         std::cerr << fault.what() << "\n";
         return 2;
--- /dev/null
+++ b/testsuite/bench.py
@@ -0,0 +1,218 @@
+#!/usr/bin/env python3
+"""Measures goodput and wasted prefill at 0.7, 1.0 and 1.5 of the computed capacity and in a retry storm.
+
+The capacity is computed from the stand-ins' flags: prefill engines work one token after another, decode engines hold
+a limited number of requests and slow down with the batch. Writes a table in Markdown.
+"""
+
+import argparse
+import dataclasses
+import json
+import math
+import pathlib
+import subprocess
+import sys
+import time
+
+from harness import Fleet, Timeout, wait_until
+
+MODEL = "model"
+BETWEEN_TARGET_S = 0.074
+FIRST_TARGET_S = 0.42
+STORM_BASE = 0.7
+STORM_EXTRA = 0.8
+RECOVERED_SHARE = 0.9
+
+
+@dataclasses.dataclass(frozen=True)
+class Shape:
+    """The fleet and the requests of a run."""
+
+    prefill: int = 4
+    decode: int = 8
+    entries: int = 4
+    slots: int = 20
+    micros_per_token: float = 25
+    pace_us: int = 20000
+    pace_slope_us: int = 1000
+    prompt_min: int = 100
+    prompt_max: int = 4000
+    output_min: int = 16
+    output_max: int = 64
+    seconds: int = 20
+    storm_seconds: int = 10
+    after_storm_seconds: int = 20
+
+
+SHORT = Shape(prefill=2, decode=3, entries=3, seconds=6, storm_seconds=4, after_storm_seconds=12)
+
+
+def log_uniform_mean(low, high):
+    return (high - low) / math.log(high / low)
+
+
+def capacity(shape):
+    """Returns the rates in requests per second that the prefill and the decode engines can sustain."""
+    prefill_s = log_uniform_mean(shape.prompt_min, shape.prompt_max) * shape.micros_per_token / 1e6
+    step_s = (shape.pace_us + (shape.slots - 1) * shape.pace_slope_us) / 1e6
+    # A slot is held from the start of the prefill until the last output.
+    held_s = prefill_s + log_uniform_mean(shape.output_min, shape.output_max) * step_s
+    return shape.prefill / prefill_s, shape.decode * shape.slots / held_s
+
+
+@dataclasses.dataclass
+class Result:
+    """What one run measured."""
+
+    case: str
+    seed: int
+    offered: float
+    goodput: float
+    waste: float
+    report: dict
+    recovery_s: float = -1
+
+
+class Bench:
+    def __init__(self, build, shape):
+        self.build = build
+        self.shape = shape
+        self.capacity = min(capacity(shape))
+
+    def fleet(self):
+        return Fleet(self.build)
+
+    def start(self, fleet):
+        shape = self.shape
+        fleet.start_platform()
+        engines = fleet.start_engines(
+            shape.prefill, shape.decode, model=MODEL, slots=shape.slots,
+            prefill_flags={"micros_per_token": shape.micros_per_token},
+            decode_flags={"pace": shape.pace_us, "pace_slope": shape.pace_slope_us})
+        fleet.start_entries(shape.entries)
+        return engines
+
+    def start_load(self, fleet, name, rate, seconds, seed, **flags):
+        """Starts a load generator; finish_load() returns its report."""
+        shape = self.shape
+        values = {"entries": ",".join(entry.caller for entry in fleet.entries), "model": MODEL, "rate": rate,
+                  "duration": seconds, "seed": seed, "prompt-min": shape.prompt_min, "prompt-max": shape.prompt_max,
+                  "output-min": shape.output_min, "output-max": shape.output_max,
+                  "first-target": round(FIRST_TARGET_S * 1000), "between-target": round(BETWEEN_TARGET_S * 1000),
+                  "report": pathlib.Path(fleet.folder) / f"{name}.json", **flags}
+        return fleet.start_process(name, "load", [f"--{key}={value}" for key, value in values.items()])
+
+    def finish_load(self, fleet, process, seconds):
+        code = process.wait_end(seconds + 120)
+        if code != 0:
+            raise RuntimeError(f"{process.name} ended with code {code}")
+        return json.loads((pathlib.Path(fleet.folder) / f"{process.name}.json").read_text())
+
+    def waste(self, fleet, engines):
+        """Returns the share of finished prefills whose result was never used, once all results are gone."""
+        prefill, decode = engines
+        wait_until(lambda: fleet.held(prefill + decode) == 0, "engine memory is free")
+        counts = [engine.counts() for engine in prefill]
+        done = sum(one["prefills"] for one in counts)
+        return (done - sum(one["used"] for one in counts)) / max(1, done)
+
+    def steady(self, share, seed):
+        """Runs at a share of the capacity; callers retry once."""
+        seconds = self.shape.seconds
+        rate = share * self.capacity
+        with self.fleet() as fleet:
+            engines = self.start(fleet)
+            load = self.start_load(fleet, "load", rate, seconds, seed, retries=1)
+            report = self.finish_load(fleet, load, seconds)
+            waste = self.waste(fleet, engines)
+        return Result(f"{share:.1f}", seed, rate, report["model"]["goodput_per_second"], waste, report)
+
+    def storm(self, seed):
+        """Runs at 0.7 all the time and adds callers in the middle who give up early and retry often."""
+        shape = self.shape
+        before = shape.after_storm_seconds // 2
+        seconds = before + shape.storm_seconds + shape.after_storm_seconds
+        with self.fleet() as fleet:
+            engines = self.start(fleet)
+            base = self.start_load(fleet, "base", STORM_BASE * self.capacity, seconds, seed, retries=1)
+            time.sleep(before)
+            extra = self.start_load(fleet, "storm", STORM_EXTRA * self.capacity, shape.storm_seconds, seed + 1000,
+                                    retries=8, patience=600, **{"retry-delay": 50})
+            storm = self.finish_load(fleet, extra, shape.storm_seconds)
+            report = self.finish_load(fleet, base, seconds)
+            waste = self.waste(fleet, engines)
+        series = report["model"]["good_by_second"]
+        extra_series = storm["model"]["good_by_second"]
+        during = series[before:before + shape.storm_seconds] + extra_series[:shape.storm_seconds]
+        result = Result("storm", seed, (STORM_BASE + STORM_EXTRA) * self.capacity, sum(during) / shape.storm_seconds,
+                        waste, storm)
+        result.recovery_s = recovery(series, before, before + shape.storm_seconds)
+        return result
+
+
+def recovery(series, before, end):
+    """Returns the seconds from the end of the storm until goodput is back, as a mean over 3 s; -1 if it isn't."""
+    usual = sum(series[2:before]) / max(1, before - 2)
+    for second in range(end, len(series) - 2):
+        if sum(series[second:second + 3]) / 3 >= RECOVERED_SHARE * usual:
+            return second - end
+    return -1
+
+
+def row(result, bound):
+    model = result.report["model"]
+    outcomes = ", ".join(f"{name} {count}" for name, count in sorted(model["outcomes"].items()))
+    first = model["first_output_s"]
+    between = model["between_outputs_s"]
+    recovered = f"{result.recovery_s} s" if result.recovery_s >= 0 else "-"
+    return (f"| {result.case} | {result.seed} | {result.offered:.1f} | {result.goodput:.1f} | "
+            f"{100 * result.goodput / bound:.0f}% | {100 * result.waste:.1f}% | {first.get('p50', 0):.3f} / "
+            f"{first.get('p95', 0):.3f} | {1000 * between.get('p95', 0):.0f} | {model['retries']} | {recovered} | "
+            f"{outcomes} |")
+
+
+def table(results, rates):
+    best = min(rates)
+    lines = [f"Computed capacity: prefill engines {rates[0]:.1f}/s, decode engines {rates[1]:.1f}/s; "
+             f"bound {best:.1f} requests/s.", "",
+             "| load | seed | offered/s | goodput/s | of bound | wasted prefill | first output p50 / p95, s | "
+             "between outputs p95, ms | retries | recovery | outcomes |", "|" + "---|" * 11]
+    for result in results:
+        bound = min(best, result.offered)
+        lines.append(row(result, bound))
+    return "\n".join(lines) + "\n"
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--build", required=True)
+    parser.add_argument("--short", action="store_true", help="one seed, a small fleet and short runs")
+    parser.add_argument("--cases", default="0.7,1.0,1.5,storm")
+    parser.add_argument("--seeds", default="")
+    parser.add_argument("--out", default="", help="file for the table, besides standard output")
+    arguments = parser.parse_args()
+    shape = SHORT if arguments.short else Shape()
+    seeds = [int(one) for one in (arguments.seeds or ("1" if arguments.short else "1,2,3")).split(",")]
+    bench = Bench(arguments.build, shape)
+    results = []
+    failed = 0
+    for case in arguments.cases.split(","):
+        for seed in seeds:
+            try:
+                result = bench.storm(seed) if case == "storm" else bench.steady(float(case), seed)
+            except (Timeout, RuntimeError) as fault:
+                print(f"{case}, seed {seed}: {fault}", file=sys.stderr, flush=True)
+                failed += 1
+                continue
+            results.append(result)
+            print(f"{case}, seed {seed}: goodput {result.goodput:.1f}/s, wasted prefill {100 * result.waste:.1f}%",
+                  file=sys.stderr, flush=True)
+    text = table(results, capacity(shape))
+    print(text)
+    if arguments.out:
+        pathlib.Path(arguments.out).write_text(text)
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/testsuite/harness.py
+++ b/testsuite/harness.py
@@ -172,12 +172,16 @@
         """Starts a stand-in. A flag slots=5 is passed as --slots=5; address is chosen if not given."""
         address = address or f"127.0.0.1:{free_ports(1)[0]}"
         arguments = [f"--{key.replace('_', '-')}={value}" for key, value in flags.items()]
-        process = Process(label, [self.build / "src" / "cyclamencross-emu", command, f"--listen={address}", *arguments],
-                          self.folder, address)
-        self.processes.append(process)
+        process = self.start_process(label, command, [f"--listen={address}", *arguments], address)
         self.wait_answer(process)
         return process
 
+    def start_process(self, label, command, arguments, address=""):
+        """Starts a subcommand of cyclamencross-emu without waiting for it."""
+        process = Process(label, [self.build / "src" / "cyclamencross-emu", command, *arguments], self.folder, address)
+        self.processes.append(process)
+        return process
+
     def wait_answer(self, process):
         def answers():
             if not process.running():
