Read and check the process settings

The entry process could not start: loadSettings() refused every file. It now reads the INI file through inih and refuses unknown sections and keys, repeated keys, wrong types, missing units, values out of range, missing required keys and addresses that are not IP:PORT, with file, line, key and what was expected.

--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -1,15 +1,24 @@
 #include "cyclamencross/base/settings.h"
 
-#include "cyclamencross/base/failures.h"
-
-#include <boost/leaf/error.hpp>
+#include "cyclamencross/base/inifile.h"
+#include "cyclamencross/base/settingsbuilder.h"
 
 namespace Cyclamen
 {
 
 boost::leaf::result<Settings> loadSettings(const std::string &path)
 {
-    return boost::leaf::new_error(InvalidSetting{path, 0, "", "a readable file"});
+    BOOST_LEAF_AUTO(text, readTextFile(path));
+    BOOST_LEAF_AUTO(entries, parseIni(text, path));
+    SettingsBuilder builder(path);
+    for (const IniEntry &entry : entries) {
+        if (entry.key.empty()) {
+            BOOST_LEAF_CHECK(builder.section(entry.section, entry.line));
+        } else {
+            BOOST_LEAF_CHECK(builder.set(entry.section, entry.key, entry.value, entry.line));
+        }
+    }
+    return builder.build();
 }
 
 }
--- a/src/cyclamencross/main.cpp
+++ b/src/cyclamencross/main.cpp
@@ -24,6 +24,7 @@
         [](const InvalidSetting &fault) {
             LogLine("invalid-setting")
                 .add("file", fault.file)
+                .add("line", fault.line)
                 .add("key", fault.key)
                 .add("expected", fault.expected)
                 .error();
--- /dev/null
+++ b/src/include/cyclamencross/base/inifile.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include <boost/leaf/result.hpp>
+
+namespace Cyclamen
+{
+
+/// One `key = value` line of an INI file, or, with an empty key, a `[section]` line.
+struct IniEntry
+{
+    std::string section;
+    std::string key;
+    std::string value;
+    int line = 0; ///< Counted from 1.
+
+    bool operator==(const IniEntry &) const = default;
+};
+
+/// Longest line of an INI file in bytes.
+inline constexpr int MaxIniLineBytes = 4000;
+
+/// Splits INI text into its lines in file order, without judging sections, keys or repetitions. Comments start with
+/// '#' or ';' at the start of a line, or with ';' after white space. A value stands on one line.
+/// @param file name for error reports.
+/// @return the entries, or InvalidSetting for the first line that is neither a section, a key with a value, a comment
+/// nor empty, or that is too long.
+boost::leaf::result<std::vector<IniEntry>> parseIni(const std::string &text, const std::string &file);
+
+/// Reads a whole file.
+/// @return its content, or InvalidSetting with line 0 if it can't be read.
+boost::leaf::result<std::string> readTextFile(const std::string &path);
+
+}
