--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -12,10 +12,10 @@
     BOOST_LEAF_AUTO(entries, parseIni(text, path));
     SettingsBuilder builder(path);
     for (const IniEntry &entry : entries) {
-        if (entry.key.empty()) {
-            BOOST_LEAF_CHECK(builder.section(entry.section, entry.line));
-        } else {
-            BOOST_LEAF_CHECK(builder.set(entry.section, entry.key, entry.value, entry.line));
+        auto accepted = entry.key.empty() ? builder.section(entry.section, entry.line)
+                                          : builder.set(entry.section, entry.key, entry.value, entry.line);
+        if (!accepted) {
+            return accepted.error();
         }
     }
     return builder.build();
--- a/src/base/settingsbuilder.cpp
+++ b/src/base/settingsbuilder.cpp
@@ -164,7 +164,10 @@
 boost::leaf::result<void> SettingsBuilder::set(const std::string &section, const std::string &key,
                                                const std::string &value, int line)
 {
-    BOOST_LEAF_CHECK(this->section(section, line));
+    auto known = this->section(section, line);
+    if (!known) {
+        return known.error();
+    }
     const auto rule = std::find_if(rules().begin(), rules().end(), [&](const Rule &candidate) {
         return candidate.section == section && candidate.key == key;
     });
