--- /dev/null
+++ b/src/decide/choices_test.cpp
@@ -0,0 +1,114 @@
+#include "cyclamencross/decide/admission.h"
+#include "cyclamencross/decide/enginechoice.h"
+#include "cyclamencross/decide/engineowner.h"
+#include "cyclamencross/decide/entrychoice.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Cyclamen;
+
+namespace
+{
+
+Member makeMember(const std::string &name, const std::string &zone, std::uint32_t load = 0)
+{
+    Member member;
+    member.name = name;
+    member.zone = zone;
+    member.region = "sk-north";
+    member.load = load;
+    return member;
+}
+
+Backend makeEngine(const std::string &address, const std::string &zone = "zilina-a")
+{
+    Backend engine;
+    engine.address = address;
+    engine.zone = zone;
+    return engine;
+}
+
+}
+
+// Guards against an owner in another availability zone while one in the engine's own is available, and against a
+// change of owner that is not caused by the owner itself.
+TEST_CASE("engines are owned in their zone and keep their owner when others leave")
+{
+    std::vector<Member> members{makeMember("e1", "zilina-a"), makeMember("e2", "zilina-a"),
+                                makeMember("e3", "martin-b"), makeMember("e4", "zilina-a")};
+    const auto order = ownerOrder(makeEngine("127.0.0.1:9001"), members);
+    REQUIRE(order.size() == 4);
+    CHECK(order[3].name == "e3");
+    for (Member &member : members) {
+        member.state = member.name == order[1].name ? MemberState::Draining : MemberState::Alive;
+    }
+    const auto after = ownerOrder(makeEngine("127.0.0.1:9001"), members);
+    REQUIRE(after.size() == 3);
+    CHECK(after[0] == order[0]);
+}
+
+// Guards against sessions that move on an almost idle fleet, against a hot entry that keeps getting callers, and
+// against callers being sent to an entry that drains.
+TEST_CASE("entry choice is stable, bounded in load and passes over draining entries")
+{
+    std::vector<Member> members{makeMember("e1", "a"), makeMember("e2", "a"), makeMember("e3", "a")};
+    const auto first = chooseEntry("w", "s", "sk-north", members);
+    REQUIRE(first);
+    auto &chosen =
+        *std::find_if(members.begin(), members.end(), [&](const Member &m) { return m.name == first->name; });
+    chosen.load = 1;
+    CHECK(chooseEntry("w", "s", "sk-north", members)->name == first->name);
+    chosen.load = 30;
+    CHECK(chooseEntry("w", "s", "sk-north", members)->name != first->name);
+    chosen.load = 0;
+    chosen.state = MemberState::Draining;
+    CHECK(chooseEntry("w", "s", "sk-north", members)->name != first->name);
+    CHECK(chooseEntry("w", "s", "rw-north", members));
+    CHECK_FALSE(chooseEntry("w", "s", "sk-north", {}));
+}
+
+// Guards against following a prefix hint into a queue that costs more time than the cached part saves.
+TEST_CASE("a hinted engine wins only while its queue is shorter than the saved time")
+{
+    std::mt19937_64 random(1);
+    const std::vector<Backend> engines{makeEngine("a"), makeEngine("b")};
+    std::uint64_t queued = 40;
+    const LoadLookup load = [&queued](const std::string &engine) {
+        return EngineLoad{engine, 8, 0, engine == "a" ? queued : 0, 10000, {}};
+    };
+    CHECK(rankPrefill(engines, load, 1000, "a", random).front().engine.address == "a");
+    queued = 100;
+    const auto ranked = rankPrefill(engines, load, 1000, "a", random);
+    CHECK(ranked.front().engine.address == "b");
+    CHECK(ranked.front().costMs == Approx(100));
+    CHECK(ranked.back().expectedWaitMs == Approx(10));
+}
+
+// Guards against engines of unknown load being left idle for ever, and against unsigned underflow of free slots.
+TEST_CASE("decode ranking prefers free slots, tries unknown engines and respects the zone")
+{
+    std::mt19937_64 random(1);
+    const std::vector<Backend> engines{makeEngine("full"), makeEngine("free"), makeEngine("unknown", "martin-b")};
+    const LoadLookup load = [](const std::string &engine) -> std::optional<EngineLoad> {
+        if (engine == "unknown") {
+            return std::nullopt;
+        }
+        return EngineLoad{engine, 20, engine == "full" ? 25U : 3U, 0, 0, {}};
+    };
+    const auto ranked = rankDecode(engines, load, "martin-b", random);
+    CHECK(ranked[0].engine.address == "unknown");
+    CHECK(ranked[1].engine.address == "free");
+    CHECK(ranked[2].engine.address == "full");
+}
+
+// Guards against prefills that are started although their answer would be late.
+TEST_CASE("admission keeps a margin that grows with the wasted-prefill weight")
+{
+    const RankedEngine engine{makeEngine("a"), 100, 200, false};
+    CHECK(admit(engine, Millis(20), Millis(50), Millis(420), 0).admitted);
+    const auto strict = admit(engine, Millis(20), Millis(50), Millis(420), 1);
+    CHECK_FALSE(strict.admitted);
+    CHECK(strict.expected == Millis(320));
+    CHECK(strict.left == Millis(244));
+    CHECK_FALSE(admit({makeEngine("a"), 1e300, 0, false}, Millis(0), Millis(0), Millis(420), 0).admitted);
+}
--- a/src/decide/rendezvous.cpp
+++ b/src/decide/rendezvous.cpp
@@ -3,6 +3,8 @@
 #include "cyclamencross/base/hash.h"
 
 #include <algorithm>
+#include <cstdint>
+#include <utility>
 
 namespace Cyclamen
 {
@@ -10,11 +12,19 @@
 std::vector<std::string> rendezvousOrder(std::string_view key, std::vector<std::string> candidates)
 {
     const std::uint64_t seed = hash64(key);
-    std::sort(candidates.begin(), candidates.end(), [seed](const std::string &a, const std::string &b) {
-        const std::uint64_t weightA = hash64(a, seed);
-        const std::uint64_t weightB = hash64(b, seed);
-        return weightA != weightB ? weightA > weightB : a < b;
+    // Weights are computed once each: with 670 entries, hashing inside the comparison costs ten times as many hashes.
+    std::vector<std::pair<std::uint64_t, std::string>> weighted;
+    weighted.reserve(candidates.size());
+    for (std::string &candidate : candidates) {
+        const std::uint64_t weight = hash64(candidate, seed);
+        weighted.emplace_back(weight, std::move(candidate));
+    }
+    std::sort(weighted.begin(), weighted.end(), [](const auto &a, const auto &b) {
+        return a.first != b.first ? a.first > b.first : a.second < b.second;
     });
+    for (std::size_t i = 0; i < weighted.size(); ++i) {
+        candidates[i] = std::move(weighted[i].second);
+    }
     return candidates;
 }
 
--- a/src/include/cyclamencross/base/backend.h
+++ b/src/include/cyclamencross/base/backend.h
@@ -22,7 +22,7 @@
     bool checksOrders = true; ///< Whether it refuses an order with an old fencing number.
 
     bool operator==(const Backend &) const = default;
-    auto operator<=>(const Backend &) const = default;
+    auto operator<=>(const Backend &) const = default; // NOLINT(modernize-use-nullptr): false positive
 };
 
 }
--- a/src/include/cyclamencross/base/crashreport.h
+++ b/src/include/cyclamencross/base/crashreport.h
@@ -15,7 +15,7 @@
     std::int64_t unixTime = 0; ///< Seconds.
 
     bool operator==(const CrashReport &) const = default;
-    auto operator<=>(const CrashReport &) const = default;
+    auto operator<=>(const CrashReport &) const = default; // NOLINT(modernize-use-nullptr): false positive
 };
 
 }
--- a/src/include/cyclamencross/base/slotask.h
+++ b/src/include/cyclamencross/base/slotask.h
@@ -18,6 +18,8 @@
     std::uint32_t slots = 0; ///< Decode slots wanted; 0 at a prefill engine.
     std::uint64_t tokens = 0; ///< Prefill tokens wanted; 0 at a decode engine.
     Millis maxWait{0}; ///< The owner answers no later than this.
+    std::uint64_t number =
+        0; ///< Set by GrantService; tells a new ask of the same request from a late copy of an earlier one.
 
     bool operator==(const SlotAsk &) const = default;
 };
--- a/src/include/cyclamencross/base/slotgrant.h
+++ b/src/include/cyclamencross/base/slotgrant.h
@@ -17,6 +17,7 @@
     std::uint32_t slots = 0;
     std::uint64_t tokens = 0;
     Millis expectedWait{0}; ///< Prefill work in front of this request.
+    std::uint64_t number = 0; ///< Number of the ask that it answers.
 
     bool operator==(const SlotGrant &) const = default;
 };
--- a/src/include/cyclamencross/decide/crashledger.h
+++ b/src/include/cyclamencross/decide/crashledger.h
@@ -2,6 +2,7 @@
 
 #include "cyclamencross/base/crashreport.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <set>
@@ -17,6 +18,8 @@
 public:
     static constexpr std::int64_t LifetimeSeconds = 600;
     static constexpr int CrashesToContain = 2;
+    /// Bounds the memory; beyond it the oldest record is dropped.
+    static constexpr std::size_t MaxRecords = 10000;
 
     /// Adds a record; the same record twice counts once.
     /// @return whether it is new.
@@ -27,6 +30,8 @@
     bool isContained(std::uint64_t fingerprint, std::int64_t now) const;
     /// Removes the records of @p fingerprint made up to @p upTo and ignores late copies of them.
     void lift(std::uint64_t fingerprint, std::int64_t upTo);
+    /// Drops records and lift marks that are out of force at @p now.
+    void expire(std::int64_t now);
     /// Returns the records in force.
     std::vector<CrashReport> inForce(std::int64_t now) const;
 
--- a/src/include/cyclamencross/decide/requeststate.h
+++ b/src/include/cyclamencross/decide/requeststate.h
@@ -3,6 +3,7 @@
 #include "cyclamencross/base/runoutcome.h"
 
 #include <cstdint>
+#include <set>
 
 namespace Cyclamen
 {
@@ -14,9 +15,13 @@
     enum class Phase : std::uint8_t { Queued, Dispatched, Answering, Ended };
 
     /// Bytes of the request may be about to leave for a backend server.
-    void dispatch();
-    /// The backend server said in so many words that it did not run the work.
+    /// @return the number of this attempt.
+    int dispatch();
+    /// The backend server said in so many words that it did not run the work of the latest attempt.
     void rejectedByBackend();
+    /// The same for one attempt. The request counts as not run only when every attempt was rejected, so a repeated or
+    /// late rejection of one attempt says nothing about another whose answer is missing.
+    void rejectedByBackend(int attempt);
     /// Work is known to have happened, for example a finished prefill.
     void workDone();
     /// The first part of the answer goes to the caller.
@@ -32,6 +37,8 @@
 private:
     Phase current = Phase::Queued;
     bool worked = false;
+    int lastAttempt = 0;
+    std::set<int> open; // attempts that may have run
 };
 
 }
