Add owner look-ups without sorting all members

ownerOrder() orders and copies every member, which the request path does not need: it uses three owners at most. firstOwners() weighs the members of the engine's zone first and others only if needed; ownedEngines() skips engines of other zones.

--- a/src/decide/choices_test.cpp
+++ b/src/decide/choices_test.cpp
@@ -3,6 +3,8 @@
 #include "cyclamencross/decide/engineowner.h"
 #include "cyclamencross/decide/entrychoice.h"
 
+#include <algorithm>
+
 #include <catch2/catch.hpp>
 
 using namespace Cyclamen;
@@ -45,6 +47,24 @@
     const auto after = ownerOrder(makeEngine("127.0.0.1:9001"), members);
     REQUIRE(after.size() == 3);
     CHECK(after[0] == order[0]);
+    CHECK(firstOwners(makeEngine("127.0.0.1:9001"), members, 1).at(0)->name == order[0].name);
+}
+
+// Guards against engines that two entries or no entry would own because two functions disagree.
+TEST_CASE("each engine is among the owned engines of the first owner only")
+{
+    const std::vector<Member> members{makeMember("e1", "zilina-a"), makeMember("e2", "zilina-a"),
+                                      makeMember("e3", "martin-b")};
+    const std::vector<Backend> engines{makeEngine("a:1"), makeEngine("b:2", "martin-b"),
+                                       makeEngine("c:3", "no-entries"), makeEngine("d:4")};
+    std::size_t owned = 0;
+    for (const Member &member : members) {
+        for (const Backend &engine : ownedEngines(member.name, engines, members)) {
+            CHECK(ownerOrder(engine, members).front().name == member.name);
+            ++owned;
+        }
+    }
+    CHECK(owned == engines.size());
 }
 
 // Guards against sessions that move on an almost idle fleet, against a hot entry that keeps getting callers, and
--- a/src/decide/engineowner.cpp
+++ b/src/decide/engineowner.cpp
@@ -1,31 +1,97 @@
 #include "cyclamencross/decide/engineowner.h"
 
+#include "cyclamencross/base/hash.h"
 #include "cyclamencross/decide/rendezvous.h"
 
+#include <algorithm>
+#include <cstdint>
+#include <iterator>
 #include <map>
-#include <string>
+#include <utility>
 
 namespace Cyclamen
 {
 
-std::vector<Member> ownerOrder(const Backend &engine, const std::vector<Member> &members)
+namespace
+{
+
+using Weighted = std::pair<std::uint64_t, const Member *>;
+
+bool comesBefore(const Weighted &a, const Weighted &b)
 {
-    std::map<std::string, const Member *> byName;
-    std::vector<std::string> near;
-    std::vector<std::string> far;
+    return a.first != b.first ? a.first > b.first : a.second->name < b.second->name;
+}
+
+}
+
+std::vector<const Member *> firstOwners(const Backend &engine, const std::vector<Member> &members, std::size_t count)
+{
+    const std::uint64_t key = hash64(engine.address);
+    std::vector<Weighted> near;
+    std::vector<Weighted> far;
     for (const Member &member : members) {
-        if (isAvailable(member) && byName.emplace(member.name, &member).second) {
-            (member.zone == engine.zone ? near : far).push_back(member.name);
+        if (isAvailable(member) && member.zone == engine.zone) {
+            near.emplace_back(rendezvousWeight(key, member.name), &member);
         }
     }
-    std::vector<Member> order;
-    order.reserve(byName.size());
-    for (const auto &group : {rendezvousOrder(engine.address, near), rendezvousOrder(engine.address, far)}) {
-        for (const std::string &name : group) {
-            order.push_back(*byName.at(name));
+    // Members of other zones are by far the most, so they are weighed only if needed.
+    for (const Member &member : members) {
+        if (near.size() < count && isAvailable(member) && member.zone != engine.zone) {
+            far.emplace_back(rendezvousWeight(key, member.name), &member);
         }
     }
+    std::vector<const Member *> first;
+    for (auto *group : {&near, &far}) {
+        const auto wanted = std::min(group->size(), count - first.size());
+        std::partial_sort(group->begin(), group->begin() + static_cast<std::ptrdiff_t>(wanted), group->end(),
+                          comesBefore);
+        for (std::size_t i = 0; i < wanted; ++i) {
+            first.push_back((*group)[i].second);
+        }
+    }
+    return first;
+}
+
+std::vector<Member> ownerOrder(const Backend &engine, const std::vector<Member> &members)
+{
+    std::vector<Member> order;
+    for (const Member *member : firstOwners(engine, members, members.size())) {
+        order.push_back(*member);
+    }
     return order;
 }
 
+std::vector<Backend> ownedEngines(const std::string &name, const std::vector<Backend> &engines,
+                                  const std::vector<Member> &members)
+{
+    std::map<std::string, std::vector<const Member *>> byZone;
+    std::vector<const Member *> all;
+    for (const Member &member : members) {
+        if (isAvailable(member)) {
+            byZone[member.zone].push_back(&member);
+            all.push_back(&member);
+        }
+    }
+    std::vector<Backend> owned;
+    for (const Backend &engine : engines) {
+        const auto zone = byZone.find(engine.zone);
+        const auto &candidates = zone == byZone.end() ? all : zone->second;
+        const bool isCandidate = std::any_of(candidates.begin(), candidates.end(),
+                                             [&name](const Member *member) { return member->name == name; });
+        if (!isCandidate) {
+            continue;
+        }
+        const std::uint64_t key = hash64(engine.address);
+        Weighted best{0, nullptr};
+        for (const Member *member : candidates) {
+            const Weighted next{rendezvousWeight(key, member->name), member};
+            best = best.second == nullptr || comesBefore(next, best) ? next : best;
+        }
+        if (best.second->name == name) {
+            owned.push_back(engine);
+        }
+    }
+    return owned;
+}
+
 }
--- a/src/decide/rendezvous.cpp
+++ b/src/decide/rendezvous.cpp
@@ -9,6 +9,11 @@
 namespace Cyclamen
 {
 
+std::uint64_t rendezvousWeight(std::uint64_t keyHash, std::string_view candidate)
+{
+    return hash64(candidate, keyHash);
+}
+
 std::vector<std::string> rendezvousOrder(std::string_view key, std::vector<std::string> candidates)
 {
     const std::uint64_t seed = hash64(key);
@@ -16,7 +21,7 @@
     std::vector<std::pair<std::uint64_t, std::string>> weighted;
     weighted.reserve(candidates.size());
     for (std::string &candidate : candidates) {
-        const std::uint64_t weight = hash64(candidate, seed);
+        const std::uint64_t weight = rendezvousWeight(seed, candidate);
         weighted.emplace_back(weight, std::move(candidate));
     }
     std::sort(weighted.begin(), weighted.end(), [](const auto &a, const auto &b) {
--- a/src/include/cyclamencross/decide/rendezvous.h
+++ b/src/include/cyclamencross/decide/rendezvous.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -11,4 +12,8 @@
 /// changes the order of no other.
 std::vector<std::string> rendezvousOrder(std::string_view key, std::vector<std::string> candidates);
 
+/// Returns the weight of @p candidate under a key with @p keyHash, which is hash64 of the key. The largest weight comes
+/// first; of equal weights, the lesser name.
+std::uint64_t rendezvousWeight(std::uint64_t keyHash, std::string_view candidate);
+
 }
