--- /dev/null
+++ b/src/proxy/backendclient.cpp
@@ -0,0 +1,127 @@
+#include "backendclient.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <httplib.h>
+
+namespace Cyclamen
+{
+
+namespace
+{
+
+std::string hostOf(const std::string &address)
+{
+    return address.substr(0, address.rfind(':'));
+}
+
+int portOf(const std::string &address)
+{
+    return std::atoi(address.c_str() + address.rfind(':') + 1);
+}
+
+bool isConnectError(httplib::Error error)
+{
+    return error == httplib::Error::Connection || error == httplib::Error::ConnectionTimeout
+        || error == httplib::Error::BindIPAddress;
+}
+
+}
+
+std::string BackendReply::header(const std::string &name) const
+{
+    const auto found = this->headers.find(name);
+    return found == this->headers.end() ? "" : found->second;
+}
+
+BackendClient::BackendClient(Millis connectTimeout, Millis silence)
+    : connectTimeout(connectTimeout)
+    , silence(silence)
+{
+}
+
+ExchangeEnd BackendClient::send(const BackendRequest &request, CancelSignal &cancel) const
+{
+    return this->stream(request, cancel, nullptr);
+}
+
+ExchangeEnd BackendClient::stream(const BackendRequest &request, CancelSignal &cancel, const Receiver &receiver) const
+{
+    if (cancel.reason() != CancelReason::None) {
+        return ConnectFailed{request.address};
+    }
+    httplib::Client client(hostOf(request.address), portOf(request.address));
+    client.set_connection_timeout(this->connectTimeout);
+    client.set_read_timeout(this->silence);
+    client.set_write_timeout(this->silence);
+    client.set_tcp_nodelay(true);
+    client.set_url_encode(false);
+    client.set_decompress(false);
+
+    httplib::Request sent;
+    sent.method = request.method;
+    sent.path = request.target;
+    sent.body = request.body;
+    for (const auto &[name, value] : request.headers) {
+        sent.headers.emplace(name, value);
+    }
+    BackendReply reply;
+    const auto takeHead = [&reply](const httplib::Response &response) {
+        reply.status = response.status;
+        for (const auto &[name, value] : response.headers) {
+            reply.headers.emplace(name, value);
+        }
+        return true;
+    };
+    sent.response_handler = takeHead;
+    sent.content_receiver = [&](const char *data, std::size_t size, std::uint64_t /*offset*/, std::uint64_t /*total*/) {
+        if (receiver && reply.status == 200) {
+            return receiver({data, size});
+        }
+        reply.body.append(data, size);
+        return reply.body.size() <= MaxWholeBytes;
+    };
+
+    const CancelSignal::Interruption interruption(cancel, [&client] { client.stop(); });
+    httplib::Response response;
+    httplib::Error error = httplib::Error::Success;
+    if (client.send(sent, response, error)) {
+        if (reply.status == 0) {
+            takeHead(response); // cpp-httplib calls the handler only for answers with a body.
+        }
+        return reply;
+    }
+    if (isConnectError(error)) {
+        return ConnectFailed{request.address};
+    }
+    if (cancel.reason() != CancelReason::None) {
+        return CallerGone{};
+    }
+    return ExchangeBroken{request.address, httplib::to_string(error)};
+}
+
+bool BackendClient::refusesConnection(const std::string &address) const
+{
+    const int probe = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    sockaddr_in to{};
+    to.sin_family = AF_INET;
+    to.sin_port = htons(static_cast<std::uint16_t>(portOf(address)));
+    inet_pton(AF_INET, hostOf(address).c_str(), &to.sin_addr);
+    int failure = 0;
+    if (connect(probe, reinterpret_cast<sockaddr *>(&to), sizeof to) != 0) {
+        failure = errno;
+        pollfd polled{probe, POLLOUT, 0};
+        socklen_t size = sizeof failure;
+        if (failure == EINPROGRESS && poll(&polled, 1, static_cast<int>(this->connectTimeout.count())) > 0) {
+            getsockopt(probe, SOL_SOCKET, SO_ERROR, &failure, &size);
+        }
+    }
+    close(probe);
+    return failure == ECONNREFUSED;
+}
+
+}
--- /dev/null
+++ b/src/proxy/callerwatch.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "cancelsignal.h"
+
+#include <map>
+#include <mutex>
+#include <thread>
+
+namespace Cyclamen
+{
+
+/// One thread that watches the connections of all requests in progress and cancels a request within milliseconds when
+/// its caller closes the connection, also while the request's own thread is blocked.
+class CallerWatch
+{
+public:
+    CallerWatch();
+    ~CallerWatch();
+    CallerWatch(const CallerWatch &) = delete;
+    CallerWatch &operator=(const CallerWatch &) = delete;
+
+    /// Watches @p socket for @p signal until forget().
+    void add(int socket, CancelSignal &signal);
+    void forget(int socket);
+    /// Cancels every request in progress, and those that are added later.
+    void cancelAll(CancelReason reason);
+
+private:
+    void run(const std::stop_token &stop);
+
+    std::mutex mutex;
+    std::map<int, CancelSignal *> signals;
+    CancelReason forAll = CancelReason::None;
+    int epoll = -1;
+    std::jthread thread;
+};
+
+}
--- /dev/null
+++ b/src/proxy/errorreply.cpp
@@ -0,0 +1,33 @@
+#include "errorreply.h"
+
+#include "cyclamencross/base/hash.h"
+
+#include <nlohmann/json.hpp>
+
+namespace Cyclamen
+{
+
+std::string errorJson(const CallerError &error, const std::string &requestId)
+{
+    const nlohmann::ordered_json body{{"error",
+                                       {{"type", error.type},
+                                        {"message", error.message},
+                                        {"outcome", toString(error.outcome)},
+                                        {"request_id", requestId}}}};
+    return body.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
+}
+
+HttpReply errorReply(const CallerError &error, const std::string &requestId)
+{
+    HttpReply reply{error.status, {}, errorJson(error, requestId)};
+    reply.headers["Content-Type"] = "application/json";
+    reply.headers["Run-Outcome"] = toString(error.outcome);
+    if (error.retryAfter) {
+        const auto base = static_cast<std::uint64_t>(error.retryAfter->count());
+        const std::uint64_t jittered = base + randomNumber() % (base + 1);
+        reply.headers["Retry-After"] = std::to_string((jittered + 999) / 1000);
+    }
+    return reply;
+}
+
+}
