--- a/src/proxy/callerserver.cpp
+++ b/src/proxy/callerserver.cpp
@@ -51,7 +51,8 @@
 class CallerServer::Listener : public httplib::Server
 {
 public:
-    Listener(std::size_t maxConnections, ConnectionLimits limits, Handler handler, Refusal refusal, CallerWatch &watch)
+    Listener(std::size_t maxConnections, ConnectionLimits limits, CallerServer::Handler handler, Refusal refusal,
+             CallerWatch &watch)
         : limits(limits)
         , handler(std::move(handler))
         , refusal(std::move(refusal))
@@ -172,9 +173,9 @@
         received.headers = std::move(currentHeaders);
         received.body = request.body;
         CallerExchange exchange(std::move(received), currentConnection);
-        this->watch.add(currentConnection->socket(), exchange.cancelSignal());
+        this->watch.add(exchange.cancelSignal(), currentConnection->socket());
         this->handler(exchange);
-        this->watch.forget(currentConnection->socket());
+        this->watch.forget(exchange.cancelSignal());
         if (exchange.streamBegun()) {
             response.status = 200;
         } else if (exchange.wholeReply()) {
@@ -183,7 +184,7 @@
     }
 
     ConnectionLimits limits;
-    Handler handler;
+    CallerServer::Handler handler;
     Refusal refusal;
     CallerWatch &watch;
     int stopEvent;
@@ -227,6 +228,11 @@
     return this->listener->port;
 }
 
+CallerWatch &CallerServer::callerWatch()
+{
+    return this->watch;
+}
+
 void CallerServer::stopAccepting()
 {
     this->listener->stop();
--- a/src/proxy/callerserver.h
+++ b/src/proxy/callerserver.h
@@ -34,6 +34,8 @@
     bool start(const std::string &address);
     /// Returns the bound port.
     int port() const;
+    /// Watches the deadline of a request that arrived another way, and cancels it when the server stops.
+    CallerWatch &callerWatch();
     /// Closes the listener; open connections go on.
     void stopAccepting();
 
--- a/src/proxy/callerwatch.cpp
+++ b/src/proxy/callerwatch.cpp
@@ -30,32 +30,38 @@
     close(this->epoll);
 }
 
-void CallerWatch::add(int socket, CancelSignal &signal)
+void CallerWatch::add(CancelSignal &signal, int socket)
 {
     const std::scoped_lock lock(this->mutex);
-    this->signals[socket] = &signal;
+    this->sockets[&signal] = socket;
     if (this->forAll != CancelReason::None) {
         signal.cancel(this->forAll);
     }
+    if (socket < 0) {
+        return;
+    }
     // EPOLLIN is left out: a caller may send its next request early. One event is enough, since tick() repeats it.
     epoll_event event{};
     event.events = EPOLLRDHUP | EPOLLONESHOT;
-    event.data.fd = socket;
+    event.data.ptr = &signal;
     epoll_ctl(this->epoll, EPOLL_CTL_ADD, socket, &event);
 }
 
-void CallerWatch::forget(int socket)
+void CallerWatch::forget(CancelSignal &signal)
 {
     const std::scoped_lock lock(this->mutex);
-    epoll_ctl(this->epoll, EPOLL_CTL_DEL, socket, nullptr);
-    this->signals.erase(socket);
+    const auto found = this->sockets.find(&signal);
+    if (found->second >= 0) {
+        epoll_ctl(this->epoll, EPOLL_CTL_DEL, found->second, nullptr);
+    }
+    this->sockets.erase(found);
 }
 
 void CallerWatch::cancelAll(CancelReason reason)
 {
     const std::scoped_lock lock(this->mutex);
     this->forAll = reason;
-    for (const auto &[socket, signal] : this->signals) {
+    for (const auto &[signal, socket] : this->sockets) {
         signal->cancel(reason);
     }
 }
@@ -67,13 +73,14 @@
         const int count = epoll_wait(this->epoll, events.data(), events.size(), TickMillis);
         const std::scoped_lock lock(this->mutex);
         for (int i = 0; i < count; ++i) {
-            const auto found = this->signals.find(events.at(i).data.fd);
-            if (found != this->signals.end()) {
-                found->second->cancel(CancelReason::CallerGone);
+            // The request may have ended between the event and the lock.
+            auto *signal = static_cast<CancelSignal *>(events.at(i).data.ptr);
+            if (this->sockets.contains(signal)) {
+                signal->cancel(CancelReason::CallerGone);
             }
         }
         const TimePoint now = Clock::now();
-        for (const auto &[socket, signal] : this->signals) {
+        for (const auto &[signal, socket] : this->sockets) {
             signal->tick(now);
         }
     }
--- a/src/proxy/callerwatch.h
+++ b/src/proxy/callerwatch.h
@@ -20,8 +20,9 @@
     CallerWatch &operator=(const CallerWatch &) = delete;
 
     /// Watches @p socket for @p signal until forget().
-    void add(int socket, CancelSignal &signal);
-    void forget(int socket);
+    /// @param socket -1 for a request without a connection of its own, whose deadline alone is watched.
+    void add(CancelSignal &signal, int socket);
+    void forget(CancelSignal &signal);
     /// Cancels every request in progress, and those that are added later.
     void cancelAll(CancelReason reason);
 
@@ -29,7 +30,7 @@
     void run(const std::stop_token &stop);
 
     std::mutex mutex;
-    std::map<int, CancelSignal *> signals;
+    std::map<CancelSignal *, int> sockets;
     CancelReason forAll = CancelReason::None;
     int epoll = -1;
     std::jthread thread;
--- a/src/proxy/cancelsignal.cpp
+++ b/src/proxy/cancelsignal.cpp
@@ -16,6 +16,9 @@
 void CancelSignal::cancel(CancelReason reason)
 {
     const std::scoped_lock lock(this->mutex);
+    if (reason == CancelReason::CallerGone && this->callerIgnored) {
+        return;
+    }
     if (this->why == CancelReason::None) {
         this->why = reason;
     }
@@ -33,6 +36,15 @@
     return this->why;
 }
 
+void CancelSignal::ignoreCallerGone()
+{
+    const std::scoped_lock lock(this->mutex);
+    this->callerIgnored = true;
+    if (this->why == CancelReason::CallerGone) {
+        this->why = CancelReason::None;
+    }
+}
+
 void CancelSignal::setDeadline(TimePoint newDeadline)
 {
     const std::scoped_lock lock(this->mutex);
--- a/src/proxy/cancelsignal.h
+++ b/src/proxy/cancelsignal.h
@@ -22,6 +22,8 @@
     void cancel(CancelReason reason);
     /// Returns the reason, or None while the request may go on. A passed deadline counts at once.
     CancelReason reason() const;
+    /// From now on the request goes on without its caller.
+    void ignoreCallerGone();
     /// Sets when the request must have ended.
     void setDeadline(TimePoint deadline);
     /// Returns the time left, at least 0.
@@ -49,6 +51,7 @@
 private:
     mutable std::mutex mutex;
     CancelReason why = CancelReason::None;
+    bool callerIgnored = false;
     std::optional<TimePoint> deadline;
     std::function<void()> interrupt;
 };
--- a/src/proxy/modelrun.cpp
+++ b/src/proxy/modelrun.cpp
@@ -77,7 +77,7 @@
             && this->core.retries.takeRetry() && this->exchange.cancelSignal().sleep(
                 this->core.retries.delay(this->attempts));
         if (!again) {
-            failure->error.outcome = this->outcome();
+            failure->error.outcome = this->state.outcomeOnFailure();
             this->relay.fail(failure->error);
             return failure->error;
         }
@@ -280,12 +280,12 @@
 
 ModelRun::Failure ModelRun::fail(int status, const std::string &type, const std::string &message, bool retryable) const
 {
-    return Failure{CallerError{status, type, message, this->outcome()}, retryable};
+    return Failure{CallerError{status, type, message, this->state.outcomeOnFailure()}, retryable};
 }
 
 ModelRun::Failure ModelRun::refuse(const std::string &type, const std::string &message, Millis retryAfter) const
 {
-    return Failure{CallerError{503, type, message, this->outcome(), retryAfter}, false};
+    return Failure{CallerError{503, type, message, this->state.outcomeOnFailure(), retryAfter}, false};
 }
 
 ModelRun::Failure ModelRun::broken(const std::string &engine, const ExchangeEnd &end, const std::string &stage)
@@ -300,25 +300,17 @@
         this->state.rejectedByBackend();
     } else if (const auto *cut = std::get_if<ExchangeBroken>(&end)) {
         what = "broke off: " + cut->detail;
-        this->doubt = true;
         if (this->core.client.refusesConnection(engine)) {
             this->core.crashGuard.report(this->fingerprint, engine);
         }
     } else if (const auto *reply = std::get_if<BackendReply>(&end)) {
         what = "answered with status " + std::to_string(reply->status);
-        this->doubt = true;
     }
     LogLine("engine-failure").add("request", this->requestId).add("attempt", this->attemptId).add("engine", engine)
         .add("stage", stage).add("detail", what).warn();
     return this->fail(502, "engine-failure", "the " + stage + " engine " + what, true);
 }
 
-RunOutcome ModelRun::outcome() const
-{
-    const RunOutcome outcome = this->state.outcomeOnFailure();
-    return this->doubt && outcome == RunOutcome::NotRun ? RunOutcome::Unknown : outcome;
-}
-
 Millis ModelRun::leftUntilFirstOutput() const
 {
     // A retry has spent work already, so it may use all of the deadline; so may a request that can wait.
--- a/src/proxy/modelrun.h
+++ b/src/proxy/modelrun.h
@@ -58,7 +58,6 @@
     Failure fail(int status, const std::string &type, const std::string &message, bool retryable) const;
     Failure refuse(const std::string &type, const std::string &message, Millis retryAfter) const;
     Failure broken(const std::string &engine, const ExchangeEnd &end, const std::string &stage);
-    RunOutcome outcome() const;
     Millis leftUntilFirstOutput() const;
     SlotAsk askFor(const std::string &engine, Millis maxWait) const;
     void logChoice(const char *stage, const std::vector<RankedEngine> &candidates, const std::string &choice,
@@ -84,7 +83,6 @@
     std::unique_ptr<EngineHold> prefillHold;
     std::string handle;
     bool prefillSpent = false; ///< The attempt's prefill may have cost an engine work.
-    bool doubt = false; ///< An earlier attempt may have done work without an answer.
     std::string answer;
 };
 
--- a/src/proxy/proxyserver.cpp
+++ b/src/proxy/proxyserver.cpp
@@ -1,15 +1,114 @@
 #include "cyclamencross/proxy/proxyserver.h"
 
+#include "callerserver.h"
+#include "entryanswer.h"
+#include "modelflow.h"
+#include "serviceflow.h"
+
+#include "cyclamencross/base/logline.h"
+#include "cyclamencross/base/metrics.h"
+
 namespace Cyclamen
 {
 
+namespace
+{
+
+constexpr Millis BusyRetryAfter{1000};
+
+HttpReply plain(int status, const std::string &text)
+{
+    return HttpReply{status, {{"Content-Type", "text/plain; charset=utf-8"}}, text};
+}
+
+// Refusals of the HTTP layer, before a request is read or routed.
+HttpReply earlyRefusal(int status)
+{
+    switch (status) {
+    case 503:
+        return errorReply(CallerError{503, "too-many-connections", "this entry has too many connections",
+                                      RunOutcome::NotRun, BusyRetryAfter},
+                          "");
+    case 413:
+        return errorReply(CallerError{413, "too-large", "the request is larger than this entry accepts"}, "");
+    case 404:
+        return errorReply(CallerError{404, "not-found", "there is no such path"}, "");
+    case 414:
+        return errorReply(CallerError{414, "too-large", "the request line is too long"}, "");
+    default:
+        return errorReply(CallerError{status < 400 ? 400 : status, "invalid-request", "malformed HTTP request"}, "");
+    }
+}
+
+}
+
 struct ProxyServer::Members
 {
+    Members(const Settings &settings, std::uint64_t incarnation, ProxyHooks hooks, Metrics &metrics)
+        : core(settings, incarnation, std::move(hooks), metrics)
+        , models(core, registry)
+        , services(core, registry)
+        , server(
+              settings.maxConnections, ConnectionLimits{settings.idleTimeout, 64U << 10U, settings.maxBodyBytes},
+              [this](CallerExchange &exchange) { this->handle(exchange); }, earlyRefusal)
+    {
+    }
+
+    void handle(CallerExchange &exchange);
+    void answerSimple(CallerExchange &exchange);
+
+    ProxyCore core;
+    CallRegistry registry;
+    ModelFlow models;
+    ServiceFlow services;
+    CallerServer server; // Last, so that it ends its threads before what they use is destroyed.
 };
 
-ProxyServer::ProxyServer(const Settings & /*settings*/, std::uint64_t /*incarnation*/, ProxyHooks /*hooks*/,
-                         Metrics & /*metrics*/)
-    : members(std::make_unique<Members>())
+void ProxyServer::Members::handle(CallerExchange &exchange)
+{
+    const CallerRequest &request = exchange.request();
+    const bool model = request.path == "/v1/completions" || request.path == "/v1/chat/completions";
+    if (!model && !request.path.starts_with("/services/")) {
+        this->answerSimple(exchange);
+        return;
+    }
+    if (model && request.method != "POST") {
+        exchange.reply(errorReply(CallerError{405, "invalid-request", "only POST is answered here"}, ""));
+        return;
+    }
+    this->core.hooks.setLoad(++this->core.inProgress);
+    if (model) {
+        this->models.handle(exchange);
+    } else {
+        this->services.handle(exchange);
+    }
+    this->core.hooks.setLoad(--this->core.inProgress);
+}
+
+void ProxyServer::Members::answerSimple(CallerExchange &exchange)
+{
+    const CallerRequest &request = exchange.request();
+    const bool get = request.method == "GET" || request.method == "HEAD";
+    if (get && request.path == "/v1/entry") {
+        const FleetViewPtr view = this->core.hooks.view();
+        exchange.reply(answerEntry(request, *view, this->services.guard().newTicket()));
+    } else if (get && request.path == "/healthz") {
+        exchange.reply(plain(200, "ok\n"));
+    } else if (get && request.path == "/readyz") {
+        const auto refusal = this->core.refusal();
+        exchange.reply(refusal ? plain(503, refusal->type + "\n") : plain(200, "ready\n"));
+    } else if (get && request.path == "/metrics") {
+        this->core.metrics.set("cyclamencross_requests_in_progress", this->core.inProgress.load());
+        HttpReply reply = plain(200, this->core.metrics.text());
+        reply.headers["Content-Type"] = "text/plain; version=0.0.4";
+        exchange.reply(std::move(reply));
+    } else {
+        exchange.reply(earlyRefusal(404));
+    }
+}
+
+ProxyServer::ProxyServer(const Settings &settings, std::uint64_t incarnation, ProxyHooks hooks, Metrics &metrics)
+    : members(std::make_unique<Members>(settings, incarnation, std::move(hooks), metrics))
 {
 }
 
@@ -17,25 +116,34 @@
 
 bool ProxyServer::start()
 {
-    return true;
+    return this->members->server.start(this->members->core.settings.callerAddress);
 }
 
 void ProxyServer::stopAccepting()
 {
+    this->members->server.stopAccepting();
 }
 
 void ProxyServer::refuseNewWork()
 {
+    this->members->core.refusesNewWork.store(true);
 }
 
 std::uint32_t ProxyServer::inProgress() const
 {
-    return 0;
+    return this->members->core.inProgress.load();
 }
 
-HttpReply ProxyServer::answerPeerCall(const HttpRequest & /*request*/)
+HttpReply ProxyServer::answerPeerCall(const HttpRequest &request)
 {
-    return HttpReply{404, {}, ""};
+    CallerWatch &watch = this->members->server.callerWatch();
+    CancelSignal cancel;
+    ++this->members->core.inProgress;
+    watch.add(cancel, -1);
+    HttpReply reply = this->members->services.guard().answerPeer(request, cancel);
+    watch.forget(cancel);
+    --this->members->core.inProgress;
+    return reply;
 }
 
 }
