--- /dev/null
+++ b/src/proxy/callerwatch.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "cancelsignal.h"
+
+#include <map>
+#include <mutex>
+#include <thread>
+
+namespace Cyclamen
+{
+
+/// One thread that watches the connections of all requests in progress and cancels a request within milliseconds when
+/// its caller closes the connection, also while the request's own thread is blocked.
+class CallerWatch
+{
+public:
+    CallerWatch();
+    ~CallerWatch();
+    CallerWatch(const CallerWatch &) = delete;
+    CallerWatch &operator=(const CallerWatch &) = delete;
+
+    /// Watches @p socket for @p signal until forget().
+    /// @param socket -1 for a request without a connection of its own, whose deadline alone is watched.
+    void add(CancelSignal &signal, int socket);
+    void forget(CancelSignal &signal);
+    /// Cancels every request in progress, and those that are added later.
+    void cancelAll(CancelReason reason);
+
+private:
+    void run(const std::stop_token &stop);
+
+    std::mutex mutex;
+    std::map<CancelSignal *, int> sockets;
+    CancelReason forAll = CancelReason::None;
+    int epoll = -1;
+    std::jthread thread;
+};
+
+}
