--- a/src/decide/engineledger.cpp
+++ b/src/decide/engineledger.cpp
@@ -327,4 +327,9 @@
     return this->waiting.size();
 }
 
+bool EngineLedger::isWaiting(const std::string &requestId) const
+{
+    return this->waiting.find(requestId) != nullptr;
+}
+
 }
--- /dev/null
+++ b/src/grant/grantservice_test.cpp
@@ -0,0 +1,260 @@
+#include "cyclamencross/grant/grantservice.h"
+
+#include "cyclamencross/base/controlsystem.h"
+#include "cyclamencross/base/hash.h"
+#include "cyclamencross/base/metrics.h"
+#include "cyclamencross/decide/engineowner.h"
+
+#include <functional>
+#include <map>
+#include <mutex>
+#include <set>
+#include <thread>
+#include <vector>
+
+#include <catch2/catch.hpp>
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+using namespace Cyclamen;
+
+namespace
+{
+
+bool eventually(const std::function<bool()> &condition)
+{
+    for (int i = 0; i < 1000 && !condition(); ++i) {
+        std::this_thread::sleep_for(Millis(10));
+    }
+    return condition();
+}
+
+// An engine that reports what the test sets.
+class FakeEngine
+{
+public:
+    explicit FakeEngine(std::uint32_t slots)
+    {
+        this->server.Get("/v1/load", [this, slots](const httplib::Request &, httplib::Response &reply) {
+            const std::scoped_lock lock(this->mutex);
+            reply.set_content(nlohmann::json{{"slots", slots}, {"held", this->held.size()}}.dump(), "application/json");
+        });
+        this->server.Get("/v1/requests", [this](const httplib::Request &, httplib::Response &reply) {
+            const std::scoped_lock lock(this->mutex);
+            nlohmann::json list = nlohmann::json::array();
+            for (const std::string &id : this->held) {
+                list.push_back({{"request_id", id}, {"stage", "decoding"}, {"age_ms", 5}, {"attached", true}});
+            }
+            reply.set_content(nlohmann::json{{"requests", list}}.dump(), "application/json");
+        });
+        this->server.Post("/v1/cancel", [this](const httplib::Request &request, httplib::Response &reply) {
+            const std::scoped_lock lock(this->mutex);
+            const bool known =
+                this->held.erase(nlohmann::json::parse(request.body).at("request_id").get<std::string>()) > 0;
+            reply.set_content(nlohmann::json{{"cancelled", known}}.dump(), "application/json");
+        });
+        this->address = "127.0.0.1:" + std::to_string(this->server.bind_to_any_port("127.0.0.1"));
+        this->thread = std::thread([this] { this->server.listen_after_bind(); });
+    }
+    ~FakeEngine()
+    {
+        this->server.stop();
+        this->thread.join();
+    }
+    void hold(const std::string &id)
+    {
+        const std::scoped_lock lock(this->mutex);
+        this->held.insert(id);
+    }
+    bool holds(const std::string &id)
+    {
+        const std::scoped_lock lock(this->mutex);
+        return this->held.contains(id);
+    }
+
+    std::string address;
+
+private:
+    httplib::Server server;
+    std::mutex mutex;
+    std::set<std::string> held;
+    std::thread thread;
+};
+
+// Entries that exchange datagrams through function calls; those to a silenced entry are lost.
+class FakeFleet
+{
+public:
+    FakeFleet(const std::vector<std::string> &names, const std::string &engine)
+    {
+        Backend backend;
+        backend.address = engine;
+        backend.role = EngineRole::Decode;
+        this->view.backends = {backend};
+        for (const std::string &name : names) {
+            Member member;
+            member.name = name;
+            member.incarnation = 1;
+            member.gossipAddress = name;
+            this->view.members.push_back(member);
+        }
+        for (const Member &member : this->view.members) {
+            Settings settings;
+            settings.name = member.name;
+            const auto send = [this, from = member.name](const std::string &to, DatagramKind kind,
+                                                         const std::string &payload) {
+                const std::scoped_lock lock(this->delivery);
+                if (!this->isClosed && !this->isSilent(to) && !this->isSilent(from)) {
+                    this->services.at(to)->receive({from, 1, 1, kind, payload, from});
+                }
+            };
+            this->services[member.name] = std::make_unique<GrantService>(
+                settings, [this, member] { return this->viewOf(member); }, this->control, send, this->metrics);
+        }
+        for (auto &[name, service] : this->services) {
+            service->start();
+        }
+    }
+    ~FakeFleet()
+    {
+        const std::scoped_lock lock(this->delivery);
+        this->isClosed = true;
+    }
+    FleetViewPtr viewOf(const Member &self)
+    {
+        const std::scoped_lock lock(this->mutex);
+        auto own = std::make_shared<FleetView>(this->view);
+        own->self = self;
+        return own;
+    }
+    bool isSilent(const std::string &name)
+    {
+        const std::scoped_lock lock(this->mutex);
+        return this->silent.contains(name);
+    }
+    void silence(const std::string &name)
+    {
+        const std::scoped_lock lock(this->mutex);
+        this->silent.insert(name);
+    }
+    void setState(BackendState state)
+    {
+        const std::scoped_lock lock(this->mutex);
+        this->view.backends.front().state = state;
+    }
+    std::vector<std::string> owners()
+    {
+        std::vector<std::string> names;
+        for (const Member &member : ownerOrder(this->view.backends.front(), this->view.members)) {
+            names.push_back(member.name);
+        }
+        return names;
+    }
+    std::optional<SlotGrant> acquire(const std::string &from, const std::string &id, Millis maxWait = Millis(400))
+    {
+        const auto grant =
+            this->services.at(from)->acquire({id, this->view.backends.front().address, "w", 1, 1, 0, maxWait, 0});
+        return grant ? std::optional(*grant) : std::nullopt;
+    }
+
+    // Asks until @p owner itself answers, since a busy machine may delay it beyond the owner timeout.
+    std::optional<SlotGrant> acquireFrom(const std::string &owner, const std::string &from, const std::string &id)
+    {
+        std::optional<SlotGrant> grant;
+        eventually([&] {
+            grant = this->acquire(from, id);
+            if (grant && grant->owner != owner) {
+                this->services.at(from)->release(*grant);
+                grant.reset();
+            }
+            return grant.has_value();
+        });
+        return grant;
+    }
+
+    std::recursive_mutex delivery; // recursive, since a delivery may cause another one
+    bool isClosed = false;
+    std::mutex mutex;
+    FleetView view;
+    std::set<std::string> silent;
+    Metrics metrics;
+    ControlSystem control;
+    std::map<std::string, std::unique_ptr<GrantService>> services;
+};
+
+std::string idOf(const std::string &entry, int n)
+{
+    return entry + "." + toHex(1) + "." + std::to_string(n);
+}
+
+}
+
+// Guards against slots that are granted twice, or never again after a release, by an owner in another process; and
+// against a new owner that ignores what the engine already holds.
+TEST_CASE("the owner grants what the engine has free")
+{
+    FakeEngine engine(3);
+    engine.hold(idOf("e1", 100));
+    FakeFleet fleet({"e1", "e2"}, engine.address);
+    const std::string asker = fleet.owners().at(1);
+    const std::string owner = fleet.owners().at(0);
+    const auto first = fleet.acquireFrom(owner, asker, idOf(asker, 1));
+    REQUIRE(first);
+    CHECK(fleet.services.at(asker)->load(engine.address)->held == 2);
+    REQUIRE(fleet.acquireFrom(owner, owner, idOf(asker, 2)));
+    CHECK_FALSE(fleet.acquire(asker, idOf(asker, 3), Millis(30)));
+    std::thread releaser([&] {
+        std::this_thread::sleep_for(Millis(50));
+        fleet.services.at(asker)->release(*first);
+        fleet.services.at(asker)->release(*first);
+    });
+    CHECK(fleet.acquire(asker, idOf(asker, 4), Millis(5000)));
+    releaser.join();
+    CHECK_FALSE(fleet.acquire(asker, idOf(asker, 5), Millis(0)));
+}
+
+// Guards against requests that hang or fail because the owner of an engine has just died.
+TEST_CASE("a silent owner is passed over, and without any owner the engine decides")
+{
+    FakeEngine engine(5);
+    FakeFleet fleet({"e1", "e2", "e3", "e4"}, engine.address);
+    const auto owners = fleet.owners();
+    fleet.silence(owners.at(0));
+    CHECK(fleet.acquireFrom(owners.at(1), owners.at(3), idOf("e1", 1)));
+    fleet.silence(owners.at(1));
+    fleet.silence(owners.at(2));
+    const auto direct = fleet.acquire(owners.at(3), idOf("e1", 2));
+    REQUIRE(direct);
+    CHECK(direct->owner.empty());
+}
+
+// Guards against new work for an engine that is leaving, also while its owner has not noticed.
+TEST_CASE("a leaving engine gets no grant")
+{
+    FakeEngine engine(5);
+    FakeFleet fleet({"e1", "e2"}, engine.address);
+    REQUIRE(eventually([&] { return fleet.acquire("e1", idOf("e1", 1)).has_value(); }));
+    fleet.setState(BackendState::Leaving);
+    CHECK_FALSE(fleet.acquire("e1", idOf("e1", 2)));
+    fleet.setState(BackendState::Live);
+    CHECK(eventually([&] { return fleet.acquire("e1", idOf("e1", 3)).has_value(); }));
+}
+
+// Guards against engine memory that a dead entry's requests keep for ever, and against cancelling live ones.
+TEST_CASE("the owner cancels requests of dead entries")
+{
+    FakeEngine engine(5);
+    engine.hold(idOf("dead", 1));
+    engine.hold(idOf("e2", 1));
+    FakeFleet fleet({"e1", "e2"}, engine.address);
+    {
+        const std::scoped_lock lock(fleet.mutex);
+        Member dead;
+        dead.name = "dead";
+        dead.incarnation = 1;
+        dead.state = MemberState::Dead;
+        fleet.view.members.insert(fleet.view.members.begin(), dead);
+    }
+    CHECK(eventually([&] { return !engine.holds(idOf("dead", 1)); }));
+    CHECK(engine.holds(idOf("e2", 1)));
+}
--- /dev/null
+++ b/src/grant/slotmessages.cpp
@@ -0,0 +1,105 @@
+#include "slotmessages.h"
+
+#include <cstdint>
+#include <exception>
+#include <sstream>
+
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/string.hpp>
+
+namespace Cyclamen
+{
+
+namespace
+{
+
+// Marks a load of which the owner has no report.
+constexpr std::int64_t NeverKnown = -1;
+
+template<typename... Fields>
+std::string pack(const Fields &...fields)
+{
+    std::ostringstream out(std::ios::binary);
+    {
+        cereal::PortableBinaryOutputArchive archive(out);
+        archive(fields...);
+    }
+    return out.str();
+}
+
+template<typename... Fields>
+bool unpack(const std::string &payload, Fields &...fields)
+{
+    try {
+        std::istringstream in(payload, std::ios::binary);
+        cereal::PortableBinaryInputArchive archive(in);
+        archive(fields...);
+        return true;
+    } catch (const std::exception &) {
+        return false;
+    }
+}
+
+}
+
+std::string encode(const SlotAsk &ask)
+{
+    return pack(ask.requestId, ask.engine, ask.workspace, ask.priority, ask.slots, ask.tokens,
+                std::int64_t(ask.maxWait.count()), ask.number);
+}
+
+std::optional<SlotAsk> decodeAsk(const std::string &payload)
+{
+    SlotAsk ask;
+    std::int64_t maxWait = 0;
+    if (!unpack(payload, ask.requestId, ask.engine, ask.workspace, ask.priority, ask.slots, ask.tokens, maxWait,
+                ask.number)) {
+        return std::nullopt;
+    }
+    ask.maxWait = Millis(maxWait);
+    return ask;
+}
+
+std::string encode(const SlotReply &reply, TimePoint now)
+{
+    const bool isKnown = reply.load.known != TimePoint();
+    const std::int64_t age = isKnown ? std::chrono::duration_cast<Millis>(now - reply.load.known).count() : NeverKnown;
+    return pack(static_cast<std::uint8_t>(reply.status), reply.requestId, reply.engine, reply.owner, reply.number,
+                reply.slots, reply.tokens, std::int64_t(reply.expectedWait.count()), reply.reason, reply.load.slots,
+                reply.load.held, reply.load.queuedTokens, reply.load.tokensPerSecond, age);
+}
+
+std::optional<SlotReply> decodeReply(const std::string &payload, TimePoint now)
+{
+    SlotReply reply;
+    std::uint8_t status = 0;
+    std::int64_t expectedWait = 0;
+    std::int64_t age = 0;
+    if (!unpack(payload, status, reply.requestId, reply.engine, reply.owner, reply.number, reply.slots, reply.tokens,
+                expectedWait, reply.reason, reply.load.slots, reply.load.held, reply.load.queuedTokens,
+                reply.load.tokensPerSecond, age)
+        || status > static_cast<std::uint8_t>(SlotStatus::NotOwner)) {
+        return std::nullopt;
+    }
+    reply.status = static_cast<SlotStatus>(status);
+    reply.expectedWait = Millis(expectedWait);
+    reply.load.engine = reply.engine;
+    reply.load.known = age == NeverKnown ? TimePoint() : now - Millis(age);
+    return reply;
+}
+
+std::string encode(const SlotRelease &release)
+{
+    return pack(release.requestId, release.engine, release.number);
+}
+
+std::optional<SlotRelease> decodeRelease(const std::string &payload)
+{
+    SlotRelease release;
+    if (!unpack(payload, release.requestId, release.engine, release.number)) {
+        return std::nullopt;
+    }
+    return release;
+}
+
+}
--- a/src/include/cyclamencross/decide/engineledger.h
+++ b/src/include/cyclamencross/decide/engineledger.h
@@ -81,6 +81,7 @@
     /// Returns when decide() must run next although nothing else happens; nothing if no one waits.
     std::optional<TimePoint> nextDeadline(TimePoint now) const;
     std::size_t waitingCount() const;
+    bool isWaiting(const std::string &requestId) const;
 
 private:
     struct Held
