--- a/src/fleet/membership.cpp
+++ b/src/fleet/membership.cpp
@@ -145,13 +145,14 @@
 void Membership::startResync(TimePoint now)
 {
     if (!this->nextResync) {
-        this->nextResync = now + FirstResync;
+        this->nextResync = now + this->resyncPeriod;
     }
     const auto live = this->table.names(isLive);
     if (now < *this->nextResync || live.empty()) {
         return;
     }
-    this->nextResync = now + ResyncPeriod;
+    this->nextResync = now + this->resyncPeriod;
+    this->resyncPeriod = std::min(2 * this->resyncPeriod, LongestResync);
     this->pageAfter.clear();
     this->pagePeers = {this->table.find(live[this->random() % live.size()])->gossipAddress};
 }
--- a/src/fleet/membership.h
+++ b/src/fleet/membership.h
@@ -41,9 +41,10 @@
     /// Pages of the member list, which only joining entries read, may fill a datagram of 1,400 bytes.
     static constexpr std::size_t PageBytes = 1250;
     static constexpr int PagesPerSecond = 10;
-    /// An entry that joined while others did may have read an incomplete list.
-    static constexpr Millis FirstResync{10000};
-    static constexpr Millis ResyncPeriod{300000};
+    /// An entry that joined while others did may have read an incomplete list, so it reads another peer's list after
+    /// this time, then after twice as long and so on.
+    static constexpr Millis FirstResync{2000};
+    static constexpr Millis LongestResync{300000};
     static constexpr int IndirectProbes = 3;
     /// Every fifth probe also goes to a dead member or a configured peer, so that two halves of a partition find each
     /// other again.
@@ -117,6 +118,7 @@
     std::vector<std::string> pagePeers; ///< Gossip addresses to read the member list from; empty when it was read.
     std::size_t pagePeer = 0;
     std::optional<TimePoint> nextResync;
+    Millis resyncPeriod = FirstResync;
     int pageTries = 0;
     std::string pageAfter;
     std::uint64_t pageNumber = 0;
--- /dev/null
+++ b/src/proxy/callerwatch.cpp
@@ -0,0 +1,89 @@
+#include "callerwatch.h"
+
+#include <array>
+
+#include <sys/epoll.h>
+#include <unistd.h>
+
+namespace Cyclamen
+{
+
+namespace
+{
+
+// Bounds how late a passed deadline is seen.
+constexpr int TickMillis = 5;
+constexpr std::size_t EventsAtOnce = 64;
+
+}
+
+CallerWatch::CallerWatch()
+    : epoll(epoll_create1(EPOLL_CLOEXEC))
+    , thread([this](const std::stop_token &stop) { this->run(stop); })
+{
+}
+
+CallerWatch::~CallerWatch()
+{
+    this->thread.request_stop();
+    this->thread.join();
+    close(this->epoll);
+}
+
+void CallerWatch::add(CancelSignal &signal, int socket)
+{
+    const std::scoped_lock lock(this->mutex);
+    this->sockets[&signal] = socket;
+    if (this->forAll != CancelReason::None) {
+        signal.cancel(this->forAll);
+    }
+    if (socket < 0) {
+        return;
+    }
+    // EPOLLIN is left out: a caller may send its next request early. One event is enough, since tick() repeats it.
+    epoll_event event{};
+    event.events = EPOLLRDHUP | EPOLLONESHOT;
+    event.data.ptr = &signal;
+    epoll_ctl(this->epoll, EPOLL_CTL_ADD, socket, &event);
+}
+
+void CallerWatch::forget(CancelSignal &signal)
+{
+    const std::scoped_lock lock(this->mutex);
+    const auto found = this->sockets.find(&signal);
+    if (found->second >= 0) {
+        epoll_ctl(this->epoll, EPOLL_CTL_DEL, found->second, nullptr);
+    }
+    this->sockets.erase(found);
+}
+
+void CallerWatch::cancelAll(CancelReason reason)
+{
+    const std::scoped_lock lock(this->mutex);
+    this->forAll = reason;
+    for (const auto &[signal, socket] : this->sockets) {
+        signal->cancel(reason);
+    }
+}
+
+void CallerWatch::run(const std::stop_token &stop)
+{
+    std::array<epoll_event, EventsAtOnce> events{};
+    while (!stop.stop_requested()) {
+        const int count = epoll_wait(this->epoll, events.data(), events.size(), TickMillis);
+        const std::scoped_lock lock(this->mutex);
+        for (int i = 0; i < count; ++i) {
+            // The request may have ended between the event and the lock.
+            auto *signal = static_cast<CancelSignal *>(events.at(i).data.ptr);
+            if (this->sockets.contains(signal)) {
+                signal->cancel(CancelReason::CallerGone);
+            }
+        }
+        const TimePoint now = Clock::now();
+        for (const auto &[signal, socket] : this->sockets) {
+            signal->tick(now);
+        }
+    }
+}
+
+}
