Add the key-value client, fleet configuration, call records and their tests

Cause: configuration and at-most-once calls rest on the platform's key-value service, whose answers can be lost after a write took effect. Change: etcd v3 JSON client behind a call hook, INI configuration with strict parsing, effective values and their sources, compare-and-swap with lost answers resolved by change id, history ring of 100 revisions, write-back of a newer configuration, call records with a lease shared for an hour. Not yet connected to FleetService.

--- /dev/null
+++ b/src/fleet/configkeys.cpp
@@ -0,0 +1,125 @@
+#include "configkeys.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <optional>
+#include <sstream>
+
+namespace Cyclamen
+{
+
+namespace
+{
+
+struct Unit
+{
+    std::string_view name;
+    std::int64_t millis = 1;
+};
+
+// Longest first, since "s" also ends "ms".
+constexpr std::array<Unit, 4> Units{Unit{"ms", 1}, Unit{"s", 1000}, Unit{"min", 60000}, Unit{"h", 3600000}};
+
+std::optional<Millis> parseDuration(const std::string &text)
+{
+    std::int64_t number = 0;
+    const auto [rest, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+    const std::string_view unit(rest, static_cast<std::size_t>(text.data() + text.size() - rest));
+    const auto found = std::find_if(Units.begin(), Units.end(), [unit](const Unit &u) { return u.name == unit; });
+    // The bound keeps the product within 64 bits.
+    if (error != std::errc() || found == Units.end() || number < 0 || number > 1000000000) {
+        return std::nullopt;
+    }
+    return Millis(number * found->millis);
+}
+
+std::string formatDuration(Millis duration)
+{
+    return std::to_string(duration.count()) + "ms";
+}
+
+std::string formatNumber(double number)
+{
+    std::array<char, 32> text{};
+    const auto end = std::to_chars(text.data(), text.data() + text.size(), number).ptr;
+    return {text.data(), end};
+}
+
+ConfigKey durationKey(const char *name, Millis FleetDefaults::*member, Millis least, Millis most)
+{
+    return ConfigKey{
+        name, "a duration with its unit (ms, s, min, h) from " + formatDuration(least) + " to " + formatDuration(most),
+        [member, least, most](FleetDefaults &defaults, const std::string &text) {
+            const auto value = parseDuration(text);
+            if (!value || *value < least || *value > most) {
+                return false;
+            }
+            defaults.*member = *value;
+            return true;
+        },
+        [member](const FleetDefaults &defaults) { return formatDuration(defaults.*member); }};
+}
+
+ConfigKey shareKey(const char *name, double FleetDefaults::*member)
+{
+    return ConfigKey{name, "a number from 0 to 1",
+                     [member](FleetDefaults &defaults, const std::string &text) {
+                         double value = 0;
+                         const auto [rest, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+                         // The comparison also refuses "nan".
+                         if (error != std::errc() || rest != text.data() + text.size() || !(value >= 0 && value <= 1)) {
+                             return false;
+                         }
+                         defaults.*member = value;
+                         return true;
+                     },
+                     [member](const FleetDefaults &defaults) { return formatNumber(defaults.*member); }};
+}
+
+ConfigKey integerKey(const char *name, int FleetDefaults::*member, int least, int most)
+{
+    return ConfigKey{name, "a whole number from " + std::to_string(least) + " to " + std::to_string(most),
+                     [member, least, most](FleetDefaults &defaults, const std::string &text) {
+                         int value = 0;
+                         const auto [rest, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+                         if (error != std::errc() || rest != text.data() + text.size() || value < least
+                             || value > most) {
+                             return false;
+                         }
+                         defaults.*member = value;
+                         return true;
+                     },
+                     [member](const FleetDefaults &defaults) { return std::to_string(defaults.*member); }};
+}
+
+}
+
+const std::vector<ConfigKey> &configKeys()
+{
+    using std::chrono::hours;
+    using std::chrono::minutes;
+    using std::chrono::seconds;
+    static const std::vector<ConfigKey> Keys{
+        durationKey("first_token_target", &FleetDefaults::firstTokenTarget, Millis(10), seconds(60)),
+        durationKey("between_tokens_target", &FleetDefaults::betweenTokensTarget, Millis(1), seconds(10)),
+        durationKey("request_deadline", &FleetDefaults::requestDeadline, seconds(1), hours(1)),
+        durationKey("answer_ttl", &FleetDefaults::answerTtl, seconds(1), minutes(5)),
+        shareKey("retry_budget", &FleetDefaults::retryBudget),
+        shareKey("wasted_prefill_weight", &FleetDefaults::wastedPrefillWeight),
+        integerKey("max_tokens", &FleetDefaults::maxTokens, 1, 1000000),
+    };
+    return Keys;
+}
+
+const ConfigKey *findConfigKey(const std::string &name)
+{
+    for (const ConfigKey &key : configKeys()) {
+        if (key.name == name) {
+            return &key;
+        }
+    }
+    return nullptr;
+}
+
+}
--- /dev/null
+++ b/src/fleet/keyvaluehttp.cpp
@@ -0,0 +1,92 @@
+#include "keyvaluehttp.h"
+
+#include "cyclamencross/base/failures.h"
+#include "cyclamencross/net/socketaddress.h"
+
+#include <mutex>
+#include <semaphore>
+#include <vector>
+
+#include <boost/leaf/error.hpp>
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+namespace Cyclamen
+{
+
+namespace
+{
+
+// gRPC's code for "not found", which the service's JSON gateway puts into the body.
+constexpr int NotFoundCode = 5;
+
+bool isLeaseNotFound(const std::string &body)
+{
+    const auto json = nlohmann::json::parse(body, nullptr, false);
+    return json.is_object() && json.contains("code") && json["code"] == NotFoundCode
+        && body.find("lease") != std::string::npos;
+}
+
+}
+
+struct KeyValueHttp::Members
+{
+    std::unique_ptr<httplib::Client> takeClient()
+    {
+        {
+            const std::scoped_lock lock(this->mutex);
+            if (!this->idle.empty()) {
+                auto client = std::move(this->idle.back());
+                this->idle.pop_back();
+                return client;
+            }
+        }
+        const auto address = parseAddress(this->settings.keyValueAddress).value_or(SocketAddress{"0.0.0.0", 0});
+        auto client = std::make_unique<httplib::Client>(address.ip, address.port);
+        client->set_connection_timeout(this->settings.connectTimeout);
+        client->set_read_timeout(this->settings.keyValueTimeout);
+        client->set_write_timeout(this->settings.keyValueTimeout);
+        client->set_keep_alive(true);
+        client->set_tcp_nodelay(true);
+        return client;
+    }
+
+    Settings settings;
+    std::counting_semaphore<MaxCalls> places{MaxCalls};
+    std::mutex mutex;
+    std::vector<std::unique_ptr<httplib::Client>> idle;
+};
+
+KeyValueHttp::KeyValueHttp(const Settings &settings)
+    : members(std::make_unique<Members>())
+{
+    this->members->settings = settings;
+}
+
+KeyValueHttp::~KeyValueHttp() = default;
+
+boost::leaf::result<std::string> KeyValueHttp::call(const std::string &path, const std::string &body)
+{
+    if (!this->members->places.try_acquire_for(this->members->settings.keyValueTimeout)) {
+        return boost::leaf::new_error(KeyValueUnavailable{"too many calls in flight"});
+    }
+    auto client = this->members->takeClient();
+    const httplib::Result result = client->Post(path, body, "application/json");
+    if (result) {
+        const std::scoped_lock lock(this->members->mutex);
+        this->members->idle.push_back(std::move(client));
+    }
+    this->members->places.release();
+    if (!result) {
+        return boost::leaf::new_error(KeyValueUnavailable{httplib::to_string(result.error())});
+    }
+    if (result->status == 200) {
+        return result->body;
+    }
+    if (isLeaseNotFound(result->body)) {
+        return boost::leaf::new_error(LeaseNotFound());
+    }
+    return boost::leaf::new_error(KeyValueUnavailable{"status " + std::to_string(result->status)});
+}
+
+}
--- /dev/null
+++ b/src/fleet/keyvaluewatch.cpp
@@ -0,0 +1,139 @@
+#include "keyvaluewatch.h"
+
+#include "base64.h"
+#include "keyvaluejson.h"
+
+#include "cyclamencross/base/logline.h"
+#include "cyclamencross/base/metrics.h"
+#include "cyclamencross/net/socketaddress.h"
+
+#include <mutex>
+
+#include <httplib.h>
+
+namespace Cyclamen
+{
+
+namespace
+{
+
+// Splits the stream into lines and passes on the events in them.
+class WatchStream
+{
+public:
+    explicit WatchStream(const KeyValueWatch::Receiver &receiver)
+        : receiver(receiver)
+    {
+    }
+
+    // Returns whether the stream goes on.
+    bool take(const char *data, std::size_t size)
+    {
+        // The service stores values of up to 1 MB, which base64 makes a third larger.
+        constexpr std::size_t LongestLine = 4U << 20U;
+        this->buffer.append(data, size);
+        for (std::size_t end = 0; (end = this->buffer.find('\n')) != std::string::npos;) {
+            const std::string line = this->buffer.substr(0, end);
+            this->buffer.erase(0, end + 1);
+            if (!this->takeLine(line)) {
+                return false;
+            }
+        }
+        return this->buffer.size() <= LongestLine;
+    }
+
+    bool isAccepted() const
+    {
+        return this->accepted;
+    }
+
+private:
+    bool takeLine(const std::string &line)
+    {
+        try {
+            const auto result = nlohmann::json::parse(line).at("result");
+            this->accepted = true;
+            for (const auto &event : result.value("events", nlohmann::json::array())) {
+                if (event.value("type", "PUT") == "PUT") {
+                    this->receiver(toEntry(event.at("kv")));
+                }
+            }
+            return !result.value("canceled", false);
+        } catch (const std::exception &error) {
+            LogLine("keyvalue-watch-malformed").add("detail", error.what()).warn();
+            return false;
+        }
+    }
+
+    const KeyValueWatch::Receiver &receiver;
+    std::string buffer;
+    bool accepted = false;
+};
+
+}
+
+struct KeyValueWatch::Members
+{
+    bool isStopped()
+    {
+        const std::scoped_lock lock(this->mutex);
+        return this->stopped;
+    }
+
+    Settings settings;
+    Metrics *metrics = nullptr;
+    std::mutex mutex;
+    std::unique_ptr<httplib::Client> client;
+    bool stopped = false;
+};
+
+KeyValueWatch::KeyValueWatch(const Settings &settings, Metrics &metrics)
+    : members(std::make_unique<Members>())
+{
+    this->members->settings = settings;
+    this->members->metrics = &metrics;
+}
+
+KeyValueWatch::~KeyValueWatch() = default;
+
+bool KeyValueWatch::run(const std::string &key, std::int64_t startRevision, const Receiver &receiver)
+{
+    const auto address = parseAddress(this->members->settings.keyValueAddress).value_or(SocketAddress{"0.0.0.0", 0});
+    {
+        const std::scoped_lock lock(this->members->mutex);
+        if (this->members->stopped) {
+            return false;
+        }
+        this->members->client = std::make_unique<httplib::Client>(address.ip, address.port);
+    }
+    httplib::Client &client = *this->members->client;
+    client.set_connection_timeout(this->members->settings.connectTimeout);
+    client.set_read_timeout(LongestSilence);
+    this->members->metrics->count("keyvalue_calls_total", {{"kind", "watch"}});
+
+    const nlohmann::json body = {
+        {"create_request", {{"key", toBase64(key)}, {"start_revision", std::to_string(startRevision)}}}};
+    WatchStream stream(receiver);
+    httplib::Request request;
+    request.method = "POST";
+    request.path = "/v3/watch";
+    request.set_header("Content-Type", "application/json");
+    request.body = body.dump();
+    request.content_receiver = [this, &stream](const char *data, std::size_t size, std::uint64_t /*offset*/,
+                                               std::uint64_t /*total*/) {
+        return !this->members->isStopped() && stream.take(data, size);
+    };
+    client.send(request);
+    return stream.isAccepted();
+}
+
+void KeyValueWatch::stop()
+{
+    const std::scoped_lock lock(this->members->mutex);
+    this->members->stopped = true;
+    if (this->members->client) {
+        this->members->client->stop();
+    }
+}
+
+}
--- a/src/fleet/membership.cpp
+++ b/src/fleet/membership.cpp
@@ -152,7 +152,7 @@
         return;
     }
     this->nextResync = now + this->resyncPeriod;
-    this->resyncPeriod = std::min(2 * this->resyncPeriod, LongestResync);
+    this->resyncPeriod = std::min(4 * this->resyncPeriod, LongestResync);
     this->pageAfter.clear();
     this->pagePeers = {this->table.find(live[this->random() % live.size()])->gossipAddress};
 }
