Add the admin server, its routes, the command line and process metrics

Operators and peers had no port: AdminServer was a stub. Signed routes check the Peer-Signature and refuse a replay: accepted signatures are kept for 61 s, since one is valid for 30 s on either side of its time.

--- /dev/null
+++ b/src/admin/signaturememory.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <mutex>
+#include <string>
+#include <unordered_set>
+#include <utility>
+
+namespace Cyclamen
+{
+
+/// The signatures of accepted requests, so that none is accepted twice. Thread-safe.
+class SignatureMemory
+{
+public:
+    /// A signature is valid for 30 s before and after its time, so a replay can arrive up to 60 s later.
+    static constexpr std::int64_t KeepSeconds = 61;
+
+    enum class Verdict { New, Replay, Full };
+
+    /// @param capacity how many signatures are kept. When it is reached, new ones are refused until old ones have
+    /// expired: forgetting one early would allow its replay.
+    explicit SignatureMemory(std::size_t capacity);
+
+    /// Records @p signature, whose authenticity has been checked, at @p now (Unix seconds).
+    Verdict record(const std::string &signature, std::int64_t now);
+
+private:
+    std::mutex mutex;
+    std::size_t capacity;
+    std::unordered_set<std::string> known;
+    std::deque<std::pair<std::int64_t, std::string>> byTime;
+};
+
+}
--- /dev/null
+++ b/src/cyclamencross/adminroutes.cpp
@@ -0,0 +1,187 @@
+#include "adminroutes.h"
+
+#include "confighistory.h"
+#include "statusjson.h"
+
+#include "cyclamencross/admin/adminserver.h"
+#include "cyclamencross/base/failures.h"
+#include "cyclamencross/base/hash.h"
+#include "cyclamencross/base/logline.h"
+#include "cyclamencross/base/runoutcome.h"
+#include "cyclamencross/base/timing.h"
+#include "cyclamencross/decide/crashledger.h"
+
+#include <set>
+#include <utility>
+
+#include <boost/leaf/handle_errors.hpp>
+#include <nlohmann/json.hpp>
+
+namespace Cyclamen
+{
+
+namespace
+{
+
+using Json = nlohmann::ordered_json;
+
+HttpReply jsonReply(int status, const Json &body)
+{
+    return HttpReply{
+        status, {{"Content-Type", "application/json"}}, body.dump(-1, ' ', false, Json::error_handler_t::replace)};
+}
+
+HttpReply errorReply(int status, RunOutcome outcome, const std::string &type, const std::string &message)
+{
+    HttpReply reply = jsonReply(status, Json{{"error", {{"type", type}, {"message", message}}}});
+    reply.headers.emplace("Run-Outcome", toString(outcome));
+    return reply;
+}
+
+HttpReply notRun(int status, const std::string &type, const std::string &message)
+{
+    return errorReply(status, RunOutcome::NotRun, type, message);
+}
+
+std::uint64_t revisionOf(const FleetViewPtr &view)
+{
+    return view->config ? view->config->revision : 0;
+}
+
+Json configJson(const AdminHooks &hooks)
+{
+    // The text and the view are read one after the other; a change in between shows as a new revision.
+    FleetViewPtr view = hooks.view();
+    std::string text = hooks.configText();
+    for (FleetViewPtr later = hooks.view(); revisionOf(later) != revisionOf(view); later = hooks.view()) {
+        view = std::move(later);
+        text = hooks.configText();
+    }
+    return Json{{"revision", revisionOf(view)},
+                {"change_id", view->config ? view->config->changeId : ""},
+                {"author", view->config ? view->config->author : ""},
+                {"text", text}};
+}
+
+Json historyJson(const ConfigHistory &history)
+{
+    Json body{{"revisions", Json::array()}};
+    for (const ConfigRevision &revision : history.revisions()) {
+        body["revisions"].push_back(Json{{"revision", revision.revision},
+                                         {"change_id", revision.changeId},
+                                         {"author", revision.author},
+                                         {"seen_unix_time", revision.seenUnixTime},
+                                         {"text", revision.text}});
+    }
+    return body;
+}
+
+HttpReply conflictReply(const AdminHooks &hooks, const RevisionConflict &conflict)
+{
+    HttpReply reply = notRun(409, "revision-conflict",
+                             "the change is based on revision " + std::to_string(conflict.expected) + ", but revision "
+                                 + std::to_string(conflict.found) + " is stored");
+    Json body = Json::parse(reply.body);
+    body["current"] = configJson(hooks);
+    reply.body = body.dump(-1, ' ', false, Json::error_handler_t::replace);
+    return reply;
+}
+
+HttpReply applyConfig(const AdminHooks &hooks, const HttpRequest &request)
+{
+    const Json body = Json::parse(request.body, nullptr, false);
+    const auto isText = [&body](const char *key) { return body.contains(key) && body[key].is_string(); };
+    if (!body.is_object() || !isText("text") || !isText("change_id") || !isText("author")
+        || !body.contains("base_revision") || !body["base_revision"].is_number_unsigned()) {
+        return notRun(400, "invalid-request", "expected text, base_revision, change_id and author");
+    }
+    const auto changeId = body["change_id"].get<std::string>();
+    const auto author = body["author"].get<std::string>();
+    if (changeId.empty() || author.empty()) {
+        return notRun(400, "invalid-request", "change_id and author must not be empty");
+    }
+    const auto base = body["base_revision"].get<std::uint64_t>();
+    return boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<HttpReply> {
+            BOOST_LEAF_AUTO(revision, hooks.applyConfig(body["text"].get<std::string>(), base, changeId, author));
+            LogLine("config-applied")
+                .add("revision", revision)
+                .add("base", base)
+                .add("change", changeId)
+                .add("author", author)
+                .write();
+            return jsonReply(200, Json{{"revision", revision}, {"change_id", changeId}});
+        },
+        [&](const RevisionConflict &conflict) { return conflictReply(hooks, conflict); },
+        [](const InvalidSetting &fault) {
+            return notRun(400, "invalid-setting",
+                          "line " + std::to_string(fault.line) + ": " + fault.key + ": expected " + fault.expected);
+        },
+        [](const KeyValueUnavailable &fault) {
+            // The write may have taken effect although its answer was lost.
+            return errorReply(503, RunOutcome::Unknown, "key-value-unavailable", fault.detail);
+        },
+        [] { return errorReply(500, RunOutcome::Unknown, "internal", "the change failed for an unknown reason"); });
+}
+
+HttpReply listCrashes(const AdminHooks &hooks)
+{
+    const std::int64_t now = unixSeconds();
+    CrashLedger ledger;
+    Json body{{"crashes", Json::array()}, {"contained", Json::array()}};
+    std::set<std::uint64_t> fingerprints;
+    for (const CrashReport &report : hooks.crashes()) {
+        ledger.add(report);
+        fingerprints.insert(report.fingerprint);
+        body["crashes"].push_back(Json{{"fingerprint", toHex(report.fingerprint)},
+                                       {"backend", report.backend},
+                                       {"reporter", report.reporter},
+                                       {"unix_time", report.unixTime}});
+    }
+    for (const std::uint64_t fingerprint : fingerprints) {
+        if (ledger.isContained(fingerprint, now)) {
+            body["contained"].push_back(toHex(fingerprint));
+        }
+    }
+    return jsonReply(200, body);
+}
+
+HttpReply liftCrash(const AdminHooks &hooks, const HttpRequest &request)
+{
+    const Json body = Json::parse(request.body, nullptr, false);
+    const auto fingerprint = body.is_object() && body.contains("fingerprint") && body["fingerprint"].is_string()
+        ? parseHex(body["fingerprint"].get<std::string>())
+        : std::nullopt;
+    if (!fingerprint) {
+        return notRun(400, "invalid-request", "expected fingerprint as hexadecimal digits");
+    }
+    hooks.liftCrash(*fingerprint);
+    LogLine("crash-lifted").add("fingerprint", toHex(*fingerprint)).write();
+    return jsonReply(200, Json{{"lifted", toHex(*fingerprint)}});
+}
+
+}
+
+void addAdminRoutes(AdminServer &server, AdminHooks hooks, const ConfigHistory &history)
+{
+    // Reading needs no signature: the admin port is for operators and peers only.
+    const auto shared = std::make_shared<const AdminHooks>(std::move(hooks));
+    server.route("GET", "/admin/status", RouteAccess::Open, [shared](const HttpRequest &) {
+        return HttpReply{200, {{"Content-Type", "application/json"}}, statusJson(*shared->view())};
+    });
+    server.route("GET", "/admin/config", RouteAccess::Open,
+                 [shared](const HttpRequest &) { return jsonReply(200, configJson(*shared)); });
+    server.route("GET", "/admin/config/history", RouteAccess::Open,
+                 [&history](const HttpRequest &) { return jsonReply(200, historyJson(history)); });
+    server.route("POST", "/admin/config", RouteAccess::Signed,
+                 [shared](const HttpRequest &request) { return applyConfig(*shared, request); });
+    server.route("GET", "/admin/crashes", RouteAccess::Open,
+                 [shared](const HttpRequest &) { return listCrashes(*shared); });
+    server.route("POST", "/admin/crashes/lift", RouteAccess::Signed,
+                 [shared](const HttpRequest &request) { return liftCrash(*shared, request); });
+    server.route("GET", "/peer/config", RouteAccess::Signed, [shared](const HttpRequest &) {
+        return HttpReply{200, {{"Content-Type", "text/plain; charset=utf-8"}}, shared->configText()};
+    });
+}
+
+}
--- /dev/null
+++ b/src/cyclamencross/adminroutes.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "cyclamencross/base/crashreport.h"
+#include "cyclamencross/base/fleetview.h"
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include <boost/leaf/result.hpp>
+
+namespace Cyclamen
+{
+
+class AdminServer;
+class ConfigHistory;
+
+/// What the operators' routes need from the process; see FleetService for the contracts.
+struct AdminHooks
+{
+    std::function<FleetViewPtr()> view;
+    std::function<std::string()> configText;
+    std::function<boost::leaf::result<std::uint64_t>(const std::string &text, std::uint64_t baseRevision,
+                                                     const std::string &changeId, const std::string &author)>
+        applyConfig;
+    std::function<std::vector<CrashReport>()> crashes;
+    std::function<void(std::uint64_t)> liftCrash;
+};
+
+/// Adds the routes for operators and the peers' configuration fetch to @p server:
+/// `GET /admin/status`, `GET|POST /admin/config`, `GET /admin/config/history`, `GET /admin/crashes`,
+/// `POST /admin/crashes/lift` and `GET /peer/config`.
+/// @param history must outlive the server.
+void addAdminRoutes(AdminServer &server, AdminHooks hooks, const ConfigHistory &history);
+
+}
--- /dev/null
+++ b/src/cyclamencross/configapplycommand.cpp
@@ -0,0 +1,110 @@
+#include "adminclient.h"
+#include "adminfailures.h"
+#include "commandoptions.h"
+#include "commands.h"
+#include "configchange.h"
+#include "exitcode.h"
+#include "runcommand.h"
+
+#include "cyclamencross/base/hash.h"
+#include "cyclamencross/base/inifile.h"
+
+#include <charconv>
+#include <cstdlib>
+#include <iostream>
+#include <optional>
+
+#include <boost/leaf/handle_errors.hpp>
+
+namespace Cyclamen
+{
+
+namespace
+{
+
+std::optional<std::uint64_t> parseRevision(const std::string &text)
+{
+    std::uint64_t revision = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), revision);
+    if (error != std::errc() || end != text.data() + text.size()) {
+        return std::nullopt;
+    }
+    return revision;
+}
+
+std::string defaultAuthor()
+{
+    const char *user = std::getenv("USER");
+    return user == nullptr ? "" : user;
+}
+
+std::string fetchHistory(const AdminClient &client)
+{
+    return boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<std::string> { return client.get("/admin/config/history"); },
+        [] { return std::string(); });
+}
+
+boost::leaf::result<int> apply(const AdminClient &client, const ConfigChange &change)
+{
+    return boost::leaf::try_handle_some(
+        [&]() -> boost::leaf::result<int> {
+            BOOST_LEAF_AUTO(revision, submitChange(client, change));
+            std::cout << "revision " << revision << " is stored, change " << change.changeId << "\n";
+            return ExitOk;
+        },
+        [&](const EntryRefusal &refusal) -> boost::leaf::result<int> {
+            if (refusal.status != 409) {
+                return boost::leaf::new_error(refusal);
+            }
+            std::cerr << describeConflict(change, refusal.body, fetchHistory(client))
+                      << "Nothing was stored and your file is untouched. Merge both changes into the output of `config "
+                         "show` and apply that.\n";
+            return ExitConflict;
+        });
+}
+
+// The file says which revision it was made from, unless --base overrides it.
+boost::leaf::result<std::uint64_t> readBase(const CommandOptions &options, const std::string &text)
+{
+    std::optional<std::uint64_t> base = parseRevision(options.value("base"));
+    BOOST_LEAF_AUTO(entries, parseIni(text, options.value("file")));
+    for (const IniEntry &entry : entries) {
+        if (!options.has("base") && entry.section == "config" && entry.key == "revision") {
+            base = parseRevision(entry.value);
+        }
+    }
+    if (!base) {
+        return boost::leaf::new_error(
+            UsageFault{"the file or --base must name the revision that the change is based on"});
+    }
+    return *base;
+}
+
+}
+
+int configApplyCommand(int count, const char *const *arguments)
+{
+    CommandOptions options("config apply", "Store a new fleet configuration, unless it was changed since it was read.");
+    options.positional("file", "the whole new configuration, made from the output of `config show`")
+        .withEntry()
+        .option("base", "REVISION", "revision that the change is based on; default: the revision in FILE")
+        .option("author", "NAME", "who makes the change; default: $USER");
+    if (const auto code = options.parse(count, arguments)) {
+        return *code;
+    }
+    return runCommand([&]() -> boost::leaf::result<int> {
+        ConfigChange change;
+        BOOST_LEAF_ASSIGN(change.text, readTextFile(options.value("file")));
+        BOOST_LEAF_ASSIGN(change.baseRevision, readBase(options, change.text));
+        change.changeId = toHex(randomNumber());
+        change.author = options.has("author") ? options.value("author") : defaultAuthor();
+        if (change.author.empty()) {
+            return boost::leaf::new_error(UsageFault{"--author NAME is needed"});
+        }
+        BOOST_LEAF_AUTO(client, AdminClient::fromOptions(options, true));
+        return apply(client, change);
+    });
+}
+
+}
--- /dev/null
+++ b/src/cyclamencross/configcheckcommand.cpp
@@ -0,0 +1,27 @@
+#include "commandoptions.h"
+#include "commands.h"
+#include "exitcode.h"
+#include "runcommand.h"
+
+#include "cyclamencross/base/settings.h"
+
+#include <iostream>
+
+namespace Cyclamen
+{
+
+int configCheckCommand(int count, const char *const *arguments)
+{
+    CommandOptions options("config check", "Check a settings file, or a fleet configuration file with --fleet.");
+    options.positional("file", "the file to check").flag("fleet", "the file is a fleet configuration");
+    if (const auto code = options.parse(count, arguments)) {
+        return *code;
+    }
+    return runCommand([&]() -> boost::leaf::result<int> {
+        BOOST_LEAF_AUTO(settings, loadSettings(options.value("file")));
+        std::cout << options.value("file") << ": ok, entry " << settings.name << "\n";
+        return ExitOk;
+    });
+}
+
+}
--- a/src/cyclamencross/entryprocess.cpp
+++ b/src/cyclamencross/entryprocess.cpp
@@ -1,5 +1,7 @@
 #include "entryprocess.h"
 
+#include "adminroutes.h"
+#include "confighistory.h"
 #include "stopsignal.h"
 
 #include "cyclamencross/admin/adminserver.h"
@@ -7,12 +9,14 @@
 #include "cyclamencross/base/hash.h"
 #include "cyclamencross/base/logline.h"
 #include "cyclamencross/base/metrics.h"
+#include "cyclamencross/base/processmetrics.h"
 #include "cyclamencross/fleet/fleetservice.h"
 #include "cyclamencross/grant/grantservice.h"
 #include "cyclamencross/net/datagramport.h"
 #include "cyclamencross/proxy/proxyserver.h"
 
 #include <atomic>
+#include <utility>
 
 namespace Cyclamen
 {
@@ -21,6 +25,8 @@
 {
 
 constexpr Millis StopPollPeriod{100};
+constexpr std::size_t HistoryEntries = 200;
+constexpr std::size_t HistoryBytes = 4U << 20U;
 
 ProxyHooks makeHooks(FleetService &fleet, GrantService &grants)
 {
@@ -41,6 +47,34 @@
     return hooks;
 }
 
+AdminHooks makeAdminHooks(FleetService &fleet)
+{
+    AdminHooks hooks;
+    hooks.view = [&fleet] { return fleet.view(); };
+    hooks.configText = [&fleet] { return fleet.configText(); };
+    hooks.applyConfig = [&fleet](const std::string &text, std::uint64_t baseRevision, const std::string &changeId,
+                                 const std::string &author) {
+        return fleet.applyConfig(text, baseRevision, changeId, author);
+    };
+    hooks.crashes = [&fleet] { return fleet.crashes(); };
+    hooks.liftCrash = [&fleet](std::uint64_t fingerprint) { fleet.liftCrash(fingerprint); };
+    return hooks;
+}
+
+void noteConfig(const FleetService &fleet, ConfigHistory &history)
+{
+    const FleetViewPtr view = fleet.view();
+    if (!view->config || view->config->revision <= history.newest()) {
+        return;
+    }
+    std::string text = fleet.configText();
+    // If the configuration changed in between, the text may belong to the later revision; the next poll notes it.
+    if (fleet.view()->config->revision == view->config->revision) {
+        history.note(ConfigRevision{view->config->revision, view->config->changeId, view->config->author, unixSeconds(),
+                                    std::move(text)});
+    }
+}
+
 // Keeps accepting until the last entry address that callers were given has expired, then waits for the rest.
 // A second signal skips the waiting.
 void drain(const Settings &settings, const StopSignal &signal, FleetService &fleet, ProxyServer &proxy)
@@ -72,13 +106,18 @@
     GrantService grants(
         settings, [&fleet] { return fleet.view(); }, control, port, metrics);
     ProxyServer proxy(settings, incarnation, makeHooks(fleet, grants), metrics);
+    ProcessMetrics process(metrics);
+    ConfigHistory history(HistoryEntries, HistoryBytes);
     AdminServer admin(settings, metrics);
+    admin.readiness([&fleet] { return fleet.view()->ready && !fleet.view()->isolated; });
+    addAdminRoutes(admin, makeAdminHooks(fleet), history);
     admin.route("POST", "/peer/call", RouteAccess::Signed,
                 [&proxy](const HttpRequest &request) { return proxy.answerPeerCall(request); });
     admin.route("POST", "/admin/drain", RouteAccess::Signed, [&drainOrdered](const HttpRequest &) {
         drainOrdered.store(true);
         return HttpReply{202, {}, "{\"draining\":true}"};
     });
+    process.start();
     port.start();
     fleet.start();
     grants.start();
@@ -89,6 +128,7 @@
     LogLine("entry-started").add("caller", settings.callerAddress).add("incarnation", toHex(incarnation)).write();
     while (signal.count() == 0 && !drainOrdered.load()) {
         signal.wait(0, StopPollPeriod);
+        noteConfig(fleet, history);
     }
     drain(settings, signal, fleet, proxy);
     return 0;
--- /dev/null
+++ b/src/cyclamencross/exitcode.h
@@ -0,0 +1,15 @@
+#pragma once
+
+namespace Cyclamen
+{
+
+/// Exit codes of every subcommand. Scripts rely on them; see docs/operators.md.
+enum ExitCode : int {
+    ExitOk = 0,
+    ExitFailed = 1, ///< The command was understood but failed, or its outcome is not known.
+    ExitUsage = 2, ///< Wrong arguments, or an invalid settings or configuration file.
+    ExitConflict = 3, ///< The configuration was changed since it was read.
+    ExitUnreachable = 4, ///< The entry, or the key-value service behind it, did not answer.
+};
+
+}
--- a/src/cyclamencross/main.cpp
+++ b/src/cyclamencross/main.cpp
@@ -1,34 +1,70 @@
-#include "entryprocess.h"
+#include "commands.h"
+#include "exitcode.h"
 
-#include "cyclamencross/base/failures.h"
 #include "cyclamencross/base/logline.h"
 
+#include <array>
 #include <iostream>
+#include <span>
 #include <string>
+#include <string_view>
 
-#include <boost/leaf/handle_errors.hpp>
+namespace
+{
+
+using namespace Cyclamen;
+
+struct Command
+{
+    std::string_view group; ///< First word of a command of two words, else empty.
+    std::string_view name;
+    std::string_view summary;
+    int (*run)(int count, const char *const *arguments);
+};
+
+constexpr std::array Commands{
+    Command{"", "entry", "run the entry process", entryCommand},
+    Command{"config", "check", "check a settings or configuration file", configCheckCommand},
+    Command{"config", "show", "print the fleet configuration in force", configShowCommand},
+    Command{"config", "apply", "store a new fleet configuration", configApplyCommand},
+    Command{"config", "history", "list the revisions that an entry has seen", configHistoryCommand},
+    Command{"", "status", "print what an entry knows of the fleet", statusCommand},
+    Command{"", "drain", "stop an entry gracefully", drainCommand},
+    Command{"", "crashes", "list or lift crash containment", crashesCommand},
+    Command{"", "version", "print the version", versionCommand},
+};
+
+void printUsage(std::ostream &output)
+{
+    output << "usage: cyclamencross COMMAND [OPTION...]\n\n";
+    for (const Command &command : Commands) {
+        std::string words = std::string(command.group) + (command.group.empty() ? "" : " ") + std::string(command.name);
+        words.resize(18, ' ');
+        output << "  " << words << command.summary << "\n";
+    }
+    output << "\nEach command has --help.\n";
+}
+
+}
 
 int main(int argc, char **argv)
 {
-    using namespace Cyclamen;
     setUpLogging("cyclamencross");
-    if (argc < 3 || std::string(argv[1]) != "entry") {
-        std::cerr << "usage: cyclamencross entry SETTINGS\n";
-        return 2;
+    const std::span<char *> words(argv, std::size_t(argc));
+    const std::string_view first = words.size() > 1 ? words[1] : "";
+    const std::string_view second = words.size() > 2 ? words[2] : "";
+    if (first == "--help" || first == "-h") {
+        printUsage(std::cout);
+        return ExitOk;
+    }
+    for (const Command &command : Commands) {
+        if (command.group.empty() && command.name == first) {
+            return command.run(argc - 1, argv + 1);
+        }
+        if (!command.group.empty() && command.group == first && command.name == second) {
+            return command.run(argc - 2, argv + 2);
+        }
     }
-    return boost::leaf::try_handle_all(
-        [&]() -> boost::leaf::result<int> {
-            BOOST_LEAF_AUTO(settings, loadSettings(argv[2]));
-            return runEntry(settings);
-        },
-        [](const InvalidSetting &fault) {
-            LogLine("invalid-setting")
-                .add("file", fault.file)
-                .add("line", fault.line)
-                .add("key", fault.key)
-                .add("expected", fault.expected)
-                .error();
-            return 2;
-        },
-        [] { return 2; });
+    printUsage(std::cerr);
+    return ExitUsage;
 }
--- a/src/include/cyclamencross/admin/adminserver.h
+++ b/src/include/cyclamencross/admin/adminserver.h
@@ -17,6 +17,8 @@
 enum class RouteAccess { Open, Signed };
 
 /// The port for operators and peers, with threads of its own, so that it answers when the callers' port is overloaded.
+///
+/// Whatever it refuses itself carries `Run-Outcome: not-run` and the JSON body `{"error":{"type","message"}}`.
 class AdminServer
 {
 public:
@@ -27,7 +29,11 @@
     AdminServer(const AdminServer &) = delete;
     AdminServer &operator=(const AdminServer &) = delete;
 
-    /// Adds a route; set before start(). `/metrics` and `/healthz` are there from the beginning.
+    /// Stops the listener and waits for the requests in progress.
+    void stop();
+    /// Sets what `/readyz` asks; set before start(). Without it the process counts as ready.
+    void readiness(std::function<bool()> isReady);
+    /// Adds a route; set before start(). `/metrics`, `/healthz` and `/readyz` are there from the beginning.
     /// @param path exact path, without the query.
     void route(const std::string &method, const std::string &path, RouteAccess access, Handler handler);
     /// Binds the port and starts its threads.
--- a/src/include/cyclamencross/base/hash.h
+++ b/src/include/cyclamencross/base/hash.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -19,4 +20,7 @@
 /// Returns @p number as 16 lower-case hexadecimal digits.
 std::string toHex(std::uint64_t number);
 
+/// Converts 1 to 16 hexadecimal digits; returns nothing for any other text.
+std::optional<std::uint64_t> parseHex(std::string_view digits);
+
 }
--- a/src/proxy/callguard.h
+++ b/src/proxy/callguard.h
@@ -18,8 +18,7 @@
 {
 public:
     /// Runs the call once. The reply's `Run-Outcome` says whether it ran.
-    using Runner =
-        std::function<HttpReply(const CallerRequest &, const std::string &requestId, CancelSignal &cancel)>;
+    using Runner = std::function<HttpReply(const CallerRequest &, const std::string &requestId, CancelSignal &cancel)>;
 
     CallGuard(ProxyCore &core, CallRegistry &registry, Runner runner);
 
