--- a/src/proxy/answerrelay.cpp
+++ b/src/proxy/answerrelay.cpp
@@ -54,9 +54,8 @@
     }
     bool written = true;
     if (!this->exchange.streamBegun()) {
-        written = this->exchange.beginStream({{"Content-Type", "text/event-stream"},
-                                              {"Cache-Control", "no-store"},
-                                              {"Request-Id", this->requestId}});
+        written = this->exchange.beginStream(
+            {{"Content-Type", "text/event-stream"}, {"Cache-Control", "no-store"}, {"Request-Id", this->requestId}});
     }
     if (!written || !this->exchange.write(this->writer.chunk(text))) {
         this->exchange.cancelSignal().cancel(CancelReason::CallerGone);
@@ -97,9 +96,8 @@
         return answer;
     }
     if (!this->exchange.streamBegun()) {
-        this->exchange.beginStream({{"Content-Type", "text/event-stream"},
-                                    {"Cache-Control", "no-store"},
-                                    {"Request-Id", this->requestId}});
+        this->exchange.beginStream(
+            {{"Content-Type", "text/event-stream"}, {"Cache-Control", "no-store"}, {"Request-Id", this->requestId}});
     }
     this->exchange.write(this->writer.streamEnd());
     this->exchange.endStream();
--- a/src/proxy/callerserver.cpp
+++ b/src/proxy/callerserver.cpp
@@ -75,6 +75,9 @@
         this->set_pre_routing_handler([this](const httplib::Request &request, httplib::Response &response) {
             return this->refuseEarly(request, response);
         });
+        this->set_exception_handler([this](const httplib::Request &, httplib::Response &response, std::exception_ptr) {
+            fill(response, this->refusal(500));
+        });
         this->set_error_handler([this](const httplib::Request &, httplib::Response &response) {
             if (response.body.empty() && !response.has_header("Run-Outcome")) {
                 const bool large = currentConnection != nullptr && currentConnection->tooLarge();
@@ -173,9 +176,10 @@
         received.headers = std::move(currentHeaders);
         received.body = request.body;
         CallerExchange exchange(std::move(received), currentConnection);
-        this->watch.add(exchange.cancelSignal(), currentConnection->socket());
-        this->handler(exchange);
-        this->watch.forget(exchange.cancelSignal());
+        {
+            const CallerWatch::Guard watched(this->watch, exchange.cancelSignal(), currentConnection->socket());
+            this->handler(exchange);
+        }
         if (exchange.streamBegun()) {
             response.status = 200;
         } else if (exchange.wholeReply()) {
--- a/src/proxy/callerwatch.cpp
+++ b/src/proxy/callerwatch.cpp
@@ -66,6 +66,18 @@
     }
 }
 
+CallerWatch::Guard::Guard(CallerWatch &watch, CancelSignal &signal, int socket)
+    : watch(watch)
+    , signal(signal)
+{
+    watch.add(signal, socket);
+}
+
+CallerWatch::Guard::~Guard()
+{
+    this->watch.forget(this->signal);
+}
+
 void CallerWatch::run(const std::stop_token &stop)
 {
     std::array<epoll_event, EventsAtOnce> events{};
--- a/src/proxy/callerwatch.h
+++ b/src/proxy/callerwatch.h
@@ -19,14 +19,28 @@
     CallerWatch(const CallerWatch &) = delete;
     CallerWatch &operator=(const CallerWatch &) = delete;
 
-    /// Watches @p socket for @p signal until forget().
-    /// @param socket -1 for a request without a connection of its own, whose deadline alone is watched.
-    void add(CancelSignal &signal, int socket);
-    void forget(CancelSignal &signal);
+    /// Watches a request while it lives.
+    class Guard
+    {
+    public:
+        Guard(CallerWatch &watch, CancelSignal &signal, int socket);
+        ~Guard();
+        Guard(const Guard &) = delete;
+        Guard &operator=(const Guard &) = delete;
+
+    private:
+        CallerWatch &watch;
+        CancelSignal &signal;
+    };
+
     /// Cancels every request in progress, and those that are added later.
     void cancelAll(CancelReason reason);
 
 private:
+    /// Watches @p socket for @p signal until forget().
+    /// @param socket -1 for a request without a connection of its own, whose deadline alone is watched.
+    void add(CancelSignal &signal, int socket);
+    void forget(CancelSignal &signal);
     void run(const std::stop_token &stop);
 
     std::mutex mutex;
--- a/src/proxy/callguard.cpp
+++ b/src/proxy/callguard.cpp
@@ -5,7 +5,6 @@
 #include "cyclamencross/base/hash.h"
 #include "cyclamencross/base/logline.h"
 #include "cyclamencross/base/metrics.h"
-#include "cyclamencross/net/peerhttp.h"
 
 #include <algorithm>
 
@@ -50,10 +49,11 @@
 
 }
 
-CallGuard::CallGuard(ProxyCore &core, CallRegistry &registry, Runner runner)
+CallGuard::CallGuard(ProxyCore &core, CallRegistry &registry, Runner runner, PeerCaller peerCaller)
     : core(core)
     , registry(registry)
     , runner(std::move(runner))
+    , peerCaller(std::move(peerCaller))
     , start(Clock::now())
 {
 }
@@ -223,18 +223,21 @@
                              const std::string &requestId, CancelSignal &cancel)
 {
     const Millis left = std::min(cancel.left(), this->core.settings.backendTimeout);
-    const HttpRequest call{"POST", "/peer/call", {{"Content-Type", "application/cbor"}},
+    const HttpRequest call{"POST",
+                           "/peer/call",
+                           {{"Content-Type", "application/cbor"}},
                            packPeerCall(PeerCall{request, incarnation, left})};
-    LogLine("call-forward").add("request", requestId).add("owner", address).add("incarnation", toHex(incarnation))
+    LogLine("call-forward")
+        .add("request", requestId)
+        .add("owner", address)
+        .add("incarnation", toHex(incarnation))
         .write();
     this->core.metrics.count("cyclamencross_calls_forwarded_total");
     const auto unreachable = [&](const std::string &detail) {
         return unknownOutcome(504, "owner-unreachable", "the entry that may know the call " + detail, requestId);
     };
     return leaf::try_handle_all(
-        [&]() -> leaf::result<HttpReply> {
-            return callPeer(address, call, this->core.settings.sharedKey, left);
-        },
+        [&]() -> leaf::result<HttpReply> { return this->peerCaller(address, call, left); },
         [&](const ConnectFailed &) { return unreachable("refused the connection"); },
         [&](const ExchangeBroken &broken) { return unreachable("did not answer: " + broken.detail); },
         [&] { return unreachable("could not be asked"); });
--- a/src/proxy/callguard.h
+++ b/src/proxy/callguard.h
@@ -8,8 +8,11 @@
 #include "cyclamencross/net/httprequest.h"
 
 #include <functional>
+#include <optional>
 #include <string>
 
+#include <boost/leaf/result.hpp>
+
 namespace Cyclamen
 {
 
@@ -18,10 +21,13 @@
 {
 public:
     /// Runs the call once. The reply's `Run-Outcome` says whether it ran.
-    using Runner =
-        std::function<HttpReply(const CallerRequest &, const std::string &requestId, CancelSignal &cancel)>;
+    using Runner = std::function<HttpReply(const CallerRequest &, const std::string &requestId, CancelSignal &cancel)>;
+
+    /// Sends one request to another entry's admin port; see callPeer().
+    using PeerCaller =
+        std::function<boost::leaf::result<HttpReply>(const std::string &address, const HttpRequest &, Millis timeout)>;
 
-    CallGuard(ProxyCore &core, CallRegistry &registry, Runner runner);
+    CallGuard(ProxyCore &core, CallRegistry &registry, Runner runner, PeerCaller peerCaller);
 
     /// Answers a caller's call: runs it here, waits for it, replays its result or forwards it to where it may run.
     HttpReply answer(const CallerRequest &request, const std::string &requestId, CancelSignal &cancel);
@@ -50,6 +56,7 @@
     ProxyCore &core;
     CallRegistry &registry;
     Runner runner;
+    PeerCaller peerCaller;
     TimePoint start;
 };
 
--- a/src/proxy/effectivedefaults.cpp
+++ b/src/proxy/effectivedefaults.cpp
@@ -48,9 +48,8 @@
         return {};
     }
     FleetDefaults defaults = view.config->defaults;
-    const std::pair<ExceptionScope, std::string> scopes[] = {{ExceptionScope::Zone, view.self.zone},
-                                                             {ExceptionScope::Model, model},
-                                                             {ExceptionScope::Workspace, workspace}};
+    const std::pair<ExceptionScope, std::string> scopes[] = {
+        {ExceptionScope::Zone, view.self.zone}, {ExceptionScope::Model, model}, {ExceptionScope::Workspace, workspace}};
     for (const auto &[scope, subject] : scopes) {
         for (const FleetException &exception : view.config->exceptions) {
             const bool inForce = !exception.expiry || *exception.expiry > unixTime;
--- a/src/proxy/engineselection.cpp
+++ b/src/proxy/engineselection.cpp
@@ -51,8 +51,9 @@
 
 std::vector<Backend> EngineSelection::candidates(EngineRole role) const
 {
+    const FleetViewPtr view = this->core.hooks.view();
     std::vector<Backend> pool;
-    for (const Backend &backend : this->core.hooks.view()->backends) {
+    for (const Backend &backend : view->backends) {
         if (backend.kind == BackendKind::Engine && backend.model == this->model && backend.role == role
             && backend.state == BackendState::Live) {
             pool.push_back(backend);
--- /dev/null
+++ b/src/proxy/fakeengine_test.h
@@ -0,0 +1,156 @@
+#pragma once
+
+#include <atomic>
+#include <chrono>
+#include <functional>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+/// A backend server in this process. It answers like an engine unless a test replaces an answer.
+class FakeBackend
+{
+public:
+    using Json = nlohmann::json;
+    using Handler = std::function<void(const httplib::Request &, httplib::Response &)>;
+
+    FakeBackend()
+    {
+        const auto any = [this](const httplib::Request &request, httplib::Response &response) {
+            Handler handler;
+            {
+                const std::scoped_lock lock(this->mutex);
+                this->seen.push_back(request);
+                const auto found = this->handlers.find(request.path);
+                handler = found == this->handlers.end() ? this->usual(request.path) : found->second;
+            }
+            handler(request, response);
+        };
+        this->server.Get("/.*", any).Post("/.*", any).Put("/.*", any);
+        this->port = this->server.bind_to_any_port("127.0.0.1");
+        this->thread = std::thread([this] { this->server.listen_after_bind(); });
+        while (!this->server.is_running()) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        }
+    }
+
+    ~FakeBackend()
+    {
+        this->stop();
+    }
+
+    void stop()
+    {
+        this->stopping = true;
+        this->server.stop();
+        if (this->thread.joinable()) {
+            this->thread.join();
+        }
+    }
+
+    std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(this->port);
+    }
+
+    /// Replaces the answer at @p path.
+    void on(const std::string &path, Handler handler)
+    {
+        const std::scoped_lock lock(this->mutex);
+        this->handlers[path] = std::move(handler);
+    }
+
+    std::vector<httplib::Request> requests(const std::string &path) const
+    {
+        const std::scoped_lock lock(this->mutex);
+        std::vector<httplib::Request> found;
+        for (const auto &request : this->seen) {
+            if (request.path == path) {
+                found.push_back(request);
+            }
+        }
+        return found;
+    }
+
+    static std::string event(const std::string &id, int index, const std::string &text)
+    {
+        return "data: " + Json{{"request_id", id}, {"index", index}, {"text", text}}.dump() + "\n\n";
+    }
+
+    static std::string idOf(const httplib::Request &request)
+    {
+        return Json::parse(request.body)["request_id"].get<std::string>();
+    }
+
+    /// Answers with @p events and then closes, with or without a proper end of the body.
+    static void stream(httplib::Response &response, const std::string &events, bool whole = true)
+    {
+        response.set_chunked_content_provider("text/event-stream",
+                                              [events, whole](std::size_t, httplib::DataSink &sink) {
+                                                  sink.write(events.data(), events.size());
+                                                  if (whole) {
+                                                      sink.done();
+                                                  }
+                                                  return whole;
+                                              });
+    }
+
+    /// Sends @p events, then stays silent until the peer closes.
+    void streamAndHang(httplib::Response &response, const std::string &events)
+    {
+        response.set_chunked_content_provider(
+            "text/event-stream", [this, events, sent = false](std::size_t, httplib::DataSink &sink) mutable {
+                if (!sent) {
+                    sink.write(events.data(), events.size());
+                    sent = true;
+                }
+                std::this_thread::sleep_for(std::chrono::milliseconds(2));
+                if (!sink.is_writable()) {
+                    this->cut = true;
+                }
+                return sink.is_writable() && !this->stopping;
+            });
+    }
+
+    std::atomic<bool> cut{false}; ///< A hanging stream was closed by the peer.
+    std::atomic<bool> stopping{false};
+    int port = 0;
+
+private:
+    static Handler usual(const std::string &path)
+    {
+        if (path == "/v1/prefill") {
+            return [](const httplib::Request &request, httplib::Response &response) {
+                response.set_content(Json{{"request_id", idOf(request)},
+                                          {"handle", "h1"},
+                                          {"prompt_tokens", 1},
+                                          {"cached_tokens", 0},
+                                          {"kv_bytes", 1}}
+                                         .dump(),
+                                     "application/json");
+            };
+        }
+        if (path == "/v1/decode") {
+            return [](const httplib::Request &request, httplib::Response &response) {
+                const std::string id = idOf(request);
+                stream(response, event(id, 0, "Hel") + event(id, 1, "lo") + "data: [DONE]\n\n");
+            };
+        }
+        if (path == "/v1/cancel") {
+            return [](const httplib::Request &, httplib::Response &response) {
+                response.set_content("{\"cancelled\":true}", "application/json");
+            };
+        }
+        return [](const httplib::Request &, httplib::Response &response) { response.status = 404; };
+    }
+
+    mutable std::mutex mutex;
+    std::vector<httplib::Request> seen;
+    std::map<std::string, Handler> handlers;
+    httplib::Server server;
+    std::thread thread;
+};
--- a/src/proxy/modeldecode.cpp
+++ b/src/proxy/modeldecode.cpp
@@ -25,12 +25,10 @@
         const std::string engine = this->decodeHold->engine();
         Step refused = this->checkDispatch(engine);
         if (!refused) {
-            const nlohmann::ordered_json body{{"request_id", this->attemptId},
-                                              {"model", this->request.model},
-                                              {"source", this->prefillHold->engine()},
-                                              {"handle", this->handle},
-                                              {"max_tokens", this->request.maxTokens},
-                                              {"priority", this->request.priority}};
+            const nlohmann::ordered_json body{
+                {"request_id", this->attemptId},         {"model", this->request.model},
+                {"source", this->prefillHold->engine()}, {"handle", this->handle},
+                {"max_tokens", this->request.maxTokens}, {"priority", this->request.priority}};
             this->decodeHold->sent();
             const TimePoint start = Clock::now();
             const ExchangeEnd end = this->readStream("/v1/decode", body.dump());
@@ -50,10 +48,11 @@
             }
             if (reply == nullptr || reply->status != 429) {
                 const bool begun = this->relay.check().nextIndex() > 0 || !this->relay.check().violation().empty();
-                const bool unanswered = std::holds_alternative<ConnectFailed>(end)
-                    || (reply != nullptr && reply->status != 200);
-                if (unanswered || (!begun && std::holds_alternative<ExchangeBroken>(end)
-                                   && this->core.client.refusesConnection(engine))) {
+                const bool unanswered =
+                    std::holds_alternative<ConnectFailed>(end) || (reply != nullptr && reply->status != 200);
+                if (unanswered
+                    || (!begun && std::holds_alternative<ExchangeBroken>(end)
+                        && this->core.client.refusesConnection(engine))) {
                     return this->broken(engine, end, "decode");
                 }
                 return this->resume(end);
@@ -79,15 +78,18 @@
     const std::string engine = this->decodeHold->engine();
     ExchangeEnd last = cut;
     for (int tries = 1; tries <= MaxResumes; ++tries) {
-        const std::string reason
-            = this->relay.check().violation().empty() ? "stream cut" : this->relay.check().violation();
-        LogLine("stream-broken").add("request", this->requestId).add("engine", engine).add("detail", reason)
-            .add("next_index", this->relay.check().nextIndex()).warn();
+        const std::string reason =
+            this->relay.check().violation().empty() ? "stream cut" : this->relay.check().violation();
+        LogLine("stream-broken")
+            .add("request", this->requestId)
+            .add("engine", engine)
+            .add("detail", reason)
+            .add("next_index", this->relay.check().nextIndex())
+            .warn();
         if (Step failure = this->ended()) {
             return failure;
         }
-        if (!this->core.retries.takeRetry()
-            || !this->exchange.cancelSignal().sleep(this->core.retries.delay(tries))) {
+        if (!this->core.retries.takeRetry() || !this->exchange.cancelSignal().sleep(this->core.retries.delay(tries))) {
             break;
         }
         this->core.metrics.count("cyclamencross_retries_total", {{"kind", "resume"}});
--- a/src/proxy/modelflow.cpp
+++ b/src/proxy/modelflow.cpp
@@ -46,13 +46,12 @@
     const std::string requestId = this->core.newRequestId();
     const TimePoint arrival = Clock::now();
     const auto error = this->answer(exchange, requestId);
-    const std::string outcome
-        = error ? (error->type == "caller-gone" ? "caller-gone" : std::string(toString(error->outcome))) : "done";
+    const std::string outcome =
+        error ? (error->type == "caller-gone" ? "caller-gone" : std::string(toString(error->outcome))) : "done";
     this->core.metrics.count("cyclamencross_requests_total", {{"kind", "model"}, {"outcome", outcome}});
     LogLine line("request-end");
     line.add("request", requestId).add("kind", "model").add("outcome", outcome);
-    line.add("total_ms",
-             std::int64_t(std::chrono::duration_cast<Millis>(Clock::now() - arrival).count()));
+    line.add("total_ms", std::int64_t(std::chrono::duration_cast<Millis>(Clock::now() - arrival).count()));
     if (error) {
         line.add("type", error->type).add("message", error->message);
         this->core.metrics.count("cyclamencross_refusals_total", {{"type", error->type}});
@@ -85,19 +84,18 @@
     if (!EngineSelection(this->core, request.model, false).modelKnown()) {
         return refuse(CallerError{404, "unknown-model", "no engine serves the model"});
     }
-    const std::uint64_t fingerprint
-        = this->core.crashGuard.fingerprint(workspace, "model " + request.model, received.body);
+    const std::uint64_t fingerprint =
+        this->core.crashGuard.fingerprint(workspace, "model " + request.model, received.body);
     if (this->core.crashGuard.isContained(fingerprint)) {
         return refuse(CallerError{422, "crash-contained", "requests like this one crashed backend servers",
                                   RunOutcome::NotRun, ContainedRetryAfter});
     }
     exchange.cancelSignal().setDeadline(arrival + request.deadline);
 
-    const std::string key
-        = request.idempotencyKey.empty() ? "" : "model\n" + workspace + "\n" + request.idempotencyKey;
+    const std::string key = request.idempotencyKey.empty() ? "" : "model\n" + workspace + "\n" + request.idempotencyKey;
     if (!key.empty()) {
-        const auto known = this->registry.begin(
-            key, keyedHash(received.target + "\n" + received.body, this->core.settings.sharedKey));
+        const auto known =
+            this->registry.begin(key, keyedHash(received.target + "\n" + received.body, this->core.settings.sharedKey));
         if (known.standing == CallRegistry::Standing::Finished) {
             HttpReply reply = known.result;
             reply.headers["Idempotent-Replay"] = "true";
--- a/src/proxy/modelrequest.cpp
+++ b/src/proxy/modelrequest.cpp
@@ -81,8 +81,8 @@
         if (!json["max_tokens"].is_number_integer() || json["max_tokens"].get<std::int64_t>() < 1) {
             return invalid("\"max_tokens\" must be a positive whole number");
         }
-        parsed.maxTokens
-            = static_cast<int>(std::min<std::int64_t>(json["max_tokens"].get<std::int64_t>(), longestAnswer));
+        parsed.maxTokens =
+            static_cast<int>(std::min<std::int64_t>(json["max_tokens"].get<std::int64_t>(), longestAnswer));
     }
     return std::nullopt;
 }
--- a/src/proxy/modelrun.cpp
+++ b/src/proxy/modelrun.cpp
@@ -17,7 +17,7 @@
 
 using Json = nlohmann::ordered_json;
 
-constexpr int MaxAttempts = 4;
+constexpr int MaxAttempts = 3;
 constexpr std::size_t LoggedCandidates = 5;
 constexpr Millis ShortWait{5}; // For asking a second engine before queueing at the first.
 constexpr Millis LongestWait{10000}; // Bounds the queueing of requests that can wait.
@@ -73,9 +73,8 @@
         }
         this->endAttempt();
         const bool again = failure->retryable && this->relay.outputs() == 0 && this->attempts < MaxAttempts
-            && !this->ended() && this->core.crashGuard.crashes(this->fingerprint) < 2
-            && this->core.retries.takeRetry() && this->exchange.cancelSignal().sleep(
-                this->core.retries.delay(this->attempts));
+            && !this->ended() && this->core.crashGuard.crashes(this->fingerprint) < 2 && this->core.retries.takeRetry()
+            && this->exchange.cancelSignal().sleep(this->core.retries.delay(this->attempts));
         if (!again) {
             failure->error.outcome = this->state.outcomeOnFailure();
             this->relay.fail(failure->error);
@@ -85,8 +84,11 @@
         this->suspect = this->core.crashGuard.crashes(this->fingerprint) > 0;
         this->selection.setSuspect(this->suspect);
         this->attemptId = this->core.newRequestId();
-        LogLine("retry").add("request", this->requestId).add("attempt", this->attemptId)
-            .add("reason", failure->error.message).write();
+        LogLine("retry")
+            .add("request", this->requestId)
+            .add("attempt", this->attemptId)
+            .add("reason", failure->error.message)
+            .write();
     }
 }
 
@@ -124,9 +126,8 @@
         return this->refuse("no-capacity", "no live engine can take the request", NoEngineRetryAfter);
     }
     // Before any room is taken, a request that cannot meet its target any more is turned away.
-    const AdmissionDecision admission
-        = admit(prefills.front(), this->core.transferEstimate(), Millis(0), this->leftUntilFirstOutput(),
-                this->targets.wastedPrefillWeight);
+    const AdmissionDecision admission = admit(prefills.front(), this->core.transferEstimate(), Millis(0),
+                                              this->leftUntilFirstOutput(), this->targets.wastedPrefillWeight);
     if (!admission.admitted) {
         this->logChoice("admission", prefills, "", "target-unreachable", admission);
         return this->refuse("overloaded", "the first output cannot come in time", admission.expected);
@@ -165,8 +166,8 @@
         return this->refuse("no-capacity", "no live prefill engine", NoEngineRetryAfter);
     }
     RankedEngine best = ranked.front();
-    const Millis spare = this->leftUntilFirstOutput() - this->core.transferEstimate()
-        - Millis(static_cast<std::int64_t>(best.costMs));
+    const Millis spare =
+        this->leftUntilFirstOutput() - this->core.transferEstimate() - Millis(static_cast<std::int64_t>(best.costMs));
     auto hold = std::make_unique<EngineHold>(this->core, this->attemptId, this->suspect);
     SlotAsk ask = this->askFor(best.engine.address, std::clamp(spare, Millis(0), LongestWait));
     ask.tokens = this->request.promptTokens();
@@ -206,9 +207,9 @@
                     {"priority", this->request.priority}};
     this->state.dispatch();
     this->prefillHold->sent();
-    const ExchangeEnd end = this->core.client.send(
-        {engine, "POST", "/v1/prefill", {{"Content-Type", "application/json"}}, dump(body)},
-        this->exchange.cancelSignal());
+    const ExchangeEnd end =
+        this->core.client.send({engine, "POST", "/v1/prefill", {{"Content-Type", "application/json"}}, dump(body)},
+                               this->exchange.cancelSignal());
     const auto *reply = std::get_if<BackendReply>(&end);
     if (reply != nullptr && reply->header("Run-Outcome") == "not-run") {
         this->state.rejectedByBackend();
@@ -224,8 +225,11 @@
     const auto answered = nlohmann::json::parse(reply->body, nullptr, false);
     if (!answered.is_object() || answered.value("request_id", Json()) != this->attemptId
         || !answered.value("handle", Json()).is_string() || answered["handle"].get<std::string>().empty()) {
-        LogLine("protocol-violation").add("request", this->requestId).add("engine", engine)
-            .add("detail", "prefill answer with a wrong id or without a handle").warn();
+        LogLine("protocol-violation")
+            .add("request", this->requestId)
+            .add("engine", engine)
+            .add("detail", "prefill answer with a wrong id or without a handle")
+            .warn();
         this->core.retries.failure(engine);
         this->selection.exclude(engine);
         return this->fail(502, "engine-protocol", "the prefill engine's answer belongs to no request", true);
@@ -306,8 +310,13 @@
     } else if (const auto *reply = std::get_if<BackendReply>(&end)) {
         what = "answered with status " + std::to_string(reply->status);
     }
-    LogLine("engine-failure").add("request", this->requestId).add("attempt", this->attemptId).add("engine", engine)
-        .add("stage", stage).add("detail", what).warn();
+    LogLine("engine-failure")
+        .add("request", this->requestId)
+        .add("attempt", this->attemptId)
+        .add("engine", engine)
+        .add("stage", stage)
+        .add("detail", what)
+        .warn();
     return this->fail(502, "engine-failure", "the " + stage + " engine " + what, true);
 }
 
@@ -315,8 +324,8 @@
 {
     // A retry has spent work already, so it may use all of the deadline; so may a request that can wait.
     const bool lenient = this->request.priority == CanWait || this->attempts > 1;
-    const Millis limit = lenient ? this->request.deadline
-                                 : std::min(this->targets.firstTokenTarget, this->request.deadline);
+    const Millis limit =
+        lenient ? this->request.deadline : std::min(this->targets.firstTokenTarget, this->request.deadline);
     return std::max(Millis(0), limit - since(this->arrival));
 }
 
@@ -336,11 +345,19 @@
                         {"cost_ms", candidate.costMs},
                         {"prefix_hit", candidate.prefixHit}});
     }
-    LogLine("route").add("request", this->requestId).add("attempt", this->attemptId).add("stage", stage)
-        .add("workspace", this->request.workspace).add("model", this->request.model)
-        .addJson("candidates", dump(list)).add("candidate_count", std::uint64_t(candidates.size()))
-        .add("choice", choice).add("reason", reason).add("expected_ms", std::int64_t(admission.expected.count()))
-        .add("left_ms", std::int64_t(admission.left.count())).write();
+    LogLine("route")
+        .add("request", this->requestId)
+        .add("attempt", this->attemptId)
+        .add("stage", stage)
+        .add("workspace", this->request.workspace)
+        .add("model", this->request.model)
+        .addJson("candidates", dump(list))
+        .add("candidate_count", std::uint64_t(candidates.size()))
+        .add("choice", choice)
+        .add("reason", reason)
+        .add("expected_ms", std::int64_t(admission.expected.count()))
+        .add("left_ms", std::int64_t(admission.left.count()))
+        .write();
 }
 
 void ModelRun::countDone()
--- a/src/proxy/peercall.cpp
+++ b/src/proxy/peercall.cpp
@@ -18,12 +18,9 @@
     for (const auto &[name, value] : call.request.headers) {
         headers.push_back({name, value});
     }
-    const Json packed{{"incarnation", call.incarnation},
-                      {"left_ms", call.left.count()},
-                      {"method", call.request.method},
-                      {"target", call.request.target},
-                      {"headers", headers},
-                      {"body", call.request.body}};
+    const Json packed{
+        {"incarnation", call.incarnation}, {"left_ms", call.left.count()}, {"method", call.request.method},
+        {"target", call.request.target},   {"headers", headers},           {"body", call.request.body}};
     std::string text;
     Json::to_cbor(packed, text);
     return text;
--- /dev/null
+++ b/src/proxy/proxyfixture_test.h
@@ -0,0 +1,219 @@
+#pragma once
+
+#include "fakeengine_test.h"
+
+#include "cyclamencross/base/failures.h"
+#include "cyclamencross/base/metrics.h"
+#include "cyclamencross/proxy/proxyserver.h"
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <boost/leaf.hpp>
+
+/// An entry's request path with fake hooks: one prefill engine, one decode engine and one service "booking".
+class ProxyFixture
+{
+public:
+    ProxyFixture()
+    {
+        this->settings.name = "entry-1";
+        this->settings.zone = "z1";
+        this->settings.region = "r1";
+        this->settings.callerAddress = "127.0.0.1:" + std::to_string(freePort());
+        this->settings.adminAddress = "127.0.0.1:1";
+        this->settings.sharedKey = std::string(32, 'k');
+        this->view.ready = true;
+        this->view.self.name = "entry-1";
+        this->view.self.region = "r1";
+        this->view.self.callerAddress = this->settings.callerAddress;
+        this->view.members = {this->view.self};
+        this->view.config = std::make_shared<Cyclamen::FleetConfig>();
+        this->add(this->prefill, Cyclamen::EngineRole::Prefill);
+        this->add(this->decode, Cyclamen::EngineRole::Decode);
+        this->addService(this->service);
+    }
+
+    void add(const FakeBackend &backend, Cyclamen::EngineRole role)
+    {
+        const std::scoped_lock lock(this->mutex);
+        this->view.backends.push_back(
+            {backend.address(), Cyclamen::BackendKind::Engine, "pool", "m1", role, "z1", {}, true});
+    }
+
+    void addService(const FakeBackend &backend)
+    {
+        const std::scoped_lock lock(this->mutex);
+        this->view.backends.push_back(
+            {backend.address(), Cyclamen::BackendKind::Service, "booking", "", {}, "z1", {}, true});
+    }
+
+    void setState(const FakeBackend &backend, Cyclamen::BackendState state)
+    {
+        const std::scoped_lock lock(this->mutex);
+        for (auto &known : this->view.backends) {
+            if (known.address == backend.address()) {
+                known.state = state;
+            }
+        }
+    }
+
+    void start()
+    {
+        this->proxy = std::make_unique<Cyclamen::ProxyServer>(this->settings, 7, this->hooks(), this->metrics);
+        REQUIRE(this->proxy->start());
+    }
+
+    httplib::Client client() const
+    {
+        httplib::Client client("http://" + this->settings.callerAddress);
+        client.set_read_timeout(10);
+        return client;
+    }
+
+    /// Sends a model request and returns its answer.
+    httplib::Result complete(bool stream, const httplib::Headers &headers = {},
+                             const std::string &prompt = "hello") const
+    {
+        const nlohmann::json body{{"model", "m1"}, {"prompt", prompt}, {"stream", stream}, {"max_tokens", 8}};
+        return this->client().Post("/v1/completions", headers, body.dump(), "application/json");
+    }
+
+    /// Opens a raw connection and sends @p text.
+    int connectRaw(const std::string &text) const
+    {
+        const int fd = socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in to{};
+        to.sin_family = AF_INET;
+        to.sin_port = htons(static_cast<std::uint16_t>(
+            std::stoi(this->settings.callerAddress.substr(this->settings.callerAddress.find(':') + 1))));
+        inet_pton(AF_INET, "127.0.0.1", &to.sin_addr);
+        REQUIRE(connect(fd, reinterpret_cast<sockaddr *>(&to), sizeof to) == 0);
+        REQUIRE(::send(fd, text.data(), text.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(text.size()));
+        return fd;
+    }
+
+    static std::string rawCompletion(bool stream)
+    {
+        const std::string body = nlohmann::json{{"model", "m1"}, {"prompt", "hello"}, {"stream", stream}}.dump();
+        return "POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n"
+            + body;
+    }
+
+    /// Waits until @p condition holds, at most 5 s.
+    static bool eventually(const std::function<bool()> &condition)
+    {
+        for (int i = 0; i < 2500; ++i) {
+            if (condition()) {
+                return true;
+            }
+            std::this_thread::sleep_for(std::chrono::milliseconds(2));
+        }
+        return false;
+    }
+
+    static int freePort()
+    {
+        const int fd = socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in any{};
+        any.sin_family = AF_INET;
+        inet_pton(AF_INET, "127.0.0.1", &any.sin_addr);
+        socklen_t size = sizeof any;
+        bind(fd, reinterpret_cast<sockaddr *>(&any), size);
+        getsockname(fd, reinterpret_cast<sockaddr *>(&any), &size);
+        close(fd);
+        return ntohs(any.sin_port);
+    }
+
+    static std::string type(const httplib::Result &result)
+    {
+        return nlohmann::json::parse(result->body)["error"]["type"].get<std::string>();
+    }
+
+    std::vector<Cyclamen::CrashReport> crashes() const
+    {
+        const std::scoped_lock lock(this->mutex);
+        return this->reports;
+    }
+
+    /// Counts a metric line's value, 0 if it is absent.
+    double metric(const std::string &line) const
+    {
+        const std::string text = this->metrics.text();
+        const std::size_t at = text.find("\n" + line + " ");
+        return at == std::string::npos ? 0 : std::stod(text.substr(at + line.size() + 2));
+    }
+
+    Cyclamen::Settings settings;
+    Cyclamen::FleetView view;
+    FakeBackend prefill;
+    FakeBackend decode;
+    FakeBackend service;
+    std::atomic<int> held{0}; ///< Grants not given back.
+    std::atomic<bool> full{false}; ///< Every ask is refused.
+    std::atomic<bool> asksBlock{false}; ///< Asks wait until they are withdrawn.
+    std::atomic<bool> keyValueDown{false};
+    std::map<std::string, Cyclamen::CallRecord> records;
+    std::vector<Cyclamen::CrashReport> reports;
+    Cyclamen::Metrics metrics;
+    mutable std::mutex mutex;
+    std::unique_ptr<Cyclamen::ProxyServer> proxy;
+
+private:
+    boost::leaf::result<Cyclamen::SlotGrant> acquire(const Cyclamen::SlotAsk &ask)
+    {
+        if (this->full) {
+            return boost::leaf::new_error(Cyclamen::NoCapacity{"pool", 300});
+        }
+        if (this->asksBlock) {
+            const auto isWithdrawn = [this] { return this->withdrawn.load(); };
+            if (eventually(isWithdrawn)) {
+                return boost::leaf::new_error(Cyclamen::NoCapacity{"pool", 0});
+            }
+        }
+        ++this->held;
+        return Cyclamen::SlotGrant{ask.requestId, ask.engine, "entry-1", ask.slots, ask.tokens, Cyclamen::Millis(0)};
+    }
+
+    Cyclamen::ProxyHooks hooks()
+    {
+        using namespace Cyclamen;
+        ProxyHooks hooks;
+        hooks.view = [this] {
+            const std::scoped_lock lock(this->mutex);
+            return std::make_shared<const FleetView>(this->view);
+        };
+        hooks.acquireSlot = [this](const SlotAsk &ask) { return this->acquire(ask); };
+        hooks.releaseSlot = [this](const SlotGrant &grant) {
+            // A grant has an owner; a withdrawn ask has none.
+            if (grant.owner.empty()) {
+                this->withdrawn = true;
+            } else {
+                --this->held;
+            }
+        };
+        hooks.engineLoad = [](const std::string &engine) {
+            return std::optional(EngineLoad{engine, 20, 0, 0, 100000, Clock::now()});
+        };
+        hooks.prefixHint = [](const std::string &) { return std::optional<std::string>(); };
+        hooks.notePrefix = [](const std::string &, const std::string &) {};
+        hooks.reportCrash = [this](const CrashReport &report) {
+            const std::scoped_lock lock(this->mutex);
+            this->reports.push_back(report);
+        };
+        hooks.crashes = [this] { return this->crashes(); };
+        hooks.createCallRecord = [this](const CallRecord &wanted) -> boost::leaf::result<CallRecord> {
+            if (this->keyValueDown) {
+                return boost::leaf::new_error(KeyValueUnavailable{"down"});
+            }
+            const std::scoped_lock lock(this->mutex);
+            return this->records.emplace(wanted.workspace + "/" + wanted.key, wanted).first->second;
+        };
+        hooks.finishCallRecord = [](const CallRecord &) {};
+        hooks.setLoad = [](std::uint32_t) {};
+        return hooks;
+    }
+
+    std::atomic<bool> withdrawn{false};
+};
--- a/src/proxy/proxyserver.cpp
+++ b/src/proxy/proxyserver.cpp
@@ -7,6 +7,7 @@
 
 #include "cyclamencross/base/logline.h"
 #include "cyclamencross/base/metrics.h"
+#include "cyclamencross/net/peerhttp.h"
 
 namespace Cyclamen
 {
@@ -35,6 +36,9 @@
         return errorReply(CallerError{404, "not-found", "there is no such path"}, "");
     case 414:
         return errorReply(CallerError{414, "too-large", "the request line is too long"}, "");
+    case 500:
+        return errorReply(
+            CallerError{500, "internal", "the request ended by a fault of this entry", RunOutcome::Unknown}, "");
     default:
         return errorReply(CallerError{status < 400 ? 400 : status, "invalid-request", "malformed HTTP request"}, "");
     }
@@ -47,7 +51,10 @@
     Members(const Settings &settings, std::uint64_t incarnation, ProxyHooks hooks, Metrics &metrics)
         : core(settings, incarnation, std::move(hooks), metrics)
         , models(core, registry)
-        , services(core, registry)
+        , services(core, registry,
+                   [this](const std::string &address, const HttpRequest &request, Millis timeout) {
+                       return callPeer(address, request, this->core.settings.sharedKey, timeout);
+                   })
         , server(
               settings.maxConnections, ConnectionLimits{settings.idleTimeout, 64U << 10U, settings.maxBodyBytes},
               [this](CallerExchange &exchange) { this->handle(exchange); }, earlyRefusal)
@@ -77,10 +84,19 @@
         return;
     }
     this->core.hooks.setLoad(++this->core.inProgress);
-    if (model) {
-        this->models.handle(exchange);
-    } else {
-        this->services.handle(exchange);
+    try {
+        if (model) {
+            this->models.handle(exchange);
+        } else {
+            this->services.handle(exchange);
+        }
+    } catch (const std::exception &fault) {
+        LogLine("request-fault").add("path", request.path).add("detail", fault.what()).error();
+        if (exchange.streamBegun()) {
+            exchange.abortStream();
+        } else {
+            exchange.reply(earlyRefusal(500));
+        }
     }
     this->core.hooks.setLoad(--this->core.inProgress);
 }
@@ -139,9 +155,11 @@
     CallerWatch &watch = this->members->server.callerWatch();
     CancelSignal cancel;
     ++this->members->core.inProgress;
-    watch.add(cancel, -1);
-    HttpReply reply = this->members->services.guard().answerPeer(request, cancel);
-    watch.forget(cancel);
+    HttpReply reply;
+    {
+        const CallerWatch::Guard watched(watch, cancel, -1);
+        reply = this->members->services.guard().answerPeer(request, cancel);
+    }
     --this->members->core.inProgress;
     return reply;
 }
--- /dev/null
+++ b/src/proxy/proxyserver_test.cpp
@@ -0,0 +1,221 @@
+#include <catch2/catch.hpp>
+
+#include "proxyfixture_test.h"
+
+using namespace Cyclamen;
+
+// Guards the plain path: chunks in order, the end mark, and room given back on both engines.
+TEST_CASE("a streamed completion passes on every event and the end mark")
+{
+    ProxyFixture fixture;
+    fixture.start();
+    const auto result = fixture.complete(true);
+    REQUIRE(result);
+    CHECK(result->status == 200);
+    CHECK(result->get_header_value("Content-Type") == "text/event-stream");
+    const auto first = result->body.find("\"text\":\"Hel\"");
+    const auto second = result->body.find("\"text\":\"lo\"");
+    CHECK(first != std::string::npos);
+    CHECK(second > first);
+    CHECK(result->body.ends_with("data: [DONE]\n\n"));
+    CHECK(ProxyFixture::eventually([&] { return fixture.held == 0; }));
+    CHECK(fixture.metric("cyclamencross_goodput_total{model=\"m1\",workspace=\"default\"}") == 1);
+}
+
+TEST_CASE("a whole chat answer joins the events")
+{
+    ProxyFixture fixture;
+    fixture.start();
+    const auto result = fixture.client().Post(
+        "/v1/chat/completions", "{\"model\":\"m1\",\"messages\":[{\"role\":\"user\",\"content\":\"hi\"}]}",
+        "application/json");
+    REQUIRE(result);
+    CHECK(result->status == 200);
+    const auto answer = nlohmann::json::parse(result->body);
+    CHECK(answer["choices"][0]["message"]["content"] == "Hello");
+    CHECK(answer["usage"]["completion_tokens"] == 2);
+}
+
+// Guards against successes made of another request's answer, of a gap, or of a cut stream.
+TEST_CASE("a wrong, crossed or cut stream is never passed on as a success")
+{
+    const bool stream = GENERATE(false, true);
+    const std::string fault = GENERATE("crossed", "gap", "no end mark");
+    ProxyFixture fixture;
+    fixture.decode.on("/v1/decode", [fault](const httplib::Request &request, httplib::Response &response) {
+        const std::string id = FakeBackend::idOf(request);
+        std::string events = FakeBackend::event(fault == "crossed" ? "other" : id, 0, "a");
+        if (fault == "gap") {
+            events += FakeBackend::event(id, 2, "c");
+        }
+        FakeBackend::stream(response, events + (fault == "no end mark" ? "" : "data: [DONE]\n\n"));
+    });
+    fixture.start();
+    const auto result = fixture.complete(stream);
+    if (!result) {
+        return; // The stream was cut off, as it must be once it has begun.
+    }
+    CHECK(result->body.find("[DONE]") == std::string::npos);
+    CHECK(result->status >= 500);
+    CHECK(result->get_header_value("Run-Outcome") == "failed");
+    CHECK(ProxyFixture::eventually([&] { return fixture.held == 0; }));
+    CHECK(!fixture.decode.requests("/v1/cancel").empty());
+}
+
+// Guards against an error event being lost or followed by an end mark when a stream breaks after its first output.
+TEST_CASE("a stream that breaks after its first output ends with an error event and no end mark")
+{
+    ProxyFixture fixture;
+    fixture.decode.on("/v1/decode", [](const httplib::Request &request, httplib::Response &response) {
+        FakeBackend::stream(response, FakeBackend::event(FakeBackend::idOf(request), 0, "a"), false);
+    });
+    fixture.start();
+    const int fd = fixture.connectRaw(ProxyFixture::rawCompletion(true));
+    std::string received;
+    char buffer[4096];
+    for (ssize_t got = 0; (got = recv(fd, buffer, sizeof buffer, 0)) > 0;) {
+        received.append(buffer, static_cast<std::size_t>(got));
+    }
+    close(fd);
+    CHECK(received.starts_with("HTTP/1.1 200"));
+    CHECK(received.find("event: error") != std::string::npos);
+    CHECK(received.find("\"outcome\":\"failed\"") != std::string::npos);
+    CHECK(received.find("[DONE]") == std::string::npos);
+    CHECK(received.find("0\r\n\r\n") == std::string::npos);
+}
+
+TEST_CASE("a cut stream is resumed at the next index")
+{
+    ProxyFixture fixture;
+    fixture.decode.on("/v1/decode", [](const httplib::Request &request, httplib::Response &response) {
+        FakeBackend::stream(response, FakeBackend::event(FakeBackend::idOf(request), 0, "Hel"), false);
+    });
+    fixture.decode.on("/v1/resume", [](const httplib::Request &request, httplib::Response &response) {
+        const auto body = nlohmann::json::parse(request.body);
+        CHECK(body["from_index"] == 1);
+        FakeBackend::stream(response, FakeBackend::event(body["request_id"], 1, "lo") + "data: [DONE]\n\n");
+    });
+    fixture.start();
+    const auto result = fixture.complete(false);
+    REQUIRE(result);
+    CHECK(result->status == 200);
+    CHECK(nlohmann::json::parse(result->body)["choices"][0]["text"] == "Hello");
+}
+
+// Guards against a prefill answer of another request, or without a handle, being used for decoding.
+TEST_CASE("a prefill answer with a wrong id or without a handle is not used")
+{
+    ProxyFixture fixture;
+    const bool wrongId = GENERATE(false, true);
+    fixture.prefill.on("/v1/prefill", [wrongId](const httplib::Request &request, httplib::Response &response) {
+        nlohmann::json answer{{"request_id", wrongId ? "other" : FakeBackend::idOf(request)}};
+        if (wrongId) {
+            answer["handle"] = "h1";
+        }
+        response.set_content(answer.dump(), "application/json");
+    });
+    fixture.start();
+    const auto result = fixture.complete(false);
+    REQUIRE(result);
+    CHECK(result->status == 502);
+    CHECK(ProxyFixture::type(result) == "engine-protocol");
+    CHECK(result->get_header_value("Run-Outcome") == "failed");
+    CHECK(fixture.decode.requests("/v1/decode").empty());
+}
+
+TEST_CASE("refusals before any work are not-run with their real status")
+{
+    ProxyFixture fixture;
+    SECTION("no room")
+    {
+        fixture.full = true;
+        fixture.start();
+        const auto result = fixture.complete(true);
+        CHECK(result->status == 503);
+        CHECK(ProxyFixture::type(result) == "no-capacity");
+        CHECK(!result->get_header_value("Retry-After").empty());
+        CHECK(result->get_header_value("Run-Outcome") == "not-run");
+    }
+    SECTION("isolated")
+    {
+        fixture.view.isolated = true;
+        fixture.start();
+        const auto result = fixture.complete(true);
+        CHECK(result->status == 503);
+        CHECK(ProxyFixture::type(result) == "isolated");
+    }
+    SECTION("unknown model")
+    {
+        fixture.start();
+        const auto result =
+            fixture.client().Post("/v1/completions", "{\"model\":\"m9\",\"prompt\":\"x\"}", "text/json");
+        CHECK(result->status == 404);
+        CHECK(ProxyFixture::type(result) == "unknown-model");
+    }
+    SECTION("malformed JSON")
+    {
+        fixture.start();
+        const auto result = fixture.client().Post("/v1/completions", "{\"model\":", "text/json");
+        CHECK(result->status == 400);
+        CHECK(ProxyFixture::type(result) == "invalid-request");
+    }
+    CHECK(fixture.prefill.requests("/v1/prefill").empty());
+}
+
+// Guards against dispatching to a backend server that began to leave after it was chosen.
+TEST_CASE("an engine that is leaving gets no work")
+{
+    ProxyFixture fixture;
+    fixture.setState(fixture.prefill, BackendState::Leaving);
+    fixture.start();
+    const auto result = fixture.complete(false);
+    CHECK(result->status == 503);
+    CHECK(result->get_header_value("Run-Outcome") == "not-run");
+    CHECK(fixture.prefill.requests("/v1/prefill").empty());
+}
+
+// Guards against engine memory held for a caller that is gone, at each stage.
+TEST_CASE("a caller that goes away is noticed at once and cancelled on both engines")
+{
+    ProxyFixture fixture;
+    const int stage = GENERATE(0, 1, 2, 3, 4);
+    const auto hang = [&fixture](const httplib::Request &, httplib::Response &response) {
+        fixture.decode.streamAndHang(response, ": waiting\n\n");
+    };
+    const bool stream = stage != 3;
+    if (stage == 0) {
+        fixture.asksBlock = true;
+    } else if (stage == 1) {
+        fixture.prefill.on("/v1/prefill", [&fixture](const httplib::Request &, httplib::Response &response) {
+            fixture.prefill.streamAndHang(response, "{");
+        });
+    } else if (stage == 2) {
+        fixture.decode.on("/v1/decode", hang);
+    } else {
+        fixture.decode.on("/v1/decode", [&fixture](const httplib::Request &request, httplib::Response &response) {
+            fixture.decode.streamAndHang(response, FakeBackend::event(FakeBackend::idOf(request), 0, "a"));
+        });
+    }
+    fixture.start();
+    const int fd = fixture.connectRaw(ProxyFixture::rawCompletion(stream));
+    const char *path = stage == 1 ? "/v1/prefill" : "/v1/decode";
+    const FakeBackend &busy = stage == 1 ? fixture.prefill : fixture.decode;
+    if (stage == 0) {
+        CHECK(ProxyFixture::eventually([&] { return fixture.proxy->inProgress() == 1; }));
+    } else {
+        CHECK(ProxyFixture::eventually([&] { return !busy.requests(path).empty(); }));
+    }
+    std::this_thread::sleep_for(Millis(30));
+    const TimePoint gone = Clock::now();
+    close(fd);
+    CHECK(ProxyFixture::eventually([&] { return fixture.proxy->inProgress() == 0; }));
+    CHECK(Clock::now() - gone < Millis(1000));
+    CHECK(fixture.held == 0);
+    if (stage >= 1) {
+        CHECK(fixture.prefill.requests("/v1/cancel").size() == 1);
+    }
+    if (stage >= 2) {
+        CHECK(fixture.decode.requests("/v1/cancel").size() == 1);
+        CHECK(ProxyFixture::eventually([&] { return fixture.decode.cut.load(); }));
+    }
+}
--- a/src/proxy/serviceflow.cpp
+++ b/src/proxy/serviceflow.cpp
@@ -25,8 +25,8 @@
 
 // Headers that belong to one connection, or that this router or the HTTP library sets itself.
 constexpr std::array<const char *, 14> OwnHeaders{
-    "Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding", "Content-Length", "TE", "Trailer", "Upgrade",
-    "Host", "Expect", "REMOTE_ADDR", "REMOTE_PORT", "LOCAL_ADDR", "LOCAL_PORT"};
+    "Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding", "Content-Length", "TE",         "Trailer",
+    "Upgrade",    "Host",       "Expect",           "REMOTE_ADDR",       "REMOTE_PORT",    "LOCAL_ADDR", "LOCAL_PORT"};
 
 bool isOwnHeader(const std::string &name)
 {
@@ -65,12 +65,14 @@
 
 }
 
-ServiceFlow::ServiceFlow(ProxyCore &core, CallRegistry &registry)
+ServiceFlow::ServiceFlow(ProxyCore &core, CallRegistry &registry, CallGuard::PeerCaller peerCaller)
     : core(core)
-    , callGuard(core, registry,
-                [this](const CallerRequest &request, const std::string &requestId, CancelSignal &cancel) {
-                    return this->run(request, requestId, cancel, true);
-                })
+    , callGuard(
+          core, registry,
+          [this](const CallerRequest &request, const std::string &requestId, CancelSignal &cancel) {
+              return this->run(request, requestId, cancel, true);
+          },
+          std::move(peerCaller))
 {
 }
 
@@ -84,8 +86,7 @@
     const std::string requestId = this->core.newRequestId();
     const CallerRequest &request = exchange.request();
     const FleetViewPtr view = this->core.hooks.view();
-    const FleetDefaults defaults
-        = effectiveDefaults(*view, request.header("Workspace", "default"), "", unixSeconds());
+    const FleetDefaults defaults = effectiveDefaults(*view, request.header("Workspace", "default"), "", unixSeconds());
     const auto deadline = parseDeadline(request, defaults.requestDeadline);
     HttpReply reply;
     if (const auto refusal = this->core.refusal()) {
@@ -102,8 +103,12 @@
     const auto found = reply.headers.find("Run-Outcome");
     const std::string outcome = found == reply.headers.end() ? "done" : found->second;
     this->core.metrics.count("cyclamencross_requests_total", {{"kind", "service"}, {"outcome", outcome}});
-    LogLine("request-end").add("request", requestId).add("kind", "service").add("status", reply.status)
-        .add("outcome", outcome).write();
+    LogLine("request-end")
+        .add("request", requestId)
+        .add("kind", "service")
+        .add("status", reply.status)
+        .add("outcome", outcome)
+        .write();
     exchange.reply(std::move(reply));
 }
 
@@ -120,9 +125,10 @@
                                       RunOutcome::NotRun, ContainedRetryAfter},
                           requestId);
     }
+    const FleetViewPtr view = this->core.hooks.view();
     std::vector<Backend> servers;
     bool known = false;
-    for (const Backend &backend : this->core.hooks.view()->backends) {
+    for (const Backend &backend : view->backends) {
         if (backend.kind == BackendKind::Service && backend.pool == pool) {
             known = true;
             if (backend.state == BackendState::Live) {
@@ -231,8 +237,13 @@
     for (const Backend &server : servers) {
         list.push_back(server.address);
     }
-    LogLine("route").add("request", call.requestId).add("stage", "service").addJson("candidates", list.dump())
-        .add("choice", choice).add("reason", reason).write();
+    LogLine("route")
+        .add("request", call.requestId)
+        .add("stage", "service")
+        .addJson("candidates", list.dump())
+        .add("choice", choice)
+        .add("reason", reason)
+        .write();
 }
 
 }
--- a/src/proxy/serviceflow.h
+++ b/src/proxy/serviceflow.h
@@ -14,7 +14,8 @@
 {
 public:
     /// @param registry remembers the calls with an idempotency key.
-    ServiceFlow(ProxyCore &core, CallRegistry &registry);
+    /// @param peerCaller forwards a call to the entry that may run it.
+    ServiceFlow(ProxyCore &core, CallRegistry &registry, CallGuard::PeerCaller peerCaller);
 
     void handle(CallerExchange &exchange);
     /// Calls with an idempotency key, their tickets, and calls that other entries forward.
