--- a/src/proxy/serviceflow.cpp
+++ b/src/proxy/serviceflow.cpp
@@ -65,12 +65,14 @@
 
 }
 
-ServiceFlow::ServiceFlow(ProxyCore &core, CallRegistry &registry)
+ServiceFlow::ServiceFlow(ProxyCore &core, CallRegistry &registry, CallGuard::PeerCaller peerCaller)
     : core(core)
-    , callGuard(core, registry,
-                [this](const CallerRequest &request, const std::string &requestId, CancelSignal &cancel) {
-                    return this->run(request, requestId, cancel, true);
-                })
+    , callGuard(
+          core, registry,
+          [this](const CallerRequest &request, const std::string &requestId, CancelSignal &cancel) {
+              return this->run(request, requestId, cancel, true);
+          },
+          std::move(peerCaller))
 {
 }
 
@@ -123,9 +125,10 @@
                                       RunOutcome::NotRun, ContainedRetryAfter},
                           requestId);
     }
+    const FleetViewPtr view = this->core.hooks.view();
     std::vector<Backend> servers;
     bool known = false;
-    for (const Backend &backend : this->core.hooks.view()->backends) {
+    for (const Backend &backend : view->backends) {
         if (backend.kind == BackendKind::Service && backend.pool == pool) {
             known = true;
             if (backend.state == BackendState::Live) {
