Test the operators' routes and subcommands against an entry on loopback

The tests found that a refused change exited with 1 instead of 2 or 3: a failure raised again inside a LEAF handler of the same type is lost, because the context then propagates the first error id.

--- a/src/admin/adminserver_test.cpp
+++ b/src/admin/adminserver_test.cpp
@@ -2,6 +2,8 @@
 
 #include "signaturememory.h"
 
+#include "../testport.h"
+
 #include "cyclamencross/base/hash.h"
 #include "cyclamencross/base/metrics.h"
 #include "cyclamencross/base/timing.h"
@@ -13,9 +15,6 @@
 
 #include <catch2/catch.hpp>
 #include <httplib.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 using namespace Cyclamen;
 
@@ -25,19 +24,6 @@
 constexpr std::size_t MaxBody = 2048;
 const std::string Key = "0123456789abcdef0123456789abcdef";
 
-int freePort()
-{
-    const int probe = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof address;
-    REQUIRE(::bind(probe, reinterpret_cast<sockaddr *>(&address), size) == 0);
-    REQUIRE(::getsockname(probe, reinterpret_cast<sockaddr *>(&address), &size) == 0);
-    ::close(probe);
-    return ntohs(address.sin_port);
-}
-
 Settings makeSettings()
 {
     Settings settings;
--- /dev/null
+++ b/src/cyclamencross/commands_test.cpp
@@ -0,0 +1,92 @@
+#include "commands.h"
+#include "exitcode.h"
+#include "fakeentry.h"
+
+#include "cyclamencross/base/timing.h"
+
+#include <array>
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace Cyclamen;
+
+namespace
+{
+
+FleetView makeView()
+{
+    FleetView view;
+    view.self.name = "entry-1";
+    view.self.load = 7;
+    view.ready = true;
+    view.members = {view.self};
+    view.backends = {Backend{"127.0.0.1:9001", BackendKind::Engine, "draft-llm", "draft", EngineRole::Decode,
+                             "zilina-a", BackendState::Leaving, true}};
+    return view;
+}
+
+}
+
+// Guards against an example that operators copy and that an entry then refuses.
+TEST_CASE("the example settings pass config check")
+{
+    const std::string path = std::string(EXAMPLES_DIR) + "/entry.ini";
+    const std::array<const char *, 2> arguments{"check", path.c_str()};
+    CHECK(configCheckCommand(int(arguments.size()), arguments.data()) == ExitOk);
+}
+
+TEST_CASE("wrong arguments are usage errors")
+{
+    const std::array<const char *, 2> unknown{"status", "--colour"};
+    CHECK(statusCommand(int(unknown.size()), unknown.data()) == ExitUsage);
+    const std::array<const char *, 1> nothing{"status"};
+    CHECK(statusCommand(int(nothing.size()), nothing.data()) == ExitUsage);
+    const std::array<const char *, 2> help{"status", "--help"};
+    CHECK(statusCommand(int(help.size()), help.data()) == ExitOk);
+}
+
+TEST_CASE("status shows members, backend servers and load")
+{
+    FakeEntry entry("", 3);
+    entry.view.self = makeView().self;
+    entry.view.ready = true;
+    entry.view.members = makeView().members;
+    entry.view.backends = makeView().backends;
+    const Output output = entry.run(statusCommand, {"status"});
+    CHECK(output.exitCode == ExitOk);
+    CHECK(output.text.find("ready, load 7, configuration revision 3") != std::string::npos);
+    CHECK(output.text.find("leaving") != std::string::npos);
+    const auto json = nlohmann::json::parse(entry.run(statusCommand, {"status", "--json"}).text);
+    CHECK(json["backends"][0]["role"] == "decode");
+    CHECK(json["members"][0]["load"] == 7);
+}
+
+// Guards against a lift that needs no key, and against containment that operators can't see or end.
+TEST_CASE("crash containment is listed and lifted")
+{
+    FakeEntry entry("", 1);
+    entry.crashes = {CrashReport{0xABC, "127.0.0.1:9001", "entry-1", unixSeconds()},
+                     CrashReport{0xABC, "127.0.0.1:9002", "entry-1", unixSeconds()},
+                     CrashReport{0xDEF, "127.0.0.1:9001", "entry-2", unixSeconds()}};
+    const auto listed = nlohmann::json::parse(entry.run(crashesCommand, {"crashes", "--json"}).text);
+    CHECK(listed["crashes"].size() == 3);
+    CHECK(listed["contained"] == nlohmann::json::array({"0000000000000abc"}));
+    const std::array<const char *, 5> unsignedLift{"crashes", "--entry", entry.settings.adminAddress.c_str(), "--lift",
+                                                   "abc"};
+    CHECK(crashesCommand(int(unsignedLift.size()), unsignedLift.data()) == ExitUsage);
+    CHECK(entry.crashes.size() == 3);
+    CHECK(entry.run(crashesCommand, {"crashes", "--lift", "zzz"}).exitCode == ExitUsage);
+    CHECK(entry.run(crashesCommand, {"crashes", "--lift", "abc"}).exitCode == ExitOk);
+    CHECK(entry.crashes.size() == 1);
+}
+
+TEST_CASE("config show prints the text and config history the changes")
+{
+    FakeEntry entry("[defaults]\na = 1\n", 1);
+    entry.store("[defaults]\na = 2\n", 2, "second", "anna");
+    CHECK(entry.run(configShowCommand, {"show"}).text == "[defaults]\na = 2\n");
+    const std::string history = entry.run(configHistoryCommand, {"history"}).text;
+    CHECK(history.find("revision 2  change second  by anna") != std::string::npos);
+    CHECK(history.find("+ defaults.a = 2") != std::string::npos);
+}
--- /dev/null
+++ b/src/cyclamencross/configapply_test.cpp
@@ -0,0 +1,121 @@
+#include "adminclient.h"
+#include "adminfailures.h"
+#include "adminroutes.h"
+#include "commands.h"
+#include "configchange.h"
+#include "configdiff.h"
+#include "confighistory.h"
+#include "exitcode.h"
+#include "fakeentry.h"
+
+#include "cyclamencross/base/failures.h"
+
+#include <boost/leaf/handle_errors.hpp>
+#include <catch2/catch.hpp>
+
+using namespace Cyclamen;
+
+namespace
+{
+
+constexpr Millis ShortTime{600};
+
+std::string configText(std::uint64_t revision, const std::string &keys)
+{
+    return "[config]\nrevision = " + std::to_string(revision) + "\n[defaults]\n" + keys;
+}
+
+}
+
+TEST_CASE("a change is stored once against the revision that the operator read")
+{
+    FakeEntry entry(configText(5, "max_tokens = 4096\n"), 5);
+    const TextFile file(configText(5, "max_tokens = 2048\n"));
+    const Output output = entry.run(configApplyCommand, {"apply", file.path, "--author", "anna"});
+    CHECK(output.exitCode == ExitOk);
+    CHECK(entry.applied == 1);
+    CHECK(entry.revision() == 6);
+}
+
+// Guards against one operator's change overwriting another's, and against a conflict that hides one of the two.
+TEST_CASE("a conflict stores nothing and shows both changes")
+{
+    FakeEntry entry(configText(5, "max_tokens = 4096\nretry_budget = 0.2\n"), 5);
+    entry.store(configText(6, "max_tokens = 4096\nretry_budget = 0.1\n"), 6, "other", "beata");
+    const TextFile file(configText(5, "max_tokens = 2048\nretry_budget = 0.2\n"));
+    const Output output = entry.run(configApplyCommand, {"apply", file.path, "--author", "anna"});
+    CHECK(output.exitCode == ExitConflict);
+    CHECK(entry.revision() == 6);
+    CHECK(output.errors.find("+ defaults.max_tokens = 2048") != std::string::npos);
+    CHECK(output.errors.find("+ defaults.retry_budget = 0.1") != std::string::npos);
+    CHECK(output.errors.find("beata") != std::string::npos);
+}
+
+// Guards against a change that is submitted a second time because its first answer was lost.
+TEST_CASE("a lost answer is resolved by the change id and never repeated")
+{
+    FakeEntry entry(configText(5, "max_tokens = 4096\n"), 5);
+    const ConfigChange change{configText(5, "max_tokens = 2048\n"), 5, "change-1", "anna"};
+    entry.loseAnswers = true;
+    SECTION("the write took effect")
+    {
+        const std::uint64_t revision = boost::leaf::try_handle_all(
+            [&] { return submitChange(entry.client(), change, ShortTime); }, [] { return std::uint64_t(0); });
+        CHECK(revision == 6);
+    }
+    SECTION("the write took effect and another change followed")
+    {
+        entry.followedBy = "change-2";
+        const std::uint64_t revision = boost::leaf::try_handle_all(
+            [&] { return submitChange(entry.client(), change, ShortTime); }, [] { return std::uint64_t(0); });
+        CHECK(revision == 6);
+    }
+    SECTION("the write did not take effect")
+    {
+        entry.dropWrites = true;
+        const bool unknown = boost::leaf::try_handle_all(
+            [&]() -> boost::leaf::result<bool> {
+                BOOST_LEAF_AUTO(revision, submitChange(entry.client(), change, ShortTime));
+                return revision == 0;
+            },
+            [](const OutcomeUnknown &fault) { return fault.changeId == "change-1"; }, [] { return false; });
+        CHECK(unknown);
+    }
+    CHECK(entry.applied == 1);
+}
+
+TEST_CASE("an invalid change and an unreachable entry have exit codes of their own")
+{
+    FakeEntry entry(configText(5, ""), 5);
+    const TextFile invalid(configText(5, "colour = red\n"));
+    CHECK(entry.run(configApplyCommand, {"apply", invalid.path, "--author", "anna"}).exitCode == ExitUsage);
+    const TextFile noBase("[defaults]\nmax_tokens = 1\n");
+    CHECK(entry.run(configApplyCommand, {"apply", noBase.path, "--author", "anna"}).exitCode == ExitUsage);
+    entry.server.stop();
+    const TextFile file(configText(5, "max_tokens = 2048\n"));
+    CHECK(entry.run(configApplyCommand, {"apply", file.path, "--author", "anna"}).exitCode == ExitUnreachable);
+    CHECK(entry.revision() == 5);
+}
+
+TEST_CASE("configurations are compared by section and key")
+{
+    const ConfigDiff diff = compareConfig("# one\n[config]\nrevision = 1\n[defaults]\na = 1\nb = 2\n",
+                                          "[config]\nrevision = 2\n[defaults]\nb = 2\na = 3\n");
+    CHECK(diff.removed == std::vector<std::string>{"defaults.a = 1"});
+    CHECK(diff.added == std::vector<std::string>{"defaults.a = 3"});
+}
+
+// Guards against a history that fills the memory of an entry, or that an older revision is added to.
+TEST_CASE("the history is bounded and only moves forward")
+{
+    ConfigHistory history(3, 10);
+    for (const std::uint64_t revision : {1, 2, 2, 1, 3, 4}) {
+        history.note(ConfigRevision{revision, "", "", 0, "1234"});
+    }
+    CHECK(history.newest() == 4);
+    const auto kept = history.revisions();
+    REQUIRE(kept.size() == 2);
+    CHECK(kept.front().revision == 3);
+    history.note(ConfigRevision{5, "", "", 0, "longer than all bytes"});
+    CHECK(history.revisions().size() == 1);
+}
--- a/src/cyclamencross/configapplycommand.cpp
+++ b/src/cyclamencross/configapplycommand.cpp
@@ -53,9 +53,10 @@
             std::cout << "revision " << revision << " is stored, change " << change.changeId << "\n";
             return ExitOk;
         },
-        [&](const EntryRefusal &refusal) -> boost::leaf::result<int> {
+        [&](const EntryRefusal &refusal, const boost::leaf::error_info &info) -> boost::leaf::result<int> {
             if (refusal.status != 409) {
-                return boost::leaf::new_error(refusal);
+                // The same error id goes on: LEAF would lose a new failure of the type that is being handled.
+                return info.error();
             }
             std::cerr << describeConflict(change, refusal.body, fetchHistory(client))
                       << "Nothing was stored and your file is untouched. Merge both changes into the output of `config "
--- a/src/cyclamencross/configchange.cpp
+++ b/src/cyclamencross/configchange.cpp
@@ -6,7 +6,6 @@
 #include "jsonbody.h"
 
 #include "cyclamencross/base/failures.h"
-#include "cyclamencross/base/timing.h"
 
 #include <optional>
 #include <thread>
@@ -19,8 +18,6 @@
 namespace
 {
 
-// An accepted change is in force at every entry within this time.
-constexpr Millis ResolveTimeout{10000};
 constexpr Millis ResolvePeriod{500};
 
 std::optional<std::uint64_t> findChange(const AdminClient &client, const std::string &changeId)
@@ -44,9 +41,9 @@
 }
 
 boost::leaf::result<std::uint64_t> resolve(const AdminClient &client, const ConfigChange &change,
-                                           const std::string &detail)
+                                           const std::string &detail, Millis resolveTime)
 {
-    const TimePoint end = Clock::now() + ResolveTimeout;
+    const TimePoint end = Clock::now() + resolveTime;
     do {
         if (const auto revision = findChange(client, change.changeId)) {
             return *revision;
@@ -58,7 +55,8 @@
 
 }
 
-boost::leaf::result<std::uint64_t> submitChange(const AdminClient &client, const ConfigChange &change)
+boost::leaf::result<std::uint64_t> submitChange(const AdminClient &client, const ConfigChange &change,
+                                                Millis resolveTime)
 {
     const Json body{{"text", change.text},
                     {"base_revision", change.baseRevision},
@@ -69,14 +67,15 @@
             BOOST_LEAF_AUTO(answer, client.post("/admin/config", body.dump()));
             return number(parseBody(answer), "revision");
         },
-        [&](const EntryRefusal &refusal) -> boost::leaf::result<std::uint64_t> {
+        [&](const EntryRefusal &refusal, const boost::leaf::error_info &info) -> boost::leaf::result<std::uint64_t> {
             if (refusal.type == "key-value-unavailable") {
-                return resolve(client, change, refusal.message);
+                return resolve(client, change, refusal.message, resolveTime);
             }
-            return boost::leaf::new_error(refusal);
+            // The same error id goes on: LEAF would lose a new failure of the type that is being handled.
+            return info.error();
         },
         [&](const ExchangeBroken &fault) -> boost::leaf::result<std::uint64_t> {
-            return resolve(client, change, fault.detail);
+            return resolve(client, change, fault.detail, resolveTime);
         });
 }
 
--- a/src/cyclamencross/configchange.h
+++ b/src/cyclamencross/configchange.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "cyclamencross/base/timing.h"
+
 #include <cstdint>
 #include <string>
 
@@ -19,10 +21,15 @@
     std::string author;
 };
 
+/// An accepted change is in force at every entry within this time.
+inline constexpr Millis ChangeSpreadTime{10000};
+
 /// Submits @p change once. If the answer is lost, it looks for the change id at the entry and never submits again.
+/// @param resolveTime how long to look for the change id.
 /// @return the new revision; EntryRefusal, in particular with status 409 for a conflict; ConnectFailed if nothing was
 /// sent; OutcomeUnknown if the change id was not found in time.
-boost::leaf::result<std::uint64_t> submitChange(const AdminClient &client, const ConfigChange &change);
+boost::leaf::result<std::uint64_t> submitChange(const AdminClient &client, const ConfigChange &change,
+                                                Millis resolveTime = ChangeSpreadTime);
 
 /// Describes a conflict: the operator's change and what was stored meanwhile.
 /// @param conflictBody body of the 409 answer.
--- /dev/null
+++ b/src/cyclamencross/fakeentry.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "adminclient.h"
+#include "adminroutes.h"
+#include "confighistory.h"
+
+#include "cyclamencross/admin/adminserver.h"
+#include "cyclamencross/base/metrics.h"
+#include "cyclamencross/base/settings.h"
+
+#include <functional>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace Cyclamen
+{
+
+/// A temporary file, for tests.
+struct TextFile
+{
+    explicit TextFile(const std::string &content);
+    ~TextFile();
+    TextFile(const TextFile &) = delete;
+    TextFile &operator=(const TextFile &) = delete;
+
+    std::string path;
+};
+
+/// What a subcommand printed and returned.
+struct Output
+{
+    int exitCode = 0;
+    std::string text;
+    std::string errors;
+};
+
+/// The admin port of an entry on loopback, with the fleet's state in memory, for tests of the routes and subcommands.
+struct FakeEntry
+{
+    FakeEntry(const std::string &configText, std::uint64_t revision);
+
+    /// Runs a subcommand with the options that point it at this entry.
+    Output run(const std::function<int(int, const char *const *)> &command, std::vector<std::string> arguments) const;
+    AdminClient client() const;
+    void store(const std::string &text, std::uint64_t revision, const std::string &changeId, const std::string &author);
+    std::uint64_t revision() const;
+
+    bool loseAnswers = false; ///< Each change ends as KeyValueUnavailable.
+    bool dropWrites = false; ///< No change is stored.
+    std::string followedBy; ///< Change id that is stored right after each change.
+    int applied = 0; ///< Calls of applyConfig.
+    std::vector<CrashReport> crashes;
+
+    mutable std::mutex mutex;
+    FleetView view;
+    std::string text;
+    ConfigHistory history{10, 100000};
+    Settings settings;
+    Metrics metrics;
+    AdminServer server;
+
+private:
+    AdminHooks hooks();
+    boost::leaf::result<std::uint64_t> apply(const std::string &changed, std::uint64_t base,
+                                             const std::string &changeId, const std::string &author);
+};
+
+}
