--- /dev/null
+++ b/src/fleet/fleetservice_test.cpp
@@ -0,0 +1,243 @@
+#include "fakekeyvalue.h"
+#include "keyvaluewatch.h"
+
+#include "cyclamencross/base/controlsystem.h"
+#include "cyclamencross/base/metrics.h"
+#include "cyclamencross/fleet/fleetservice.h"
+#include "cyclamencross/net/datagramport.h"
+
+#include <mutex>
+#include <thread>
+
+#include <boost/leaf/handle_errors.hpp>
+#include <catch2/catch.hpp>
+#include <httplib.h>
+
+using namespace Cyclamen;
+
+namespace
+{
+
+bool eventually(const std::function<bool()> &condition)
+{
+    for (int tries = 0; tries < 1500; ++tries) {
+        if (condition()) {
+            return true;
+        }
+        std::this_thread::sleep_for(Millis(10));
+    }
+    return false;
+}
+
+// An HTTP server on loopback that runs until it goes out of scope.
+struct TestServer
+{
+    void start()
+    {
+        this->port = this->server.bind_to_any_port("127.0.0.1");
+        this->thread = std::thread([this] { this->server.listen_after_bind(); });
+    }
+    ~TestServer()
+    {
+        this->server.stop();
+        this->thread.join();
+    }
+    std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(this->port);
+    }
+    httplib::Server server;
+    int port = 0;
+    std::thread thread;
+};
+
+// The platform's host list and key-value service, without a watch.
+struct Platform
+{
+    Platform()
+    {
+        this->http.server.Get("/v1/hosts", [](const auto &, auto &response) {
+            response.set_content(R"({"version":1,"hosts":[{"address":"127.0.0.1:9","kind":"service","pool":"field-desk",
+                                 "zone":"burera","state":"leaving"},{"address":"127.0.0.1:8","kind":"novel"}]})",
+                                 "application/json");
+        });
+        this->http.server.Post("/v3/(kv|lease)/.*", [this](const auto &request, auto &response) {
+            const std::scoped_lock lock(this->mutex);
+            const auto answer = this->keyValue.call()(request.path, request.body);
+            response.status = answer ? 200 : 503;
+            response.set_content(answer ? *answer : "{}", "application/json");
+        });
+        this->http.start();
+    }
+    std::mutex mutex;
+    FakeKeyValue keyValue;
+    TestServer http;
+};
+
+// One entry's FleetService with the peer interface of its admin port.
+struct Entry
+{
+    Entry(const std::string &name, const std::string &zone, const Platform &platform, const std::string &join)
+    {
+        this->settings.name = name;
+        this->settings.zone = zone;
+        this->settings.sharedKey = "0123456789abcdef0123456789abcdef";
+        this->settings.hostListAddress = this->settings.keyValueAddress = platform.http.address();
+        this->settings.joinAddresses = {join};
+        this->settings.probePeriod = Millis(100);
+        this->settings.probeTimeout = Millis(40);
+        this->settings.suspicion = Millis(1000);
+        this->admin.server.Get("/peer/config", [this](const auto &, auto &response) {
+            response.set_content(this->fleet->configText(), "text/plain");
+        });
+        this->admin.start();
+        this->settings.adminAddress = this->admin.address();
+        this->port = std::make_unique<DatagramPort>("127.0.0.1:0", name, 1, this->settings.sharedKey, this->metrics);
+        this->fleet = std::make_unique<FleetService>(this->settings, 1, this->control, *this->port, this->metrics);
+        this->port->start();
+        this->fleet->start();
+    }
+    ~Entry()
+    {
+        this->fleet.reset();
+    }
+    MemberState stateOf(const std::string &name) const
+    {
+        for (const Member &member : this->fleet->view()->members) {
+            if (member.name == name) {
+                return member.state;
+            }
+        }
+        return MemberState::Dead;
+    }
+    Settings settings;
+    Metrics metrics;
+    ControlSystem control;
+    TestServer admin;
+    std::unique_ptr<DatagramPort> port;
+    std::unique_ptr<FleetService> fleet;
+};
+
+}
+
+// Guards against a view that does not follow the fleet: members, host list, configuration and crashes.
+TEST_CASE("fleet services on loopback share members, configuration and crashes")
+{
+    Platform platform;
+    Entry one("one", "burera", platform, "127.0.0.1:1");
+    Entry two("two", "musanze-a", platform, one.port->address());
+    CHECK(one.fleet->view()->self.name == "one");
+    REQUIRE(eventually([&] { return one.fleet->view()->ready && two.fleet->view()->ready; }));
+    REQUIRE(one.fleet->view()->backends.size() == 1);
+    CHECK(one.fleet->view()->backends[0].state == BackendState::Leaving);
+    REQUIRE(
+        eventually([&] { return one.fleet->view()->members.size() == 2 && two.fleet->view()->members.size() == 2; }));
+
+    const auto revision = one.fleet->applyConfig("[defaults]\nmax_tokens = 77\n", 0, "change-1", "ana");
+    REQUIRE(revision);
+    CHECK(*revision == 1);
+    CHECK(eventually([&] { return two.fleet->view()->config->defaults.maxTokens == 77; }));
+    CHECK(eventually([&] { return one.fleet->view()->config->revision == 1; }));
+
+    const CrashReport report{5, "127.0.0.1:9", "one", unixSeconds()};
+    one.fleet->reportCrash(report);
+    CHECK(one.fleet->crashes() == std::vector{report});
+    CHECK(eventually([&] { return two.fleet->crashes() == std::vector{report}; }));
+    two.fleet->liftCrash(5);
+    CHECK(eventually([&] { return one.fleet->crashes().empty(); }));
+
+    const CallRecord wanted{"field-desk", "key", "attempt", "one", 1, "127.0.0.1:1", false, 0, ""};
+    const auto record = one.fleet->createCallRecord(wanted);
+    REQUIRE(record);
+    CHECK(*record == wanted);
+
+    two.fleet->setLoad(9);
+    two.fleet->beginDrain();
+    CHECK(two.fleet->view()->self.state == MemberState::Draining);
+    CHECK(eventually([&] { return one.stateOf("two") == MemberState::Draining; }));
+    two.fleet->leave();
+    CHECK(eventually([&] { return one.stateOf("two") == MemberState::Left; }));
+}
+
+// Guards against an entry that keeps taking requests although it hears neither its peers nor the platform.
+TEST_CASE("an entry that hears nobody becomes isolated and recovers")
+{
+    auto platform = std::make_unique<Platform>();
+    Settings settings;
+    settings.name = "alone";
+    settings.hostListAddress = settings.keyValueAddress = platform->http.address();
+    settings.hostListPeriod = Millis(50);
+    settings.isolatedAfter = Millis(300);
+    Metrics metrics;
+    ControlSystem control;
+    DatagramPort port("127.0.0.1:0", "alone", 1, "key", metrics);
+    FleetService fleet(settings, 1, control, port, metrics);
+    fleet.start();
+    REQUIRE(eventually([&] { return fleet.view()->ready; }));
+    CHECK_FALSE(fleet.view()->isolated);
+    platform.reset();
+    CHECK(eventually([&] { return fleet.view()->isolated; }));
+    const auto failed = boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<bool> {
+            BOOST_LEAF_CHECK(fleet.createCallRecord(CallRecord()));
+            return false;
+        },
+        [](const KeyValueUnavailable &) { return true; }, [] { return false; });
+    CHECK(failed);
+}
+
+// Guards against events that are lost when the stream's lines are cut at any byte, and against a watch that cannot be
+// stopped.
+TEST_CASE("a watch passes on events and ends when it is stopped")
+{
+    const std::string lines = R"({"result":{"created":true}})"
+                              "\n"
+                              R"({"result":{"events":[{"kv":{"key":"aw==","value":"dg==","mod_revision":"4"}}]}})"
+                              "\n"
+                              R"({"result":{"events":[{"type":"DELETE","kv":{"key":"aw=="}}]}})"
+                              "\n";
+    TestServer platform;
+    std::string requested;
+    std::mutex mutex;
+    platform.server.Post("/v3/watch", [&](const auto &request, auto &response) {
+        const std::scoped_lock lock(mutex);
+        requested = request.body;
+        response.set_chunked_content_provider(
+            "application/json", [&lines, at = std::size_t(0)](std::size_t, httplib::DataSink &sink) mutable {
+                if (at < lines.size()) {
+                    sink.write(lines.data() + at++, 1);
+                } else {
+                    std::this_thread::sleep_for(Millis(5));
+                }
+                return sink.is_writable();
+            });
+    });
+    platform.start();
+    Settings settings;
+    settings.keyValueAddress = platform.address();
+    Metrics metrics;
+    KeyValueWatch watch(settings, metrics);
+    std::vector<KeyValueEntry> seen;
+    bool accepted = false;
+    std::atomic<bool> done = false;
+    std::thread runner([&] {
+        accepted = watch.run("k", 3, [&](const KeyValueEntry &entry) {
+            const std::scoped_lock lock(mutex);
+            seen.push_back(entry);
+        });
+        done = true;
+    });
+    CHECK(eventually([&] {
+        const std::scoped_lock lock(mutex);
+        return seen.size() == 1;
+    }));
+    while (!done) {
+        watch.stop();
+        std::this_thread::sleep_for(Millis(10));
+    }
+    runner.join();
+    CHECK(accepted);
+    CHECK(seen == std::vector{KeyValueEntry{"k", "v", 0, 4, 0}});
+    CHECK(requested.find("\"start_revision\":\"3\"") != std::string::npos);
+    CHECK(metrics.text().find("keyvalue_calls_total{kind=\"watch\"} 1") != std::string::npos);
+}
--- a/src/include/cyclamencross/fleet/fleetservice.h
+++ b/src/include/cyclamencross/fleet/fleetservice.h
@@ -65,6 +65,8 @@
     /// @return the new revision, or RevisionConflict, InvalidSetting or KeyValueUnavailable.
     boost::leaf::result<std::uint64_t> applyConfig(const std::string &text, std::uint64_t baseRevision,
                                                    const std::string &changeId, const std::string &author);
+    /// Returns the INI texts of the last revisions (up to 100), the newest first; or KeyValueUnavailable.
+    boost::leaf::result<std::vector<std::string>> configHistory();
 
 private:
     struct Members;
