Spread leaving backend servers by gossip

Cause: an entry that cannot read the platform's host list, or reads it late, kept giving work to leaving backend servers.

--- a/src/fleet/fleetstate.cpp
+++ b/src/fleet/fleetstate.cpp
@@ -31,6 +31,7 @@
                                            && this->crashes.add(report);
                                    },
                                    [this](const CrashLift &lift) { this->crashes.lift(lift.fingerprint, lift.upTo); },
+                                   [this](const BackendNews &news) { return this->hearDeparture(news); },
                                    [this](const MemberRecord &peer) {
                                        this->hooks.fetchConfig(peer.adminAddress, peer.configRevision);
                                    }},
@@ -54,6 +55,10 @@
         this->dirty = true;
         LogLine(isolatedNow ? "entry-isolated" : "entry-not-isolated").warn();
     }
+    if (std::exchange(this->departuresHeard, false)) {
+        this->backends = this->departures.apply();
+        this->dirty = true;
+    }
     const MemberTable &members = this->membership.members();
     const bool loadDue = members.loadVersion() != this->publishedLoad && now - this->lastPublished >= LoadPublishPeriod;
     if (this->dirty || members.stateVersion() != this->publishedState || loadDue) {
@@ -64,19 +69,32 @@
 bool FleetState::receive(const Datagram &datagram, TimePoint now, std::int64_t unixTime)
 {
     this->unixNow = unixTime;
+    this->now = now;
     return this->membership.receive(datagram, now);
 }
 
 void FleetState::takeHostList(const HostList &list, TimePoint now)
 {
     this->lastHostList = now;
-    if (!this->ready || list.backends != this->backends) {
+    for (const BackendNews &news : this->departures.takeList(list, now)) {
+        this->membership.spread(news);
+    }
+    std::vector<Backend> next = this->departures.apply();
+    if (!this->ready || next != this->backends) {
         this->ready = true;
-        this->backends = list.backends;
+        this->backends = std::move(next);
         this->publish(now);
     }
 }
 
+bool FleetState::hearDeparture(const BackendNews &news)
+{
+    const bool isNew = this->departures.hear(news, this->now);
+    // Applied by the next tick: news of a failed rack comes in many pieces, and each time the whole list is copied.
+    this->departuresHeard = this->departuresHeard || isNew;
+    return isNew;
+}
+
 void FleetState::takeConfig(std::shared_ptr<const FleetConfig> config, TimePoint now)
 {
     if (config->revision > this->config->revision) {
--- a/src/fleet/fleetstate.h
+++ b/src/fleet/fleetstate.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "departures.h"
 #include "hostlist.h"
 #include "membership.h"
 
@@ -47,6 +48,7 @@
     void liftCrash(std::uint64_t fingerprint, std::int64_t unixTime);
 
 private:
+    bool hearDeparture(const BackendNews &news);
     void publish(TimePoint now);
     void publishCrashes(std::int64_t unixTime);
     void updateWatchRank();
@@ -55,8 +57,11 @@
     Settings settings;
     Hooks hooks;
     std::int64_t unixNow = 0; ///< Time of the message being processed.
+    TimePoint now; ///< The same on the steady clock.
     Membership membership;
     CrashLedger crashes;
+    Departures departures;
+    bool departuresHeard = false;
     std::vector<Backend> backends;
     bool ready = false;
     std::shared_ptr<const FleetConfig> config = std::make_shared<const FleetConfig>();
--- a/src/fleet/gossipmessage.cpp
+++ b/src/fleet/gossipmessage.cpp
@@ -113,6 +113,11 @@
     {
         archive(lift.fingerprint, lift.upTo);
     }
+    void operator()(const BackendNews &news) const
+    {
+        archive(news.listVersion);
+        saveAddress(archive, news.address);
+    }
 
     Output &archive;
 };
@@ -158,6 +163,12 @@
         archive(lift.fingerprint, lift.upTo);
         return lift;
     }
+    if (tag == 4) {
+        BackendNews news;
+        archive(news.listVersion);
+        news.address = loadAddress(archive);
+        return news;
+    }
     throw cereal::Exception("unknown gossip item");
 }
 
@@ -181,6 +192,10 @@
     {
         return sizeof lift.fingerprint + sizeof lift.upTo;
     }
+    std::size_t operator()(const BackendNews &news) const
+    {
+        return sizeof news.listVersion + AddressBytes;
+    }
 };
 
 }
--- a/src/fleet/gossipmessage.h
+++ b/src/fleet/gossipmessage.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "backendnews.h"
 #include "crashlift.h"
 #include "memberbrief.h"
 #include "memberrecord.h"
@@ -15,7 +16,7 @@
 {
 
 /// One piece of news that gossip carries.
-using GossipItem = std::variant<MemberRecord, MemberBrief, CrashReport, CrashLift>;
+using GossipItem = std::variant<MemberRecord, MemberBrief, CrashReport, CrashLift, BackendNews>;
 
 /// The content of a Ping, PingRequest or Ack datagram.
 struct GossipMessage
--- a/src/fleet/gossipsimulation.h
+++ b/src/fleet/gossipsimulation.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "departures.h"
 #include "membership.h"
 
 #include <functional>
@@ -30,6 +31,7 @@
         std::unique_ptr<Membership> membership; ///< Null while the process is down.
         std::uint64_t revision = 0;
         std::vector<CrashReport> crashes;
+        Departures departures;
         bool frozen = false;
     };
     /// Sees each datagram that is sent or received, for measurements.
@@ -79,6 +81,7 @@
         hooks.lift = [&node](const CrashLift &lift) {
             std::erase_if(node.crashes, [&lift](const CrashReport &c) { return c.fingerprint == lift.fingerprint; });
         };
+        hooks.backend = [&node](const BackendNews &news) { return node.departures.hear(news, TimePoint()); };
         hooks.newerConfig = [this, index](const MemberRecord &peer) { this->setRevision(index, peer.configRevision); };
         node.membership = std::make_unique<Membership>(settings, self, std::move(hooks), this->random());
     }
--- a/src/fleet/memberrecord.cpp
+++ b/src/fleet/memberrecord.cpp
@@ -56,6 +56,11 @@
     return change;
 }
 
+bool isLive(const MemberRecord &record)
+{
+    return record.health != Health::Dead && record.lifecycle != Lifecycle::Left;
+}
+
 Member toMember(const MemberRecord &record)
 {
     Member member;
--- a/src/fleet/memberrecord.h
+++ b/src/fleet/memberrecord.h
@@ -42,6 +42,9 @@
 /// Merges @p heard into @p known, a record of the same name.
 MergeChange mergeRecord(MemberRecord &known, const MemberRecord &heard);
 
+/// Returns whether the member is neither dead nor has left.
+bool isLive(const MemberRecord &record);
+
 /// Returns the record as the rest of the process sees it.
 Member toMember(const MemberRecord &record);
 
--- a/src/fleet/membership.cpp
+++ b/src/fleet/membership.cpp
@@ -15,17 +15,12 @@
 // Keys in the update queue.
 constexpr auto MemberPrefix = "member/";
 constexpr auto CrashPrefix = "crash/";
+constexpr auto BackendPrefix = "backend/";
 constexpr auto LiftPrefix = "lift/";
 
-constexpr int PageTriesPerPeer = 3;
 // Members that hear directly that this entry has left, in case its process ends before the next probe.
 constexpr std::size_t FarewellCount = 10;
 
-bool isLive(const MemberRecord &record)
-{
-    return record.health != Health::Dead && record.lifecycle != Lifecycle::Left;
-}
-
 MemberBrief toBrief(const MemberRecord &record)
 {
     return MemberBrief{record.name, record.incarnation, record.heartbeat, record.health, record.lifecycle};
@@ -142,67 +137,6 @@
     this->send(address, DatagramKind::Ping, GossipMessage{}, about);
 }
 
-void Membership::startResync(TimePoint now)
-{
-    if (!this->nextResync) {
-        this->nextResync = now + this->resyncPeriod;
-    }
-    const auto live = this->table.names(isLive);
-    if (now < *this->nextResync || live.empty()) {
-        return;
-    }
-    this->nextResync = now + this->resyncPeriod;
-    this->resyncPeriod = std::min(4 * this->resyncPeriod, LongestResync);
-    this->pageAfter.clear();
-    this->pagePeers = {this->table.find(live[this->random() % live.size()])->gossipAddress};
-}
-
-void Membership::askForPage(TimePoint now)
-{
-    if (this->pageTries++ >= PageTriesPerPeer) {
-        this->pageTries = 1;
-        ++this->pagePeer;
-        if (!this->joined) {
-            this->pagePeers = this->settings.joinAddresses;
-        } else {
-            // A later resync is not urgent; the next one asks another peer.
-            this->pagePeers.clear();
-            return;
-        }
-    }
-    this->pageNumber = this->random();
-    this->pageRetry = now + this->settings.probePeriod;
-    GossipMessage ping;
-    ping.number = this->pageNumber;
-    ping.page = GossipMessage::Page::Wanted;
-    ping.pageAfter = this->pageAfter;
-    this->send(this->pagePeers[this->pagePeer % this->pagePeers.size()], DatagramKind::Ping, std::move(ping), nullptr);
-}
-
-void Membership::takePage(const Datagram &datagram, const GossipMessage &message, TimePoint now)
-{
-    this->pageTries = 0;
-    if (message.page == GossipMessage::Page::Last) {
-        if (!this->joined) {
-            LogLine("membership-joined")
-                .add("peer", datagram.sender)
-                .add("members", std::uint64_t(this->table.liveCount()))
-                .write();
-        }
-        this->joined = true;
-        this->pagePeers.clear();
-    } else if (message.page == GossipMessage::Page::More) {
-        this->pageAfter = message.pageAfter;
-        // Another member serves the next page, so that many entries that start at once do not all wait for the few
-        // configured peers.
-        const auto live = this->table.names(isLive);
-        if (!live.empty()) {
-            this->pagePeers = {this->table.find(live[this->random() % live.size()])->gossipAddress};
-        }
-        this->askForPage(now);
-    }
-}
-
 bool Membership::receive(const Datagram &datagram, TimePoint now)
 {
     const auto message = decodeGossip(datagram.payload);
@@ -255,34 +189,6 @@
     this->send(message.target, DatagramKind::Ping, std::move(ping), nullptr);
 }
 
-GossipMessage Membership::makePage(const std::string &after, std::uint64_t number)
-{
-    GossipMessage page;
-    page.number = number;
-    page.page = GossipMessage::Page::Last;
-    page.items.emplace_back(this->table.self());
-    std::size_t bytes = wireBytes(page) + wireBytes(page.items.front()) + UINT8_MAX;
-    std::string last = after;
-    while (true) {
-        const MemberRecord &record = this->table.next(last);
-        if (record.name <= last) {
-            break; // The names begin again.
-        }
-        last = record.name;
-        if (!isLive(record)) {
-            continue;
-        }
-        bytes += wireBytes(GossipItem(record));
-        if (bytes > PageBytes) {
-            page.page = GossipMessage::Page::More;
-            break;
-        }
-        page.items.emplace_back(record);
-        page.pageAfter = record.name;
-    }
-    return page;
-}
-
 void Membership::takeItems(const GossipMessage &message, TimePoint now)
 {
     for (const GossipItem &item : message.items) {
@@ -294,6 +200,10 @@
             if (this->hooks.crash(*report)) {
                 this->spread(*report);
             }
+        } else if (const auto *news = std::get_if<BackendNews>(&item)) {
+            if (this->hooks.backend(*news)) {
+                this->spread(*news);
+            }
         } else if (const auto *lift = std::get_if<CrashLift>(&item)) {
             const auto seen = this->liftsSeen.find(lift->fingerprint);
             if (seen == this->liftsSeen.end() || lift->upTo > seen->second) {
@@ -332,25 +242,30 @@
 
 void Membership::spread(const CrashReport &report)
 {
-    this->pushCrashNews(CrashPrefix + toHex(report.fingerprint) + report.backend + std::to_string(report.unixTime)
-                            + report.reporter,
-                        report);
+    this->pushNews(CrashPrefix + toHex(report.fingerprint) + report.backend + std::to_string(report.unixTime)
+                       + report.reporter,
+                   report);
 }
 
 void Membership::spread(const CrashLift &lift)
 {
-    if (this->liftsSeen.size() >= MaxCrashNews && !this->liftsSeen.contains(lift.fingerprint)) {
+    if (this->liftsSeen.size() >= MaxNews && !this->liftsSeen.contains(lift.fingerprint)) {
         this->liftsSeen.erase(std::min_element(this->liftsSeen.begin(), this->liftsSeen.end(),
                                                [](const auto &a, const auto &b) { return a.second < b.second; }));
     }
     this->liftsSeen[lift.fingerprint] = lift.upTo;
-    this->pushCrashNews(LiftPrefix + toHex(lift.fingerprint), lift);
+    this->pushNews(LiftPrefix + toHex(lift.fingerprint), lift);
+}
+
+void Membership::spread(const BackendNews &news)
+{
+    this->pushNews(BackendPrefix + news.address, news);
 }
 
-void Membership::pushCrashNews(const std::string &key, const GossipItem &item)
+void Membership::pushNews(const std::string &key, const GossipItem &item)
 {
-    if (this->crashNews.size() < MaxCrashNews) {
-        this->crashNews.insert_or_assign(key, item);
+    if (this->news.size() < MaxNews) {
+        this->news.insert_or_assign(key, item);
         this->queue.push(key);
     }
 }
@@ -405,7 +320,7 @@
         return !item || add(*item);
     });
     for (const std::string &key : dropped) {
-        this->crashNews.erase(key);
+        this->news.erase(key);
     }
     if (!this->crashesInForce.empty()) {
         add(this->crashesInForce[this->crashCursor++ % this->crashesInForce.size()]);
@@ -428,8 +343,8 @@
         // Each message begins with the own record anyway.
         return record == nullptr || name == this->settings.name ? std::nullopt : std::optional(toItem(*record));
     }
-    const auto found = this->crashNews.find(key);
-    return found == this->crashNews.end() ? std::nullopt : std::optional(found->second);
+    const auto found = this->news.find(key);
+    return found == this->news.end() ? std::nullopt : std::optional(found->second);
 }
 
 int Membership::sendLimit() const
--- a/src/fleet/membership.h
+++ b/src/fleet/membership.h
@@ -31,6 +31,8 @@
         std::function<bool(const CrashReport &)> crash;
         /// Hears of an operator's order to forget crashes.
         std::function<void(const CrashLift &)> lift;
+        /// Hears that a backend server leaves. Returns whether it was new.
+        std::function<bool(const BackendNews &)> backend;
         /// Hears that @p peer, who has just sent a datagram, has a greater configuration revision.
         std::function<void(const MemberRecord &peer)> newerConfig;
     };
@@ -49,7 +51,7 @@
     /// Every fifth probe also goes to a dead member or a configured peer, so that two halves of a partition find each
     /// other again.
     static constexpr std::uint64_t RejoinEvery = 5;
-    static constexpr std::size_t MaxCrashNews = 1024;
+    static constexpr std::size_t MaxNews = 1024;
 
     Membership(const Settings &settings, const Member &self, Hooks hooks, std::uint64_t seed);
 
@@ -69,6 +71,8 @@
     void spread(const CrashReport &report);
     /// Spreads an order to forget crashes.
     void spread(const CrashLift &lift);
+    /// Spreads that a backend server leaves.
+    void spread(const BackendNews &news);
     /// Sets the crash news that goes along, in turn, with each datagram, for entries that missed it.
     void setCrashNews(std::vector<CrashReport> inForce);
 
@@ -94,7 +98,7 @@
     void send(const std::string &address, DatagramKind kind, GossipMessage message, const MemberRecord *about);
     void fillWithNews(GossipMessage &message, std::size_t room);
     std::optional<GossipItem> newsItem(const std::string &key) const;
-    void pushCrashNews(const std::string &key, const GossipItem &item);
+    void pushNews(const std::string &key, const GossipItem &item);
     int sendLimit() const;
 
     Settings settings;
@@ -103,7 +107,7 @@
     UpdateQueue queue;
     MemberTable table;
     Prober prober;
-    std::map<std::string, GossipItem> crashNews; ///< Crash reports and lifts being spread, by their key in the queue.
+    std::map<std::string, GossipItem> news; ///< What is spread apart from members, by its key in the queue.
     std::vector<CrashReport> crashesInForce;
     std::size_t crashCursor = 0;
     std::string fillCursor;
--- a/src/fleet/membership_test.cpp
+++ b/src/fleet/membership_test.cpp
@@ -69,6 +69,7 @@
         }
         message.items.emplace_back(CrashReport{7, "10.0.0.1:80", "entry", 1000});
         message.items.emplace_back(CrashLift{7, 1000});
+        message.items.emplace_back(BackendNews{"10.0.0.2:80", 9});
         std::size_t bytes = wireBytes(message);
         for (const GossipItem &item : message.items) {
             bytes += wireBytes(item);
@@ -215,3 +216,36 @@
     // Sender name, incarnation, sequence and keyed hash take fewer than 150 bytes.
     CHECK(largest + 150 <= DatagramPort::MaxBytes);
 }
+
+// Guards against new work for a leaving backend server from an entry that cannot read the host list, and against a
+// backend server that stays shut out although the own list shows it as live.
+TEST_CASE("entries without a newer list learn from peers that a backend server leaves")
+{
+    const Backend live{"10.0.0.1:80", BackendKind::Engine, "p", "m", EngineRole::Decode, "z", BackendState::Live, true};
+    Backend leaving = live;
+    leaving.state = BackendState::Leaving;
+    GossipSimulation simulation(8, 6);
+    simulation.startAll();
+    REQUIRE(simulation.runUntil([&] { return simulation.allAlive(); }, Millis(20000)));
+    for (auto &node : simulation.nodes) {
+        CHECK(node.departures.takeList(HostList{1, {live}}, TimePoint()).empty());
+    }
+    for (const BackendNews &news : simulation.nodes[2].departures.takeList(HostList{2, {leaving}}, TimePoint())) {
+        simulation.nodes[2].membership->spread(news);
+    }
+    CHECK(simulation.runUntil(
+        [&] {
+            return std::all_of(simulation.nodes.begin(), simulation.nodes.end(),
+                               [&](const auto &node) { return node.departures.apply() == std::vector{leaving}; });
+        },
+        Millis(5000)));
+    Departures &late = simulation.nodes[5].departures;
+    late.takeList(HostList{1, {live}}, TimePoint() + Millis(5000));
+    CHECK(late.apply() == std::vector{leaving});
+    late.takeList(HostList{3, {live}}, TimePoint() + Millis(5000));
+    CHECK(late.apply() == std::vector{live});
+    CHECK_FALSE(late.hear(BackendNews{live.address, 2}, TimePoint()));
+    Departures &reset = simulation.nodes[6].departures;
+    reset.takeList(HostList{1, {live}}, TimePoint() + Departures::UnconfirmedLifetime);
+    CHECK(reset.apply() == std::vector{live});
+}
--- a/src/fleet/membertable.cpp
+++ b/src/fleet/membertable.cpp
@@ -7,16 +7,6 @@
 namespace Cyclamen
 {
 
-namespace
-{
-
-bool isGone(const MemberRecord &record)
-{
-    return record.health == Health::Dead || record.lifecycle == Lifecycle::Left;
-}
-
-}
-
 MemberTable::MemberTable(MemberRecord self, Millis suspicion, ChangeHook changed)
     : selfName(self.name)
     , suspicion(suspicion)
@@ -67,7 +57,7 @@
 {
     std::size_t count = 0;
     for (const auto &[name, entry] : this->table) {
-        count += isGone(entry.record) ? 0 : 1;
+        count += isLive(entry.record) ? 1 : 0;
     }
     return count;
 }
@@ -86,7 +76,7 @@
     const auto found = this->table.find(heard.name);
     if (found == this->table.end()) {
         // Somebody who is gone already is of no use to an entry that never knew it.
-        if (!isGone(heard)) {
+        if (isLive(heard)) {
             this->table.emplace(heard.name, Entry{heard, now});
             this->stateChanged(heard.name);
         }
@@ -135,7 +125,7 @@
 void MemberTable::suspect(const std::string &name, TimePoint now)
 {
     const auto found = this->table.find(name);
-    if (found != this->table.end() && found->second.record.health == Health::Alive && !isGone(found->second.record)) {
+    if (found != this->table.end() && found->second.record.health == Health::Alive && isLive(found->second.record)) {
         this->setHealth(found->second, Health::Suspect, now);
     }
 }
@@ -150,7 +140,7 @@
             this->setHealth(entry, Health::Dead, now);
             LogLine("member-dead").add("name", item->first).add("incarnation", entry.record.incarnation).write();
         }
-        if (item->first != this->selfName && isGone(entry.record) && now - entry.since >= ForgetAfter) {
+        if (item->first != this->selfName && !isLive(entry.record) && now - entry.since >= ForgetAfter) {
             item = this->table.erase(item);
             ++this->states;
         } else {
