Bound the bytes of reading member lists again

Cause: at 670 entries, reading each other's lists after joining raised the bytes sent to 14,611 a second per entry. Change: after the first list, one page is asked for per probe period, by a ping without news; an entry that others found first reads their lists. The joining test now starts one configured peer only, which the earlier form did not require.

--- a/src/fleet/membership_test.cpp
+++ b/src/fleet/membership_test.cpp
@@ -210,6 +210,11 @@
     simulation.run(Millis(5000));
     CHECK_FALSE(simulation.nodes[7].membership->hasJoined());
     simulation.start(1, 1);
+    const auto allJoined = [&] {
+        return std::all_of(simulation.nodes.begin() + 1, simulation.nodes.end(),
+                           [](const auto &node) { return node.membership->hasJoined(); });
+    };
+    CHECK(simulation.runUntil(allJoined, Millis(20000)));
     simulation.start(0, 1);
     CHECK(simulation.runUntil([&] { return simulation.allAlive(); }, Millis(30000)));
     CHECK(simulation.nodes[7].membership->hasJoined());
--- a/src/fleet/membershippages.cpp
+++ b/src/fleet/membershippages.cpp
@@ -36,7 +36,11 @@
         this->pageTries = 1;
         ++this->pagePeer;
         if (!this->joined) {
+            // A member that found this entry first serves as well as a configured peer.
             this->pagePeers = this->settings.joinAddresses;
+            for (const std::string &name : this->table.names(isLive)) {
+                this->pagePeers.push_back(this->table.find(name)->gossipAddress);
+            }
         } else {
             // A later resync is not urgent; the next one asks another peer.
             this->pagePeers.clear();
@@ -49,7 +53,8 @@
     ping.number = this->pageNumber;
     ping.page = GossipMessage::Page::Wanted;
     ping.pageAfter = this->pageAfter;
-    this->send(this->pagePeers[this->pagePeer % this->pagePeers.size()], DatagramKind::Ping, std::move(ping), nullptr);
+    ping.items.emplace_back(this->table.self());
+    this->hooks.send(this->pagePeers[this->pagePeer % this->pagePeers.size()], DatagramKind::Ping, encodeGossip(ping));
 }
 
 void Membership::takePage(const Datagram &datagram, const GossipMessage &message, TimePoint now)
@@ -74,7 +79,10 @@
     }
     if (message.page == GossipMessage::Page::More) {
         this->pageAfter = message.pageAfter;
-        this->askForPage(now);
+        // A joining entry reads on at once; later lists are read at the pace of the probes, to bound the bytes.
+        if (!this->joined) {
+            this->askForPage(now);
+        }
     }
 }
 
