--- a/src/fleet/calllease.h
+++ b/src/fleet/calllease.h
@@ -4,6 +4,7 @@
 
 #include "cyclamencross/base/timing.h"
 
+#include <atomic>
 #include <cstdint>
 #include <mutex>
 
@@ -29,6 +30,7 @@
 private:
     KeyValueClient &client;
     std::mutex mutex;
+    std::atomic<std::uint64_t> grants{0}; ///< Requests for a lease that have ended.
     std::int64_t lease = 0;
     TimePoint granted;
 };
--- a/src/fleet/departures.cpp
+++ b/src/fleet/departures.cpp
@@ -20,6 +20,10 @@
 
 std::vector<BackendNews> Departures::takeList(const HostList &list, TimePoint now)
 {
+    if (list.version < this->own.version && now - this->taken < UnconfirmedLifetime) {
+        return {};
+    }
+    this->taken = now;
     std::vector<BackendNews> departed;
     const auto isLive = [&list](const std::string &address) {
         const auto found = std::lower_bound(list.backends.begin(), list.backends.end(), address,
--- a/src/fleet/departures.h
+++ b/src/fleet/departures.h
@@ -16,14 +16,14 @@
 class Departures
 {
 public:
-    /// News that the own list has not confirmed by then does not count any more, for example because the platform
-    /// counts its versions anew.
+    /// News that the own list has not confirmed by then does not count any more, and an older list counts again: the
+    /// platform may have begun to count its versions anew.
     static constexpr Millis UnconfirmedLifetime{30000};
     static constexpr std::size_t MaxNews = 1024;
 
     /// Notes news from a peer. @return whether it was new.
     bool hear(const BackendNews &news, TimePoint now);
-    /// Takes the own list and forgets the news that it covers.
+    /// Takes the own list, unless it is older than the last one, and forgets the news that it covers.
     /// @return news for peers: what was live in the list before and is not live in this one.
     std::vector<BackendNews> takeList(const HostList &list, TimePoint now);
     /// Returns the backend servers of the own list, with those as leaving that peers saw leaving.
@@ -31,6 +31,7 @@
 
 private:
     HostList own;
+    TimePoint taken;
     std::map<std::string, std::pair<std::uint64_t, TimePoint>> news; ///< List version and time heard, by address.
 };
 
--- a/src/fleet/fleetservice_test.cpp
+++ b/src/fleet/fleetservice_test.cpp
@@ -6,6 +6,7 @@
 #include "cyclamencross/fleet/fleetservice.h"
 #include "cyclamencross/net/datagramport.h"
 
+#include <atomic>
 #include <mutex>
 #include <thread>
 
@@ -56,7 +57,13 @@
 {
     Platform()
     {
-        this->http.server.Get("/v1/hosts", [](const auto &, auto &response) {
+        this->http.server.Get("/v1/hosts", [this](const auto &request, auto &response) {
+            response.set_header("ETag", "\"1\"");
+            if (request.get_header_value("If-None-Match") == "\"1\"") {
+                response.status = 304;
+                ++this->notModified;
+                return;
+            }
             response.set_content(R"({"version":1,"hosts":[{"address":"127.0.0.1:9","kind":"service","pool":"field-desk",
                                  "zone":"burera","state":"leaving"},{"address":"127.0.0.1:8","kind":"novel"}]})",
                                  "application/json");
@@ -70,6 +77,7 @@
         this->http.start();
     }
     std::mutex mutex;
+    std::atomic<int> notModified = 0;
     FakeKeyValue keyValue;
     TestServer http;
 };
@@ -175,6 +183,10 @@
     fleet.start();
     REQUIRE(eventually([&] { return fleet.view()->ready; }));
     CHECK_FALSE(fleet.view()->isolated);
+    // An unchanged list, answered without its content, also shows that the platform is there.
+    REQUIRE(eventually([&] { return platform->notModified > 12; }));
+    CHECK_FALSE(fleet.view()->isolated);
+    CHECK(fleet.view()->backends.size() == 1);
     platform.reset();
     CHECK(eventually([&] { return fleet.view()->isolated; }));
     const auto failed = boost::leaf::try_handle_all(
--- a/src/fleet/hostlistpoll.cpp
+++ b/src/fleet/hostlistpoll.cpp
@@ -23,6 +23,9 @@
     std::condition_variable stopped;
     bool stopping = false;
     bool failing = false;
+    // A list of thousands of backend servers is not sent again while it is unchanged, if the platform tags its lists.
+    std::optional<HostList> last;
+    std::string lastTag;
     std::thread thread;
 };
 
@@ -68,8 +71,19 @@
 
 std::optional<HostList> HostListPoll::Members::read(httplib::Client &client)
 {
-    const auto answer = client.Get("/v1/hosts");
-    auto list = answer && answer->status == 200 ? parseHostList(answer->body) : std::nullopt;
+    httplib::Headers headers;
+    if (this->last && !this->lastTag.empty()) {
+        headers.emplace("If-None-Match", this->lastTag);
+    }
+    const auto answer = client.Get("/v1/hosts", headers);
+    std::optional<HostList> list;
+    if (answer && answer->status == 304) {
+        list = this->last;
+    } else if (answer && answer->status == 200) {
+        list = parseHostList(answer->body);
+        this->last = list;
+        this->lastTag = answer->get_header_value("ETag");
+    }
     // Logged on each change only; an outage of the platform would otherwise fill the log.
     if (list.has_value() == this->failing) {
         this->failing = !list.has_value();
--- a/src/fleet/membership.h
+++ b/src/fleet/membership.h
@@ -47,6 +47,7 @@
     /// this time, then after twice as long and so on.
     static constexpr Millis FirstResync{2000};
     static constexpr Millis LongestResync{300000};
+    static constexpr Millis LongestHurry{16000};
     static constexpr int IndirectProbes = 3;
     /// Every fifth probe also goes to a dead member or a configured peer, so that two halves of a partition find each
     /// other again.
--- a/src/fleet/membership_test.cpp
+++ b/src/fleet/membership_test.cpp
@@ -155,9 +155,17 @@
     GossipSimulation simulation(6, 2);
     simulation.startAll();
     REQUIRE(simulation.runUntil([&] { return simulation.allAlive(); }, Millis(20000)));
+    // The entry is frozen while it suspects another, whose refutation it then cannot hear.
+    const auto seen = [&] { return toMember(*simulation.nodes[2].membership->members().find("entry-0003")).state; };
+    simulation.nodes[3].frozen = true;
+    REQUIRE(simulation.runUntil([&] { return seen() == MemberState::Suspect; }, Millis(10000)));
+    simulation.nodes[3].frozen = false;
     simulation.nodes[2].frozen = true;
     REQUIRE(simulation.runUntil([&] { return simulation.allSee(2, MemberState::Dead); }, Millis(10000)));
     simulation.nodes[2].frozen = false;
+    // Before any answer can arrive.
+    simulation.nodes[2].membership->tick(simulation.now);
+    CHECK(seen() == MemberState::Suspect);
     simulation.run(GossipSimulation::Step);
     CHECK(simulation.nodes[2].membership->members().liveCount() == 6);
     CHECK(simulation.runUntil([&] { return simulation.allAlive(); }, Millis(20000)));
@@ -250,6 +258,11 @@
     late.takeList(HostList{3, {live}}, TimePoint() + Millis(5000));
     CHECK(late.apply() == std::vector{live});
     CHECK_FALSE(late.hear(BackendNews{live.address, 2}, TimePoint()));
+    // An older list, as a lagging replica of the platform serves it, does not count for a while.
+    late.takeList(HostList{2, {leaving}}, TimePoint() + Millis(6000));
+    CHECK(late.apply() == std::vector{live});
+    late.takeList(HostList{2, {leaving}}, TimePoint() + Millis(5000) + Departures::UnconfirmedLifetime);
+    CHECK(late.apply() == std::vector{leaving});
     Departures &reset = simulation.nodes[6].departures;
     reset.takeList(HostList{1, {live}}, TimePoint() + Departures::UnconfirmedLifetime);
     CHECK(reset.apply() == std::vector{live});
--- a/src/fleet/membershippages.cpp
+++ b/src/fleet/membershippages.cpp
@@ -79,8 +79,9 @@
     }
     if (message.page == GossipMessage::Page::More) {
         this->pageAfter = message.pageAfter;
-        // A joining entry reads on at once; later lists are read at the pace of the probes, to bound the bytes.
-        if (!this->joined) {
+        // An entry reads its first lists without a pause. Later ones are read at the pace of the probes, to bound the
+        // bytes.
+        if (!this->joined || this->resyncPeriod <= LongestHurry) {
             this->askForPage(now);
         }
     }
