--- a/src/decide/engineledger.cpp
+++ b/src/decide/engineledger.cpp
@@ -92,18 +92,54 @@
     for (auto it = this->held.begin(); it != this->held.end();) {
         const bool isListed = listed.contains(it->first);
         it->second.confirmed = it->second.confirmed || isListed;
-        it = it->second.confirmed && !isListed ? this->drop(it) : std::next(it);
+        if (it->second.confirmed && !isListed) {
+            this->remember(it->second.grant, now); // The engine is done with it; the release is late or lost.
+            it = this->drop(it);
+        } else {
+            ++it;
+        }
     }
     for (const std::string &requestId : listed) {
         const auto release = this->released.find(requestId);
-        const bool isLeaving = release != this->released.end() && release->second.at + ReportLag >= load.known;
+        const bool isLeaving =
+            release != this->released.end() && release->second.byCaller && release->second.at + ReportLag >= load.known;
         if (!isLeaving && !this->held.contains(requestId)) {
-            this->addHeld({requestId, this->engine, "", 1, 0, Millis(0), 0}, now, true);
+            this->adopt(requestId, now);
         }
     }
     this->estimateForeign();
 }
 
+void EngineLedger::adopt(const std::string &requestId, TimePoint now)
+{
+    SlotGrant grant{requestId, this->engine, "", 1, 0, Millis(0), 0};
+    // If this was granted here once, a late release of an earlier ask must not free it. Nor must a late copy of a
+    // release that was taken already: the engine holds the request in spite of it.
+    const auto memory = this->released.find(requestId);
+    if (memory != this->released.end()) {
+        const std::uint64_t covered = memory->second.covered;
+        grant.number = std::max(memory->second.number, covered > 0 ? covered + 1 : 0);
+    }
+    // A request that waits for room which it already has must not be granted it a second time.
+    for (const auto &entry : this->waiting.removeIf(
+             [&requestId](const FairQueue::Waiting &other) { return other.ask.requestId == requestId; })) {
+        grant.number = entry.ask.number;
+        this->answered.push_back({entry.ask, grant, Millis(0), "repeated"});
+    }
+    this->addHeld(grant, now, true);
+}
+
+EngineLedger::Release &EngineLedger::remember(const SlotGrant &grant, TimePoint now)
+{
+    const auto [memory, isNew] = this->released.emplace(grant.requestId, Release{});
+    if (isNew) {
+        this->releaseOrder.push_back(grant.requestId);
+    }
+    Release &release = memory->second;
+    release = {now, std::max(release.number, grant.number), grant.slots, grant.tokens, false, release.covered};
+    return release;
+}
+
 void EngineLedger::addHeld(const SlotGrant &grant, TimePoint now, bool confirmed)
 {
     this->held.emplace(grant.requestId, Held{grant, now, confirmed});
@@ -121,8 +157,12 @@
 void EngineLedger::expire(TimePoint now)
 {
     for (auto it = this->held.begin(); it != this->held.end();) {
-        const bool isLost = !it->second.confirmed && now - it->second.since >= UnconfirmedLifetime;
-        it = isLost ? this->drop(it) : std::next(it);
+        if (!it->second.confirmed && now - it->second.since >= UnconfirmedLifetime) {
+            this->remember(it->second.grant, now);
+            it = this->drop(it);
+        } else {
+            ++it;
+        }
     }
     while (!this->releaseOrder.empty()) {
         const auto oldest = this->released.find(this->releaseOrder.front());
@@ -161,24 +201,23 @@
     this->waiting.removeIf([&](const FairQueue::Waiting &entry) {
         return entry.ask.requestId == requestId && isCovered(entry.ask.number);
     });
-    const auto [memory, isNew] = this->released.emplace(requestId, Release{now, number, 0, 0});
-    if (isNew) {
-        this->releaseOrder.push_back(requestId);
-    }
-    memory->second.number = std::max(memory->second.number, number);
     const auto it = this->held.find(requestId);
     if (it != this->held.end() && isCovered(it->second.grant.number)) {
-        memory->second.at = now;
-        memory->second.number = std::max(memory->second.number, it->second.grant.number);
-        memory->second.slots = it->second.grant.slots;
-        memory->second.tokens = it->second.grant.tokens;
-        if (it->second.grant.slots > 0) {
-            const double holdMs = toMillis(now - it->second.since);
+        const Held given = it->second;
+        this->drop(it);
+        this->remember(given.grant, now).byCaller = true;
+        if (given.grant.slots > 0) {
+            const double holdMs = toMillis(now - given.since);
             this->meanHoldMs =
                 this->meanHoldMs > 0 ? this->meanHoldMs + HoldWeight * (holdMs - this->meanHoldMs) : holdMs;
         }
-        this->drop(it);
+    } else if (!this->released.contains(requestId)) {
+        // Nothing is held: this only keeps a late copy of the ask from being granted.
+        this->remember({requestId, this->engine, "", 0, 0, Millis(0), number}, now).byCaller = true;
     }
+    Release &memory = this->released.at(requestId);
+    memory.number = std::max(memory.number, number);
+    memory.covered = std::max(memory.covered, number);
     this->expire(now);
 }
 
--- a/src/include/cyclamencross/decide/engineledger.h
+++ b/src/include/cyclamencross/decide/engineledger.h
@@ -93,15 +93,19 @@
     struct Release
     {
         TimePoint at;
-        std::uint64_t number = 0;
+        std::uint64_t number = 0; // newest ask known
         std::uint32_t slots = 0;
         std::uint64_t tokens = 0;
+        bool byCaller = false; // false: the engine does not list it
+        std::uint64_t covered = 0; // newest ask that the caller released
     };
     using HeldMap = std::map<std::string, Held>;
 
     bool canGrant(TimePoint now) const;
     bool takeLoad(const EngineLoad &load);
     void addHeld(const SlotGrant &grant, TimePoint now, bool confirmed);
+    void adopt(const std::string &requestId, TimePoint now);
+    Release &remember(const SlotGrant &grant, TimePoint now);
     HeldMap::iterator drop(HeldMap::iterator it);
     void expire(TimePoint now);
     void estimateForeign();
