--- a/src/grant/grantservice_test.cpp
+++ b/src/grant/grantservice_test.cpp
@@ -213,6 +213,26 @@
     CHECK_FALSE(fleet.acquire(asker, idOf(asker, 5), Millis(0)));
 }
 
+// Guards against callers' threads that keep waiting for a slot after the caller is gone, and against a slot that is
+// granted to such a request.
+TEST_CASE("a release withdraws an ask that waits")
+{
+    FakeEngine engine(1);
+    engine.hold(idOf("e1", 100));
+    FakeFleet fleet({"e1", "e2"}, engine.address);
+    const std::string owner = fleet.owners().at(0);
+    const std::string asker = fleet.owners().at(1);
+    REQUIRE(eventually([&] { return fleet.services.at(owner)->load(engine.address).has_value(); }));
+    std::thread caller([&] {
+        std::this_thread::sleep_for(Millis(50));
+        fleet.services.at(asker)->release({idOf(asker, 1), engine.address, "", 1, 0, Millis(0), 0});
+    });
+    const TimePoint began = Clock::now();
+    CHECK_FALSE(fleet.acquire(asker, idOf(asker, 1), Millis(60000)));
+    CHECK(Clock::now() - began < Millis(30000));
+    caller.join();
+}
+
 // Guards against requests that hang or fail because the owner of an engine has just died.
 TEST_CASE("a silent owner is passed over, and without any owner the engine decides")
 {
--- a/src/grant/slotclient.cpp
+++ b/src/grant/slotclient.cpp
@@ -18,6 +18,7 @@
 {
 
 constexpr int SilencesToPenalise = 2;
+constexpr const char *Withdrawn = "withdrawn";
 // Longer names of workspaces come from callers and would not fit a datagram; their hash serves fairness as well.
 constexpr std::size_t MaxWorkspaceBytes = 64;
 
@@ -75,6 +76,8 @@
 {
     const TimePoint began = Clock::now();
     Pending own;
+    own.requestId = ask.requestId;
+    own.engine = ask.engine;
     std::unique_lock lock(this->mutex);
     this->pending.emplace(ask.number, &own);
     lock.unlock();
@@ -89,7 +92,7 @@
     std::optional<SlotReply> reply = std::move(own.reply);
     lock.unlock();
     this->noteSilence(owner.name, !reply && !wasQueued);
-    if (!reply) {
+    if (!reply || reply->reason == Withdrawn) {
         // The owner may have granted: the ask or only its reply may be lost.
         this->hooks.sendRelease(owner, {ask.requestId, ask.engine, ask.number});
     }
@@ -136,8 +139,21 @@
     return SlotGrant{ask.requestId, ask.engine, "", ask.slots, ask.tokens, Millis(0), 0};
 }
 
+void SlotClient::withdraw(const std::string &requestId, const std::string &engine)
+{
+    const std::scoped_lock lock(this->mutex);
+    for (auto &[number, waiter] : this->pending) {
+        if (waiter->requestId == requestId && waiter->engine == engine && !waiter->reply) {
+            waiter->reply.emplace();
+            waiter->reply->reason = Withdrawn;
+            waiter->changed.notify_one();
+        }
+    }
+}
+
 void SlotClient::release(const SlotGrant &grant)
 {
+    this->withdraw(grant.requestId, grant.engine);
     const FleetViewPtr view = this->hooks.view();
     const SlotRelease release{grant.requestId, grant.engine, grant.number};
     const Member *granter = grant.owner.empty() ? nullptr : this->findMember(*view, grant.owner);
--- a/src/grant/slotclient.h
+++ b/src/grant/slotclient.h
@@ -45,7 +45,7 @@
 
     /// See GrantService::acquire().
     boost::leaf::result<SlotGrant> acquire(const SlotAsk &ask);
-    /// See GrantService::release().
+    /// See GrantService::release(). Ends acquire() calls of the same request and engine as refused.
     void release(const SlotGrant &grant);
     /// Takes an owner's reply. A grant that no one waits for is given back.
     void takeReply(const SlotReply &reply);
@@ -53,6 +53,8 @@
 private:
     struct Pending
     {
+        std::string requestId;
+        std::string engine;
         std::condition_variable changed;
         std::optional<SlotReply> reply;
         bool queued = false;
@@ -64,6 +66,7 @@
     };
     std::optional<SlotReply> askOwner(const Member &owner, const SlotAsk &ask);
     std::vector<const Member *> ownersToTry(const Backend &engine, const FleetView &view) const;
+    void withdraw(const std::string &requestId, const std::string &engine);
     void noteSilence(const std::string &owner, bool isSilent);
     const Member *findMember(const FleetView &view, const std::string &name) const;
 
--- a/src/include/cyclamencross/grant/grantservice.h
+++ b/src/include/cyclamencross/grant/grantservice.h
@@ -50,7 +50,8 @@
     /// @return the grant, or NoCapacity if the owner refuses or the engine is leaving or unknown.
     boost::leaf::result<SlotGrant> acquire(const SlotAsk &ask);
     /// Gives the granted room back. Never blocks; repeated releases do no harm. If the datagram is lost, the owner
-    /// learns of it from the engine's own list.
+    /// learns of it from the engine's own list. An acquire() of the same request and engine that still waits is
+    /// withdrawn and ends with NoCapacity.
     void release(const SlotGrant &grant);
     /// Returns what is known of the load of @p engine, learned from owners' replies or own polls within the last
     /// second. It includes grants and waiting asks.
