--- a/src/admin/adminserver.cpp
+++ b/src/admin/adminserver.cpp
@@ -75,7 +75,7 @@
         : settings(settings)
         , metrics(metrics)
         , maxBody(settings.maxBodyBytes * EnvelopeFactor + EnvelopeBytes)
-        , signatures(MaxSignatures)
+        , signatures(MaxSignatures, unixSeconds())
     {
     }
 
@@ -134,6 +134,9 @@
     case SignatureMemory::Verdict::Replay:
         LogLine("admin-refused").add("path", request.path).add("reason", "replay").warn();
         return refusal(401, "replayed", "a request with this signature was accepted before");
+    case SignatureMemory::Verdict::TooEarly:
+        LogLine("admin-refused").add("path", request.path).add("reason", "signed-before-start").warn();
+        return refusal(401, "signed-before-start", "the request was signed before this process started");
     case SignatureMemory::Verdict::Full:
         return refusal(503, "overloaded", "too many signed requests within a minute");
     }
@@ -167,7 +170,7 @@
     response.set_content(reply.body, type);
     const bool known = this->routes.contains({pathOf(request), request.method});
     // Only known paths become labels, since each new label value takes memory for good.
-    this->metrics.count("admin_requests_total",
+    this->metrics.count("cyclamencross_admin_requests_total",
                         {{"path", known ? pathOf(request) : "other"}, {"status", std::to_string(reply.status)}});
 }
 
--- a/src/admin/adminserver_test.cpp
+++ b/src/admin/adminserver_test.cpp
@@ -175,12 +175,15 @@
     CHECK(refused == excess);
 }
 
-TEST_CASE("remembered signatures expire and are bounded")
+// Guards against the replay of an order, such as a drain, to the process that has replaced its receiver.
+TEST_CASE("remembered signatures expire and are bounded, and older ones than the process are refused")
 {
-    SignatureMemory memory(2);
-    CHECK(memory.record("a", 100) == SignatureMemory::Verdict::New);
-    CHECK(memory.record("a", 100 + SignatureMemory::KeepSeconds) == SignatureMemory::Verdict::Replay);
-    CHECK(memory.record("b", 101) == SignatureMemory::Verdict::New);
-    CHECK(memory.record("c", 101) == SignatureMemory::Verdict::Full);
-    CHECK(memory.record("c", 101 + SignatureMemory::KeepSeconds) == SignatureMemory::Verdict::New);
+    using Verdict = SignatureMemory::Verdict;
+    SignatureMemory memory(2, 100);
+    CHECK(memory.record("99.a", 100) == Verdict::TooEarly);
+    CHECK(memory.record("100.a", 100) == Verdict::New);
+    CHECK(memory.record("100.a", 100 + SignatureMemory::KeepSeconds) == Verdict::Replay);
+    CHECK(memory.record("101.b", 101) == Verdict::New);
+    CHECK(memory.record("101.c", 101) == Verdict::Full);
+    CHECK(memory.record("101.c", 101 + SignatureMemory::KeepSeconds) == Verdict::New);
 }
--- a/src/base/processmetrics.cpp
+++ b/src/base/processmetrics.cpp
@@ -112,11 +112,11 @@
 
 void ProcessMetrics::publish()
 {
-    this->members->metrics.set("process_cpu_seconds", cpuSeconds());
-    this->members->metrics.set("process_resident_bytes", residentBytes());
-    this->members->metrics.set("process_threads", threadCount());
-    this->members->metrics.set("control_bytes_sent", double(controlBytesSent.load()));
-    this->members->metrics.set("control_bytes_received", double(controlBytesReceived.load()));
+    this->members->metrics.set("cyclamencross_process_cpu_seconds", cpuSeconds());
+    this->members->metrics.set("cyclamencross_process_resident_bytes", residentBytes());
+    this->members->metrics.set("cyclamencross_process_threads", threadCount());
+    this->members->metrics.set("cyclamencross_control_bytes_sent", double(controlBytesSent.load()));
+    this->members->metrics.set("cyclamencross_control_bytes_received", double(controlBytesReceived.load()));
 }
 
 }
--- a/src/base/processmetrics_test.cpp
+++ b/src/base/processmetrics_test.cpp
@@ -26,9 +26,9 @@
     addControlBytesReceived(6);
     process.publish();
     const std::string text = metrics.text();
-    CHECK(valueOf(text, "process_cpu_seconds") >= 0);
-    CHECK(valueOf(text, "process_resident_bytes") > 1e6);
-    CHECK(valueOf(text, "process_threads") >= 1);
-    CHECK(valueOf(text, "control_bytes_sent") == 7);
-    CHECK(valueOf(text, "control_bytes_received") == 11);
+    CHECK(valueOf(text, "cyclamencross_process_cpu_seconds") >= 0);
+    CHECK(valueOf(text, "cyclamencross_process_resident_bytes") > 1e6);
+    CHECK(valueOf(text, "cyclamencross_process_threads") >= 1);
+    CHECK(valueOf(text, "cyclamencross_control_bytes_sent") == 7);
+    CHECK(valueOf(text, "cyclamencross_control_bytes_received") == 11);
 }
--- a/src/cyclamencross/adminroutes.cpp
+++ b/src/cyclamencross/adminroutes.cpp
@@ -7,6 +7,7 @@
 #include "cyclamencross/base/failures.h"
 #include "cyclamencross/base/hash.h"
 #include "cyclamencross/base/logline.h"
+#include "cyclamencross/base/processmetrics.h"
 #include "cyclamencross/base/runoutcome.h"
 #include "cyclamencross/base/timing.h"
 #include "cyclamencross/decide/crashledger.h"
@@ -180,7 +181,9 @@
     server.route("POST", "/admin/crashes/lift", RouteAccess::Signed,
                  [shared](const HttpRequest &request) { return liftCrash(*shared, request); });
     server.route("GET", "/peer/config", RouteAccess::Signed, [shared](const HttpRequest &) {
-        return HttpReply{200, {{"Content-Type", "text/plain; charset=utf-8"}}, shared->configText()};
+        std::string text = shared->configText();
+        addControlBytesSent(text.size());
+        return HttpReply{200, {{"Content-Type", "text/plain; charset=utf-8"}}, std::move(text)};
     });
 }
 
--- a/src/include/cyclamencross/base/processmetrics.h
+++ b/src/include/cyclamencross/base/processmetrics.h
@@ -13,8 +13,9 @@
 /// Adds to the control bytes that this process has received. Thread-safe.
 void addControlBytesReceived(std::uint64_t bytes);
 
-/// Publishes what the process itself uses, as gauges, at a fixed period from a thread of its own:
-/// process_cpu_seconds, process_resident_bytes, process_threads, control_bytes_sent and control_bytes_received.
+/// Publishes what the process itself uses, as gauges, every second from a thread of its own. Their names begin with
+/// `cyclamencross_`: process_cpu_seconds, process_resident_bytes, process_threads, control_bytes_sent and
+/// control_bytes_received.
 class ProcessMetrics
 {
 public:
