Log why an entry could not start

A gossip port in use ended the entry with a log line without a reason. The comparison of configurations knows the [change] section that names a revision.

--- a/src/cyclamencross/configapply_test.cpp
+++ b/src/cyclamencross/configapply_test.cpp
@@ -22,7 +22,7 @@
 
 std::string configText(std::uint64_t revision, const std::string &keys)
 {
-    return "[config]\nrevision = " + std::to_string(revision) + "\n[defaults]\n" + keys;
+    return "[change]\nrevision = " + std::to_string(revision) + "\n[defaults]\n" + keys;
 }
 
 }
@@ -99,8 +99,8 @@
 
 TEST_CASE("configurations are compared by section and key")
 {
-    const ConfigDiff diff = compareConfig("# one\n[config]\nrevision = 1\n[defaults]\na = 1\nb = 2\n",
-                                          "[config]\nrevision = 2\n[defaults]\nb = 2\na = 3\n");
+    const ConfigDiff diff = compareConfig("# one\n[change]\nrevision = 1\n[defaults]\na = 1\nb = 2\n",
+                                          "[change]\nrevision = 2\n[defaults]\nb = 2\na = 3\n");
     CHECK(diff.removed == std::vector<std::string>{"defaults.a = 1"});
     CHECK(diff.added == std::vector<std::string>{"defaults.a = 3"});
 }
--- a/src/cyclamencross/configapplycommand.cpp
+++ b/src/cyclamencross/configapplycommand.cpp
@@ -71,7 +71,7 @@
     std::optional<std::uint64_t> base = parseRevision(options.value("base"));
     BOOST_LEAF_AUTO(entries, parseIni(text, options.value("file")));
     for (const IniEntry &entry : entries) {
-        if (!options.has("base") && entry.section == "config" && entry.key == "revision") {
+        if (!options.has("base") && entry.section == "change" && entry.key == "revision") {
             base = parseRevision(entry.value);
         }
     }
--- a/src/cyclamencross/configdiff.cpp
+++ b/src/cyclamencross/configdiff.cpp
@@ -15,12 +15,12 @@
 namespace
 {
 
-constexpr std::array<std::string_view, 3> RevisionKeys{"revision", "change_id", "author"};
+constexpr std::array<std::string_view, 3> RevisionKeys{"revision", "id", "author"};
 
 bool namesRevision(const IniEntry &entry)
 {
     // Exceptions have an author of their own, which is part of the change.
-    return entry.section == "config"
+    return entry.section == "change"
         && std::find(RevisionKeys.begin(), RevisionKeys.end(), entry.key) != RevisionKeys.end();
 }
 
--- a/src/cyclamencross/entrycommand.cpp
+++ b/src/cyclamencross/entrycommand.cpp
@@ -6,7 +6,10 @@
 #include "cyclamencross/base/failures.h"
 #include "cyclamencross/base/logline.h"
 
+#include <system_error>
+
 #include <boost/leaf/handle_errors.hpp>
+#include <boost/leaf/pred.hpp>
 
 namespace Cyclamen
 {
@@ -33,6 +36,10 @@
                 .error();
             return int(ExitUsage);
         },
+        [](boost::leaf::catch_<std::system_error> fault) {
+            LogLine("entry-failed").add("detail", fault.matched.what()).error();
+            return int(ExitFailed);
+        },
         [] {
             LogLine("entry-failed").error();
             return int(ExitFailed);
