bench: count goodput by the arrival of the request

Counting by the end of the request compares completions with arrivals about a second apart, so a run in which every request was good showed 94% of the offered rate. The storm's callers now all retry, and the table shows goodput from the last attempt too.

--- a/src/emu/loadreport.cpp
+++ b/src/emu/loadreport.cpp
@@ -13,6 +13,18 @@
 namespace
 {
 
+using BySecond = std::map<std::size_t, std::size_t>;
+
+nlohmann::json series(const BySecond &counts)
+{
+    const std::size_t seconds = counts.empty() ? 0 : counts.rbegin()->first + 1;
+    std::vector<std::size_t> list(seconds, 0);
+    for (const auto &[second, count] : counts) {
+        list[second] = count;
+    }
+    return list;
+}
+
 nlohmann::json percentiles(std::vector<double> values)
 {
     nlohmann::json out = {{"count", values.size()}};
@@ -56,7 +68,10 @@
 nlohmann::json LoadReport::sumUp(bool services) const
 {
     std::map<std::string, std::size_t> outcomes;
-    std::map<std::size_t, std::size_t> perSecond;
+    BySecond arrivals;
+    BySecond goodEnds;
+    BySecond goodArrivals;
+    BySecond goodAttemptArrivals;
     std::vector<double> first;
     std::vector<double> between;
     std::size_t count = 0;
@@ -76,10 +91,16 @@
         refused += static_cast<std::size_t>(record.refused);
         late += static_cast<std::size_t>(record.late);
         repeated += record.repeatedExecution ? 1 : 0;
-        goodAttempts += this->isGood(record, record.firstOfAttempt) ? 1 : 0;
+        const auto arrived = static_cast<std::size_t>(record.arrival);
+        ++arrivals[arrived];
+        if (this->isGood(record, record.firstOfAttempt)) {
+            ++goodAttempts;
+            ++goodAttemptArrivals[arrived];
+        }
         if (this->isGood(record, record.first)) {
             ++good;
-            ++perSecond[static_cast<std::size_t>(record.end)];
+            ++goodArrivals[arrived];
+            ++goodEnds[static_cast<std::size_t>(record.end)];
         }
         if (record.first >= 0) {
             first.push_back(record.first);
@@ -88,24 +109,20 @@
             between.push_back(record.between);
         }
     }
-    nlohmann::json series = nlohmann::json::array();
-    const std::size_t seconds = perSecond.empty() ? 0 : perSecond.rbegin()->first + 1;
-    for (std::size_t second = 0; second < seconds; ++second) {
-        series.push_back(perSecond[second]);
+    return
+    {
+        {"requests", count}, {"good", good}, {"good_from_last_attempt", goodAttempts},
+            {"goodput_per_second", double(good) / std::max(0.001, this->options.duration)}, {"outcomes", outcomes},
+            {"attempts", attempts}, {"retries", attempts - count}, {"refused_attempts", refused},
+            {"late_attempts", late}, {"repeated_executions", repeated}, {"first_output_s", percentiles(first)},
+            {"between_outputs_s", percentiles(between)}, {"arrivals_by_second", series(arrivals)},
+            {"good_by_arrival", series(goodArrivals)},
+            {"good_from_last_attempt_by_arrival", series(goodAttemptArrivals)},
+        {
+            "good_by_end", series(goodEnds)
+        }
     }
-    return {{"requests", count},
-            {"good", good},
-            {"good_from_last_attempt", goodAttempts},
-            {"goodput_per_second", double(good) / std::max(0.001, this->options.duration)},
-            {"outcomes", outcomes},
-            {"attempts", attempts},
-            {"retries", attempts - count},
-            {"refused_attempts", refused},
-            {"late_attempts", late},
-            {"repeated_executions", repeated},
-            {"first_output_s", percentiles(first)},
-            {"between_outputs_s", percentiles(between)},
-            {"good_by_second", series}};
+};
 }
 
 nlohmann::json LoadReport::toJson() const
@@ -114,5 +131,4 @@
     return {{"seed", this->options.seed}, {"rate", this->options.rate},  {"duration_s", this->options.duration},
             {"unsent", this->unsent},     {"model", this->sumUp(false)}, {"service", this->sumUp(true)}};
 }
-
 }
--- a/testsuite/bench.py
+++ b/testsuite/bench.py
@@ -20,7 +20,8 @@
 BETWEEN_TARGET_S = 0.074
 FIRST_TARGET_S = 0.42
 STORM_BASE = 0.7
-STORM_EXTRA = 0.8
+STORM_EXTRA = 1.3
+WARM_UP_S = 2
 RECOVERED_SHARE = 0.9
 
 
@@ -40,11 +41,13 @@
     output_min: int = 16
     output_max: int = 64
     seconds: int = 20
+    before_storm_seconds: int = 10
     storm_seconds: int = 10
     after_storm_seconds: int = 20
 
 
-SHORT = Shape(prefill=2, decode=3, entries=3, seconds=6, storm_seconds=4, after_storm_seconds=12)
+SHORT = Shape(prefill=2, decode=3, entries=3, seconds=8, before_storm_seconds=6, storm_seconds=4,
+              after_storm_seconds=12)
 
 
 def log_uniform_mean(low, high):
@@ -62,16 +65,30 @@
 
 @dataclasses.dataclass
 class Result:
-    """What one run measured."""
+    """What one run measured. Rates are per second, for the requests that arrived after the warm-up."""
 
     case: str
     seed: int
     offered: float
-    goodput: float
+    goodput: float  # The time to first output counts from the arrival of the request, retries included.
+    attempt_goodput: float  # It counts from the start of the last attempt.
     waste: float
-    report: dict
+    prefills: int
+    reports: list  # The model part of each load generator's report.
     recovery_s: float = -1
 
+    def total(self, member):
+        return sum(report[member] for report in self.reports)
+
+    def outcomes(self):
+        names = sorted({name for report in self.reports for name in report["outcomes"]})
+        return {name: sum(report["outcomes"].get(name, 0) for report in self.reports) for name in names}
+
+
+def rate(series, begin, end):
+    """Returns the mean of a list of counts by second over the seconds from begin to end."""
+    return sum(series[begin:end]) / (end - begin)
+
 
 class Bench:
     def __init__(self, build, shape):
@@ -92,10 +109,10 @@
         fleet.start_entries(shape.entries)
         return engines
 
-    def start_load(self, fleet, name, rate, seconds, seed, **flags):
+    def start_load(self, fleet, name, per_second, seconds, seed, **flags):
         """Starts a load generator; finish_load() returns its report."""
         shape = self.shape
-        values = {"entries": ",".join(entry.caller for entry in fleet.entries), "model": MODEL, "rate": rate,
+        values = {"entries": ",".join(entry.caller for entry in fleet.entries), "model": MODEL, "rate": per_second,
                   "duration": seconds, "seed": seed, "prompt-min": shape.prompt_min, "prompt-max": shape.prompt_max,
                   "output-min": shape.output_min, "output-max": shape.output_max,
                   "first-target": round(FIRST_TARGET_S * 1000), "between-target": round(BETWEEN_TARGET_S * 1000),
@@ -109,77 +126,82 @@
         return json.loads((pathlib.Path(fleet.folder) / f"{process.name}.json").read_text())
 
     def waste(self, fleet, engines):
-        """Returns the share of finished prefills whose result was never used, once all results are gone."""
+        """Returns the share of finished prefills whose result was never used, once all results are gone, and their
+        number."""
         prefill, decode = engines
         wait_until(lambda: fleet.held(prefill + decode) == 0, "engine memory is free")
         counts = [engine.counts() for engine in prefill]
         done = sum(one["prefills"] for one in counts)
-        return (done - sum(one["used"] for one in counts)) / max(1, done)
+        return (done - sum(one["used"] for one in counts)) / max(1, done), done
 
     def steady(self, share, seed):
         """Runs at a share of the capacity; callers retry once."""
         seconds = self.shape.seconds
-        rate = share * self.capacity
         with self.fleet() as fleet:
             engines = self.start(fleet)
-            load = self.start_load(fleet, "load", rate, seconds, seed, retries=1)
-            report = self.finish_load(fleet, load, seconds)
-            waste = self.waste(fleet, engines)
-        return Result(f"{share:.1f}", seed, rate, report["model"]["goodput_per_second"], waste, report)
+            load = self.start_load(fleet, "load", share * self.capacity, seconds, seed, retries=1)
+            report = self.finish_load(fleet, load, seconds)["model"]
+            waste, prefills = self.waste(fleet, engines)
+        return Result(f"{share:.1f}", seed, rate(report["arrivals_by_second"], WARM_UP_S, seconds),
+                      rate(report["good_by_arrival"], WARM_UP_S, seconds),
+                      rate(report["good_from_last_attempt_by_arrival"], WARM_UP_S, seconds), waste, prefills, [report])
 
     def storm(self, seed):
-        """Runs at 0.7 all the time and adds callers in the middle who give up early and retry often."""
+        """Runs at 0.7 all the time and adds more callers in the middle; all give up early and retry often."""
         shape = self.shape
-        before = shape.after_storm_seconds // 2
-        seconds = before + shape.storm_seconds + shape.after_storm_seconds
+        begin = shape.before_storm_seconds
+        end = begin + shape.storm_seconds
+        seconds = end + shape.after_storm_seconds
+        impatient = {"retries": 8, "patience": 600, "retry-delay": 50}
         with self.fleet() as fleet:
             engines = self.start(fleet)
-            base = self.start_load(fleet, "base", STORM_BASE * self.capacity, seconds, seed, retries=1)
-            time.sleep(before)
+            load = self.start_load(fleet, "base", STORM_BASE * self.capacity, seconds, seed, **impatient)
+            time.sleep(begin)
             extra = self.start_load(fleet, "storm", STORM_EXTRA * self.capacity, shape.storm_seconds, seed + 1000,
-                                    retries=8, patience=600, **{"retry-delay": 50})
-            storm = self.finish_load(fleet, extra, shape.storm_seconds)
-            report = self.finish_load(fleet, base, seconds)
-            waste = self.waste(fleet, engines)
-        series = report["model"]["good_by_second"]
-        extra_series = storm["model"]["good_by_second"]
-        during = series[before:before + shape.storm_seconds] + extra_series[:shape.storm_seconds]
-        result = Result("storm", seed, (STORM_BASE + STORM_EXTRA) * self.capacity, sum(during) / shape.storm_seconds,
-                        waste, storm)
-        result.recovery_s = recovery(series, before, before + shape.storm_seconds)
+                                    **impatient)
+            storm = self.finish_load(fleet, extra, shape.storm_seconds)["model"]
+            base = self.finish_load(fleet, load, seconds)["model"]
+            waste, prefills = self.waste(fleet, engines)
+
+        def during(member):
+            return rate(base[member], begin, end) + rate(storm[member], 0, shape.storm_seconds)
+        result = Result("storm", seed, during("arrivals_by_second"), during("good_by_arrival"),
+                        during("good_from_last_attempt_by_arrival"), waste, prefills, [base, storm])
+        result.recovery_s = recovery(base["good_by_end"], begin, end)
         return result
 
 
 def recovery(series, before, end):
     """Returns the seconds from the end of the storm until goodput is back, as a mean over 3 s; -1 if it isn't."""
-    usual = sum(series[2:before]) / max(1, before - 2)
+    usual = rate(series, WARM_UP_S, before)
     for second in range(end, len(series) - 2):
-        if sum(series[second:second + 3]) / 3 >= RECOVERED_SHARE * usual:
+        if rate(series, second, second + 3) >= RECOVERED_SHARE * usual:
             return second - end
     return -1
 
 
 def row(result, bound):
-    model = result.report["model"]
-    outcomes = ", ".join(f"{name} {count}" for name, count in sorted(model["outcomes"].items()))
-    first = model["first_output_s"]
-    between = model["between_outputs_s"]
-    recovered = f"{result.recovery_s} s" if result.recovery_s >= 0 else "-"
+    outcomes = ", ".join(f"{name} {count}" for name, count in result.outcomes().items())
+    first, between = result.reports[-1]["first_output_s"], result.reports[-1]["between_outputs_s"]
+    recovered = "-"
+    if result.case == "storm":
+        recovered = f"{result.recovery_s} s" if result.recovery_s >= 0 else "not seen"
     return (f"| {result.case} | {result.seed} | {result.offered:.1f} | {result.goodput:.1f} | "
-            f"{100 * result.goodput / bound:.0f}% | {100 * result.waste:.1f}% | {first.get('p50', 0):.3f} / "
-            f"{first.get('p95', 0):.3f} | {1000 * between.get('p95', 0):.0f} | {model['retries']} | {recovered} | "
-            f"{outcomes} |")
+            f"{100 * result.goodput / bound:.0f}% | {result.attempt_goodput:.1f} | "
+            f"{100 * result.waste:.1f}% of {result.prefills} | {first.get('p50', 0):.3f} / {first.get('p95', 0):.3f} | "
+            f"{1000 * between.get('p95', 0):.0f} | {result.total('requests')} + {result.total('retries')} | "
+            f"{recovered} | {outcomes} |")
 
 
 def table(results, rates):
     best = min(rates)
-    lines = [f"Computed capacity: prefill engines {rates[0]:.1f}/s, decode engines {rates[1]:.1f}/s; "
-             f"bound {best:.1f} requests/s.", "",
-             "| load | seed | offered/s | goodput/s | of bound | wasted prefill | first output p50 / p95, s | "
-             "between outputs p95, ms | retries | recovery | outcomes |", "|" + "---|" * 11]
-    for result in results:
-        bound = min(best, result.offered)
-        lines.append(row(result, bound))
+    lines = [f"Computed capacity: prefill engines {rates[0]:.1f}/s, decode engines {rates[1]:.1f}/s; the bound is the "
+             f"smaller of {best:.1f}/s and the offered rate. Goodput counts from the arrival of a request, attempt "
+             "goodput from the start of its last attempt.", "",
+             "| load | seed | offered/s | goodput/s | of bound | attempt goodput/s | wasted prefill | "
+             "first output p50 / p95, s | between outputs p95, ms | requests + retries | recovery | outcomes |",
+             "|" + "---|" * 12]
+    lines += [row(result, min(best, result.offered)) for result in results]
     return "\n".join(lines) + "\n"
 
 
