--- a/src/emu/loadreport.cpp
+++ b/src/emu/loadreport.cpp
@@ -109,20 +109,22 @@
             between.push_back(record.between);
         }
     }
-    return
-    {
-        {"requests", count}, {"good", good}, {"good_from_last_attempt", goodAttempts},
-            {"goodput_per_second", double(good) / std::max(0.001, this->options.duration)}, {"outcomes", outcomes},
-            {"attempts", attempts}, {"retries", attempts - count}, {"refused_attempts", refused},
-            {"late_attempts", late}, {"repeated_executions", repeated}, {"first_output_s", percentiles(first)},
-            {"between_outputs_s", percentiles(between)}, {"arrivals_by_second", series(arrivals)},
+    return {{"requests", count},
+            {"good", good},
+            {"good_from_last_attempt", goodAttempts},
+            {"goodput_per_second", double(good) / std::max(0.001, this->options.duration)},
+            {"outcomes", outcomes},
+            {"attempts", attempts},
+            {"retries", attempts - count},
+            {"refused_attempts", refused},
+            {"late_attempts", late},
+            {"repeated_executions", repeated},
+            {"first_output_s", percentiles(first)},
+            {"between_outputs_s", percentiles(between)},
+            {"arrivals_by_second", series(arrivals)},
             {"good_by_arrival", series(goodArrivals)},
             {"good_from_last_attempt_by_arrival", series(goodAttemptArrivals)},
-        {
-            "good_by_end", series(goodEnds)
-        }
-    }
-};
+            {"good_by_end", series(goodEnds)}};
 }
 
 nlohmann::json LoadReport::toJson() const
