--- a/src/proxy/modelrun.cpp
+++ b/src/proxy/modelrun.cpp
@@ -17,7 +17,7 @@
 
 using Json = nlohmann::ordered_json;
 
-constexpr int MaxAttempts = 4;
+constexpr int MaxAttempts = 3;
 constexpr std::size_t LoggedCandidates = 5;
 constexpr Millis ShortWait{5}; // For asking a second engine before queueing at the first.
 constexpr Millis LongestWait{10000}; // Bounds the queueing of requests that can wait.
