--- a/testsuite/harness.py
+++ b/testsuite/harness.py
@@ -310,7 +310,7 @@
                     return True
             return False
         for entry in entries:
-            wait_until(lambda entry=entry: knows_all(entry), f"{entry.name} knows all entries")
+            wait_until(lambda entry=entry: knows_all(entry), f"{entry.name} knows all entries", period=0.2)
 
     # Requests
 
@@ -357,6 +357,12 @@
         return text
 
 
+def show(what, *values):
+    """Prints one line of a session's transcript, normalised."""
+    line = f"{what}: " + " ".join(json.dumps(value, default=repr) for value in values)
+    print(Normaliser()(line), flush=True)
+
+
 def build_argument():
     """Returns the build folder given on the command line of a session."""
     parser = argparse.ArgumentParser()
--- a/testsuite/standins/run.py
+++ b/testsuite/standins/run.py
@@ -10,7 +10,7 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 
 from client import connect, expected_text, send, stream  # noqa: E402
-from harness import Fleet, Normaliser, build_argument, wait_until  # noqa: E402
+from harness import Fleet, build_argument, show, wait_until  # noqa: E402
 
 
 def text64(text):
@@ -37,7 +37,7 @@
         return self.decode(request_id, self.prefill(request_id, prompt).json().get("handle", ""), tokens, **options)
 
 
-def show_engine(prefill, decode, show):
+def show_engine(prefill, decode):
     engines = Engines(prefill, decode)
     prompt = "hello world " * 200
     result = engines.prefill("a.1", prompt).json()
@@ -64,7 +64,7 @@
     show("freed after its reader left", decode.counts()["held"])
 
 
-def show_crossed(prefill, decode, show):
+def show_crossed(prefill, decode):
     engines = Engines(prefill, decode)
     decode.fault("crossed", times=2)
     answers = {}
@@ -80,7 +80,7 @@
          answers["c.1"].text() == expected_text("prompt of c.2", 3))
 
 
-def show_full(prefill, decode, show):
+def show_full(prefill, decode):
     engines = Engines(prefill, decode)
     threads = [threading.Thread(target=engines.both, args=(f"f.{n}", f"prompt {n}", 3000)) for n in range(3)]
     for thread in threads:
@@ -100,13 +100,13 @@
         thread.join()
 
 
-def show_orders(decode, show):
+def show_orders(decode):
     def order(fencing):
         return send(decode.address, "POST", "/v1/orders", {"fencing": fencing, "kind": "load-model", "model": "m2"})
     show("orders", order(5).status, order(4).status, order(6).status)
 
 
-def show_faults(service, show):
+def show_faults(service):
     def call(body=b"1", key="k"):
         return send(service.address, "POST", "/x", body, {"Idempotency-Key": key})
     service.fault("close", times=1)
@@ -167,7 +167,7 @@
             yield event.get("type", "PUT"), base64.b64decode(key["key"]).decode(), key["mod_revision"]
 
 
-def show_key_value(fleet, show):
+def show_key_value(fleet):
     platform = fleet.platform
     store = KeyValue(platform)
     show("create", store.create("/k", "v1"))
@@ -195,7 +195,7 @@
     platform.clear_faults()
 
 
-def show_hosts(fleet, show):
+def show_hosts(fleet):
     def states():
         return [host["state"] for host in send(fleet.platform.address, "GET", "/v1/hosts").json()["hosts"]]
     show("hosts", states())
@@ -207,23 +207,18 @@
 
 
 def main():
-    normalise = Normaliser()
-
-    def show(what, *values):
-        print(normalise(f"{what}: " + " ".join(json.dumps(value, default=repr) for value in values)), flush=True)
-
     with Fleet(build_argument()) as fleet:
         fleet.start_platform()
         prefill, decode = fleet.start_engines(1, 1, prefill_flags={"result_ttl": 2000},
                                               decode_flags={"slots": 3, "resume_keep": 1500})
         service = fleet.start_service("desk", "desk0")
-        show_engine(prefill[0], decode[0], show)
-        show_crossed(prefill[0], decode[0], show)
-        show_full(prefill[0], decode[0], show)
-        show_orders(decode[0], show)
-        show_faults(service, show)
-        show_key_value(fleet, show)
-        show_hosts(fleet, show)
+        show_engine(prefill[0], decode[0])
+        show_crossed(prefill[0], decode[0])
+        show_full(prefill[0], decode[0])
+        show_orders(decode[0])
+        show_faults(service)
+        show_key_value(fleet)
+        show_hosts(fleet)
 
 
 if __name__ == "__main__":
