--- a/src/proxy/backendclient.cpp
+++ b/src/proxy/backendclient.cpp
@@ -1,5 +1,7 @@
 #include "backendclient.h"
 
+#include <atomic>
+
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <poll.h>
@@ -24,6 +26,36 @@
     return std::atoi(address.c_str() + address.rfind(':') + 1);
 }
 
+// A second descriptor of a client's socket.
+class SocketCopy
+{
+public:
+    SocketCopy() = default;
+    ~SocketCopy()
+    {
+        if (this->descriptor >= 0) {
+            close(this->descriptor);
+        }
+    }
+    SocketCopy(const SocketCopy &) = delete;
+    SocketCopy &operator=(const SocketCopy &) = delete;
+
+    void take(int socket)
+    {
+        this->descriptor = dup(socket);
+    }
+
+    void shutDown() const
+    {
+        if (this->descriptor >= 0) {
+            shutdown(this->descriptor, SHUT_RDWR);
+        }
+    }
+
+private:
+    std::atomic<int> descriptor{-1};
+};
+
 bool isConnectError(httplib::Error error)
 {
     return error == httplib::Error::Connection || error == httplib::Error::ConnectionTimeout
@@ -86,7 +118,11 @@
         return reply.body.size() <= MaxWholeBytes;
     };
 
-    const CancelSignal::Interruption interruption(cancel, [&client] { client.stop(); });
+    // Client::stop() waits while the client connects, so the interruption shuts the socket down by a descriptor of its
+    // own, which also cannot be reused by another connection meanwhile.
+    SocketCopy copy;
+    client.set_socket_options([&copy](int socket) { copy.take(socket); });
+    const CancelSignal::Interruption interruption(cancel, [&copy] { copy.shutDown(); });
     httplib::Response response;
     httplib::Error error = httplib::Error::Success;
     if (client.send(sent, response, error)) {
@@ -106,7 +142,7 @@
 
 bool BackendClient::refusesConnection(const std::string &address) const
 {
-    const int probe = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    const int probe = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     sockaddr_in to{};
     to.sin_family = AF_INET;
     to.sin_port = htons(static_cast<std::uint16_t>(portOf(address)));
--- a/src/proxy/boundedtaskqueue.cpp
+++ b/src/proxy/boundedtaskqueue.cpp
@@ -26,6 +26,12 @@
     return overflowThread;
 }
 
+bool BoundedTaskQueue::isFull()
+{
+    const std::scoped_lock lock(this->mutex);
+    return this->regular.idle == 0 && this->regular.threads.size() >= this->regular.maxThreads;
+}
+
 void BoundedTaskQueue::enqueue(std::function<void()> task)
 {
     std::unique_lock lock(this->mutex);
--- a/src/proxy/boundedtaskqueue.h
+++ b/src/proxy/boundedtaskqueue.h
@@ -31,6 +31,8 @@
     /// Waits until all tasks are done.
     void shutdown() override;
 
+    /// Returns whether all threads are taken.
+    bool isFull();
     /// Returns whether the calling thread is an overflow thread, which must refuse its connection.
     static bool isOverflowThread();
 
--- a/src/proxy/callerconnection.cpp
+++ b/src/proxy/callerconnection.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cstring>
+#include <utility>
 
 #include <arpa/inet.h>
 #include <poll.h>
@@ -16,6 +17,7 @@
 {
 
 constexpr std::size_t ReadBytes = 16U << 10U;
+constexpr Millis IdleStep{200}; // How soon an idle connection makes way for waiting callers.
 constexpr Millis StopGrace{1000}; // For writing the outcome of a request that a stop cuts short.
 
 void addressOf(const sockaddr_in &address, std::string &ip, int &port)
@@ -40,6 +42,12 @@
     ::close(this->fd);
 }
 
+bool CallerConnection::stopped() const
+{
+    pollfd polled{this->stopEvent, POLLIN, 0};
+    return poll(&polled, 1, 0) > 0;
+}
+
 bool CallerConnection::await(short events, Millis longest) const
 {
     std::array<pollfd, 2> polled{{{this->fd, events, 0}, {this->stopEvent, POLLIN, 0}}};
@@ -54,14 +62,18 @@
     return events == POLLOUT && poll(polled.data(), 1, static_cast<int>(StopGrace.count())) > 0;
 }
 
-bool CallerConnection::awaitRequest()
+bool CallerConnection::awaitRequest(const std::function<bool()> &isCrowded)
 {
     this->readInRequest = 0;
     this->inHeaders = true;
     this->exceeded = false;
     this->takenOver = false;
-    if (this->position == this->buffer.size() && !this->await(POLLIN, this->limits.idle)) {
-        return false;
+    const bool waitsFirst = std::exchange(this->first, false);
+    const TimePoint end = Clock::now() + this->limits.idle;
+    while (this->position == this->buffer.size() && !this->await(POLLIN, std::min(IdleStep, this->limits.idle))) {
+        if (Clock::now() >= end || this->stopped() || (!waitsFirst && isCrowded())) {
+            return false;
+        }
     }
     this->headerDeadline = Clock::now() + this->limits.idle;
     if (this->position < this->buffer.size()) {
@@ -109,7 +121,7 @@
 
 bool CallerConnection::mayContinue() const
 {
-    return !this->closing && !this->broken && !this->exceeded;
+    return !this->closing && !this->broken;
 }
 
 void CallerConnection::closeGently(Millis longest)
@@ -142,6 +154,7 @@
     if (this->readInRequest >= bound) {
         // Callers that announce their body's length are refused before this; here ends a chunked one.
         this->exceeded = true;
+        this->closing = true;
         return -1;
     }
     if (this->position == this->buffer.size()) {
@@ -150,6 +163,7 @@
             longest = std::chrono::duration_cast<Millis>(this->headerDeadline - Clock::now());
         }
         if (longest.count() <= 0 || !this->await(POLLIN, longest)) {
+            this->closing = true; // What comes later is the rest of this request, not a new one.
             return -1;
         }
         this->buffer.resize(ReadBytes);
--- a/src/proxy/callerconnection.h
+++ b/src/proxy/callerconnection.h
@@ -2,6 +2,7 @@
 
 #include "cyclamencross/base/timing.h"
 
+#include <functional>
 #include <string>
 #include <string_view>
 
@@ -31,8 +32,9 @@
     CallerConnection &operator=(const CallerConnection &) = delete;
 
     /// Waits for the first byte of the next request.
+    /// @param isCrowded whether other callers wait for a thread, so that an idle connection must end.
     /// @return false if the caller closed the connection or stayed silent, or the server stops.
-    bool awaitRequest();
+    bool awaitRequest(const std::function<bool()> &isCrowded);
     /// Tells that the headers are read; the body's bounds hold from here on.
     void headersDone();
     /// Returns whether the request exceeded a size bound.
@@ -61,6 +63,7 @@
 private:
     /// Waits until the socket is ready for @p events or the server stops.
     bool await(short events, Millis longest) const;
+    bool stopped() const;
 
     int fd;
     ConnectionLimits limits;
@@ -69,6 +72,7 @@
     std::size_t position = 0;
     std::size_t readInRequest = 0;
     TimePoint headerDeadline;
+    bool first = true;
     bool inHeaders = true;
     bool exceeded = false;
     bool takenOver = false;
--- a/src/proxy/callerexchange.cpp
+++ b/src/proxy/callerexchange.cpp
@@ -35,7 +35,7 @@
     // cpp-httplib writes the status before it asks for content.
     this->streaming = true;
     this->connection->takeOver();
-    std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nConnection: keep-alive\r\n";
+    std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n";
     for (const auto &[name, value] : headers) {
         head += name + ": " + value + "\r\n";
     }
--- a/src/proxy/callerserver.cpp
+++ b/src/proxy/callerserver.cpp
@@ -20,6 +20,7 @@
 // The connection whose request the calling thread handles; cpp-httplib's handlers do not carry it.
 thread_local CallerConnection *currentConnection = nullptr;
 thread_local CallerRequest::Headers currentHeaders;
+thread_local bool currentAnswered = false;
 
 bool expectsBody(const std::string &method)
 {
@@ -59,7 +60,10 @@
         , watch(watch)
         , stopEvent(eventfd(0, EFD_CLOEXEC))
     {
-        this->new_task_queue = [maxConnections] { return new BoundedTaskQueue(maxConnections); };
+        this->new_task_queue = [this, maxConnections] {
+            this->queue = new BoundedTaskQueue(maxConnections); // Owned by cpp-httplib for as long as it listens.
+            return this->queue;
+        };
         // cpp-httplib sets SO_REUSEPORT, with which two processes can share a port without an error.
         this->set_socket_options([](int socket) {
             const int yes = 1;
@@ -79,9 +83,9 @@
             fill(response, this->refusal(500));
         });
         this->set_error_handler([this](const httplib::Request &, httplib::Response &response) {
-            if (response.body.empty() && !response.has_header("Run-Outcome")) {
-                const bool large = currentConnection != nullptr && currentConnection->tooLarge();
-                fill(response, this->refusal(large ? 413 : response.status));
+            // An answer of the handler stands, also one without a body.
+            if (!currentAnswered) {
+                fill(response, this->refusal(currentConnection->tooLarge() ? 413 : response.status));
             }
         });
     }
@@ -117,7 +121,8 @@
         currentConnection = &connection;
         bool closed = false;
         do {
-            if (!connection.awaitRequest()) {
+            currentAnswered = false;
+            if (!connection.awaitRequest([this] { return this->queue->isFull(); })) {
                 break;
             }
             this->process_request(connection, overflow, closed,
@@ -157,6 +162,7 @@
         if (status == 0) {
             return HandlerResponse::Unhandled;
         }
+        currentAnswered = true;
         // The body stays unread, so the connection cannot carry another request.
         fill(response, this->refusal(status));
         response.set_header("Connection", "close");
@@ -180,6 +186,7 @@
             const CallerWatch::Guard watched(this->watch, exchange.cancelSignal(), currentConnection->socket());
             this->handler(exchange);
         }
+        currentAnswered = true;
         if (exchange.streamBegun()) {
             response.status = 200;
         } else if (exchange.wholeReply()) {
@@ -191,6 +198,7 @@
     CallerServer::Handler handler;
     Refusal refusal;
     CallerWatch &watch;
+    BoundedTaskQueue *queue = nullptr;
     int stopEvent;
 };
 
@@ -224,6 +232,10 @@
     }
     this->listener->deepenBacklog();
     this->acceptor = std::thread([this] { this->listener->listen_after_bind(); });
+    // A stop before the accept loop runs would be lost.
+    while (!this->listener->is_running()) {
+        std::this_thread::sleep_for(Millis(1));
+    }
     return true;
 }
 
--- a/src/proxy/callguard.cpp
+++ b/src/proxy/callguard.cpp
@@ -102,11 +102,28 @@
         // The key's record may have expired with it.
         return unknownOutcome(409, "ticket-expired", "the ticket is too old to tell whether its call ran", requestId);
     }
+    if (auto refusal = this->refuseNew(known.standing, requestId)) {
+        return *refusal;
+    }
     return this->runHere(request, requestId, cancel);
 }
 
+std::optional<HttpReply> CallGuard::refuseNew(CallRegistry::Standing standing, const std::string &requestId) const
+{
+    const auto refusal = this->core.refusal();
+    const bool isNew = standing == CallRegistry::Standing::New || standing == CallRegistry::Standing::Again;
+    if (!refusal || !isNew) {
+        return std::nullopt;
+    }
+    return errorReply(*refusal, requestId);
+}
+
 HttpReply CallGuard::answerForeign(const CallerRequest &request, const std::string &requestId, CancelSignal &cancel)
 {
+    const auto known = this->registry.look(registryKey(request), this->hashOf(request));
+    if (auto refusal = this->refuseNew(known.standing, requestId)) {
+        return *refusal;
+    }
     const auto answer = this->registry.beginOrWait(registryKey(request), this->hashOf(request), cancel);
     if (answer.standing == CallRegistry::Standing::New) {
         if (auto otherwise = this->record(request, requestId, cancel)) {
--- a/src/proxy/callguard.h
+++ b/src/proxy/callguard.h
@@ -40,6 +40,8 @@
     HttpReply answerTicket(const CallerRequest &request, const Ticket &ticket, const std::string &requestId,
                            CancelSignal &cancel);
     HttpReply answerForeign(const CallerRequest &request, const std::string &requestId, CancelSignal &cancel);
+    /// Refuses a call that has not run here while this entry refuses new work.
+    std::optional<HttpReply> refuseNew(CallRegistry::Standing standing, const std::string &requestId) const;
     /// Runs the call unless the registry knows it.
     HttpReply runHere(const CallerRequest &request, const std::string &requestId, CancelSignal &cancel);
     /// Creates the durable record of a call that the registry has begun.
--- a/src/proxy/effectivedefaults.cpp
+++ b/src/proxy/effectivedefaults.cpp
@@ -13,10 +13,9 @@
 {
     char *end = nullptr;
     const double value = std::strtod(text.c_str(), &end);
-    const std::string unit = std::string(end).substr(std::string(end).find_first_not_of(' ') == std::string::npos
-                                                         ? std::string(end).size()
-                                                         : std::string(end).find_first_not_of(' '));
-    return Millis(static_cast<std::int64_t>(unit == "s" ? value * 1000 : value));
+    const std::string unit = end;
+    const bool seconds = !unit.empty() && unit.back() == 's' && !unit.ends_with("ms");
+    return Millis(static_cast<std::int64_t>(seconds ? value * 1000 : value));
 }
 
 void apply(FleetDefaults &defaults, const FleetException &exception)
--- a/src/proxy/modeldecode.cpp
+++ b/src/proxy/modeldecode.cpp
@@ -63,8 +63,10 @@
         // The prefill result is still there: another decode engine may take it.
         this->selection.exclude(engine);
         this->decodeHold.reset();
-        if (this->ended() || tries == MaxDecodeTries || !this->core.retries.takeRetry()) {
-            return refused;
+        if (tries == MaxDecodeTries || !this->core.retries.takeRetry()
+            || !this->exchange.cancelSignal().sleep(this->core.retries.delay(tries))) {
+            const Step ending = this->ended();
+            return ending ? ending : refused;
         }
         this->core.metrics.count("cyclamencross_retries_total", {{"kind", "decode"}});
         if (this->reserveDecode()) {
--- a/src/proxy/modelrun.cpp
+++ b/src/proxy/modelrun.cpp
@@ -22,6 +22,8 @@
 constexpr Millis ShortWait{5}; // For asking a second engine before queueing at the first.
 constexpr Millis LongestWait{10000}; // Bounds the queueing of requests that can wait.
 constexpr Millis NoEngineRetryAfter{1000};
+constexpr Millis ShortestRetryAfter{200};
+constexpr Millis LongestRetryAfter{30000};
 constexpr std::uint8_t CanWait = 2;
 
 double toSeconds(Clock::duration duration)
@@ -100,6 +102,9 @@
 ModelRun::Step ModelRun::attempt()
 {
     this->relay.expect(this->attemptId);
+    if (Step failure = this->admitEarly()) {
+        return failure;
+    }
     if (Step failure = this->reserveDecode()) {
         return failure;
     }
@@ -115,14 +120,13 @@
     return this->decode();
 }
 
-ModelRun::Step ModelRun::reserveDecode()
+ModelRun::Step ModelRun::admitEarly()
 {
     if (Step failure = this->ended()) {
         return failure;
     }
     const auto prefills = this->selection.rankPrefills(this->request.promptTokens(), this->request.prefix());
-    const auto decodes = this->selection.rankDecodes();
-    if (prefills.empty() || decodes.empty()) {
+    if (prefills.empty()) {
         return this->refuse("no-capacity", "no live engine can take the request", NoEngineRetryAfter);
     }
     // Before any room is taken, a request that cannot meet its target any more is turned away.
@@ -132,7 +136,17 @@
         this->logChoice("admission", prefills, "", "target-unreachable", admission);
         return this->refuse("overloaded", "the first output cannot come in time", admission.expected);
     }
-    const Millis longest = std::clamp(this->leftUntilFirstOutput() - admission.expected, Millis(0), LongestWait);
+    this->expectedPrefill = admission.expected;
+    return std::nullopt;
+}
+
+ModelRun::Step ModelRun::reserveDecode()
+{
+    const auto decodes = this->selection.rankDecodes();
+    if (decodes.empty()) {
+        return this->refuse("no-capacity", "no live decode engine", NoEngineRetryAfter);
+    }
+    const Millis longest = std::clamp(this->leftUntilFirstOutput() - this->expectedPrefill, Millis(0), LongestWait);
     // Two engines are asked without queueing; then the request queues at the best one.
     std::vector<std::pair<std::string, Millis>> asks;
     for (std::size_t i = 0; i < std::min<std::size_t>(decodes.size(), 2); ++i) {
@@ -149,14 +163,14 @@
             return failure;
         }
         if (granted) {
-            this->logChoice("decode", decodes, engine, "free-slot", admission);
+            this->logChoice("decode", decodes, engine, "free-slot", {});
             this->decodeHold = std::move(hold);
             return std::nullopt;
         }
         expectedWait = hold->refusedWait();
     }
-    this->logChoice("decode", decodes, "", "no-free-slot", admission);
-    return this->refuse("no-capacity", "no decode engine has room in time", std::max(expectedWait, Millis(200)));
+    this->logChoice("decode", decodes, "", "no-free-slot", {});
+    return this->refuse("no-capacity", "no decode engine has room in time", expectedWait);
 }
 
 ModelRun::Step ModelRun::reservePrefill()
@@ -177,8 +191,7 @@
     }
     if (!granted) {
         this->logChoice("prefill", ranked, "", "no-room", {});
-        return this->refuse("no-capacity", "no prefill engine has room in time",
-                            std::max(hold->refusedWait(), Millis(200)));
+        return this->refuse("no-capacity", "no prefill engine has room in time", hold->refusedWait());
     }
     // The owner's answer is newer than the load that the first admission rested on.
     best.expectedWaitMs = static_cast<double>(hold->grant().expectedWait.count());
@@ -235,6 +248,7 @@
         return this->fail(502, "engine-protocol", "the prefill engine's answer belongs to no request", true);
     }
     this->handle = answered["handle"].get<std::string>();
+    this->expectedPrefill = this->core.transferEstimate();
     this->prefillHold->releaseRoom();
     this->core.retries.success(engine);
     this->core.hooks.notePrefix(this->request.prefix(), engine);
@@ -263,6 +277,7 @@
         }
     }
     this->prefillSpent = false;
+    this->expectedPrefill = Millis(0);
     this->decodeHold.reset();
     this->prefillHold.reset();
 }
@@ -289,7 +304,9 @@
 
 ModelRun::Failure ModelRun::refuse(const std::string &type, const std::string &message, Millis retryAfter) const
 {
-    return Failure{CallerError{503, type, message, this->state.outcomeOnFailure(), retryAfter}, false};
+    return Failure{CallerError{503, type, message, this->state.outcomeOnFailure(),
+                               std::clamp(retryAfter, ShortestRetryAfter, LongestRetryAfter)},
+                   false};
 }
 
 ModelRun::Failure ModelRun::broken(const std::string &engine, const ExchangeEnd &end, const std::string &stage)
@@ -363,6 +380,9 @@
 void ModelRun::countDone()
 {
     const Metrics::Labels labels{{"workspace", this->workspaceLabel}, {"model", this->request.model}};
+    if (this->relay.outputs() == 0) {
+        return; // An empty answer has no times.
+    }
     const auto firstOutput = this->relay.firstOutput() - this->arrival;
     this->core.metrics.observe("cyclamencross_first_output_seconds", toSeconds(firstOutput));
     this->core.metrics.observe("cyclamencross_between_outputs_seconds", toSeconds(this->relay.betweenOutputs()));
--- a/src/proxy/modelrun.h
+++ b/src/proxy/modelrun.h
@@ -44,6 +44,7 @@
     using Step = std::optional<Failure>;
 
     Step attempt();
+    Step admitEarly();
     Step reserveDecode();
     Step reservePrefill();
     Step prefill();
@@ -82,6 +83,7 @@
     std::unique_ptr<EngineHold> decodeHold;
     std::unique_ptr<EngineHold> prefillHold;
     std::string handle;
+    Millis expectedPrefill{0}; ///< Until the first output, once a decode slot is there; 0 after the prefill.
     bool prefillSpent = false; ///< The attempt's prefill may have cost an engine work.
     std::string answer;
 };
--- a/src/proxy/proxyserver.cpp
+++ b/src/proxy/proxyserver.cpp
@@ -107,6 +107,13 @@
     const bool get = request.method == "GET" || request.method == "HEAD";
     if (get && request.path == "/v1/entry") {
         const FleetViewPtr view = this->core.hooks.view();
+        if (view->isolated || !view->ready) {
+            exchange.reply(errorReply(CallerError{503, view->isolated ? "isolated" : "not-ready",
+                                                  "this entry does not know the fleet; ask another one",
+                                                  RunOutcome::NotRun, BusyRetryAfter},
+                                      ""));
+            return;
+        }
         exchange.reply(answerEntry(request, *view, this->services.guard().newTicket()));
     } else if (get && request.path == "/healthz") {
         exchange.reply(plain(200, "ok\n"));
--- a/src/proxy/serviceflow.cpp
+++ b/src/proxy/serviceflow.cpp
@@ -89,16 +89,18 @@
     const FleetDefaults defaults = effectiveDefaults(*view, request.header("Workspace", "default"), "", unixSeconds());
     const auto deadline = parseDeadline(request, defaults.requestDeadline);
     HttpReply reply;
-    if (const auto refusal = this->core.refusal()) {
+    const bool keyed = !request.header("Idempotency-Key").empty();
+    const auto refusal = this->core.refusal();
+    // A call with a key may be a resend, so the guard answers it, also where new work is refused.
+    if (refusal && !keyed) {
         reply = errorReply(*refusal, requestId);
     } else if (const auto *invalid = std::get_if<CallerError>(&deadline)) {
         reply = errorReply(*invalid, requestId);
     } else {
         this->core.retries.addFresh(defaults.retryBudget);
         exchange.cancelSignal().setDeadline(Clock::now() + std::get<Millis>(deadline));
-        reply = request.header("Idempotency-Key").empty()
-            ? this->run(request, requestId, exchange.cancelSignal(), false)
-            : this->callGuard.answer(request, requestId, exchange.cancelSignal());
+        reply = keyed ? this->callGuard.answer(request, requestId, exchange.cancelSignal())
+                      : this->run(request, requestId, exchange.cancelSignal(), false);
     }
     const auto found = reply.headers.find("Run-Outcome");
     const std::string outcome = found == reply.headers.end() ? "done" : found->second;
@@ -151,6 +153,7 @@
     // What the attempts so far allow to say of the work.
     RunOutcome outcome = RunOutcome::NotRun;
     std::string detail = "no live backend server could be reached";
+    std::optional<HttpReply> lastAnswer;
     const std::vector<Backend> candidates = servers;
     for (int attempt = 1; attempt <= MaxAttempts && !servers.empty(); ++attempt) {
         const Backend server = servers.front();
@@ -169,8 +172,11 @@
         }
         this->noteEnd(server, end, call);
         const auto *answer = std::get_if<BackendReply>(&end);
-        if (answer != nullptr && !(call.mayRepeat && isOverloadStatus(answer->status) && !servers.empty())) {
-            return toCaller(*answer, call.requestId, call.request.method == "HEAD");
+        if (answer != nullptr) {
+            lastAnswer = toCaller(*answer, call.requestId, call.request.method == "HEAD");
+            if (!call.mayRepeat || !isOverloadStatus(answer->status)) {
+                return *lastAnswer;
+            }
         }
         if (!std::holds_alternative<ConnectFailed>(end)) {
             outcome = RunOutcome::Unknown;
@@ -185,6 +191,9 @@
         }
         this->core.metrics.count("cyclamencross_retries_total", {{"kind", "service"}});
     }
+    if (lastAnswer) {
+        return *lastAnswer;
+    }
     CallerError error{503, "no-capacity", detail + " in pool " + pool, outcome, NoServerRetryAfter};
     if (outcome == RunOutcome::Unknown) {
         error.status = 502;
