--- a/src/cyclamencross/entryprocess.cpp
+++ b/src/cyclamencross/entryprocess.cpp
@@ -13,6 +13,7 @@
 #include "cyclamencross/fleet/fleetservice.h"
 #include "cyclamencross/grant/grantservice.h"
 #include "cyclamencross/net/datagramport.h"
+#include "cyclamencross/net/incarnation.h"
 #include "cyclamencross/proxy/proxyserver.h"
 
 #include <atomic>
@@ -97,7 +98,7 @@
 int runEntry(const Settings &settings)
 {
     const StopSignal signal;
-    const std::uint64_t incarnation = randomNumber();
+    const std::uint64_t incarnation = newIncarnation();
     std::atomic<bool> drainOrdered{false};
     Metrics metrics;
     ControlSystem control;
