--- a/src/decide/choices_test.cpp
+++ b/src/decide/choices_test.cpp
@@ -4,6 +4,7 @@
 #include "cyclamencross/decide/entrychoice.h"
 
 #include <algorithm>
+#include <set>
 
 #include <catch2/catch.hpp>
 
@@ -121,6 +122,27 @@
     CHECK(ranked[2].engine.address == "full");
 }
 
+// Guards against a ranking whose cost grows with the fleet, and against a sample that loses the hinted engine.
+TEST_CASE("of many engines a sample with the hinted one is ranked")
+{
+    std::mt19937_64 random(1);
+    std::vector<Backend> engines;
+    for (int i = 0; i < 1000; ++i) {
+        engines.push_back(makeEngine(std::to_string(i)));
+    }
+    const LoadLookup load = [](const std::string &engine) { return EngineLoad{engine, 8, 0, 0, 10000, {}}; };
+    const auto ranked = rankPrefill(engines, load, 1000, "500", random);
+    CHECK(ranked.size() == MaxRanked);
+    CHECK(ranked.front().engine.address == "500");
+    std::set<std::string> drawn;
+    for (int i = 0; i < 200; ++i) {
+        for (const auto &engine : rankDecode(engines, load, "", random)) {
+            drawn.insert(engine.engine.address);
+        }
+    }
+    CHECK(drawn.size() > 990);
+}
+
 // Guards against prefills that are started although their answer would be late.
 TEST_CASE("admission keeps a margin that grows with the wasted-prefill weight")
 {
--- a/src/decide/enginechoice.cpp
+++ b/src/decide/enginechoice.cpp
@@ -1,6 +1,7 @@
 #include "cyclamencross/decide/enginechoice.h"
 
 #include <algorithm>
+#include <numeric>
 #include <utility>
 
 namespace Cyclamen
@@ -27,6 +28,31 @@
     return known > 0 ? sum / known : 0;
 }
 
+// Returns at most MaxRanked of @p candidates, drawn at random, with @p always among them if it is a candidate.
+std::vector<Backend> sample(const std::vector<Backend> &candidates, const std::string &always, std::mt19937_64 &random)
+{
+    if (candidates.size() <= MaxRanked) {
+        return candidates;
+    }
+    std::vector<std::size_t> indices(candidates.size());
+    std::iota(indices.begin(), indices.end(), std::size_t(0));
+    std::vector<Backend> drawn;
+    drawn.reserve(MaxRanked);
+    const auto kept = std::find_if(candidates.begin(), candidates.end(),
+                                   [&always](const Backend &other) { return other.address == always; });
+    std::size_t first = 0;
+    if (kept != candidates.end()) {
+        std::swap(indices[0], indices[static_cast<std::size_t>(kept - candidates.begin())]);
+        drawn.push_back(*kept);
+        first = 1;
+    }
+    for (std::size_t i = first; i < MaxRanked; ++i) {
+        std::swap(indices[i], indices[std::uniform_int_distribution<std::size_t>(i, indices.size() - 1)(random)]);
+        drawn.push_back(candidates[indices[i]]);
+    }
+    return drawn;
+}
+
 std::vector<std::optional<EngineLoad>> lookUp(const std::vector<Backend> &candidates, const LoadLookup &load)
 {
     std::vector<std::optional<EngineLoad>> loads;
@@ -39,10 +65,11 @@
 
 }
 
-std::vector<RankedEngine> rankPrefill(const std::vector<Backend> &candidates, const LoadLookup &load,
+std::vector<RankedEngine> rankPrefill(const std::vector<Backend> &all, const LoadLookup &load,
                                       std::uint64_t promptTokens, const std::optional<std::string> &hintedEngine,
                                       std::mt19937_64 &random)
 {
+    const std::vector<Backend> candidates = sample(all, hintedEngine.value_or(""), random);
     const auto loads = lookUp(candidates, load);
     const double usualSpeed = meanSpeed(loads);
     std::vector<RankedEngine> ranked;
@@ -66,8 +93,8 @@
     return ranked;
 }
 
-std::vector<RankedEngine> rankDecode(const std::vector<Backend> &candidates, const LoadLookup &load,
-                                     const std::string &zone, std::mt19937_64 &random)
+std::vector<RankedEngine> rankDecode(const std::vector<Backend> &all, const LoadLookup &load, const std::string &zone,
+                                     std::mt19937_64 &random)
 {
     struct Keyed
     {
@@ -75,6 +102,7 @@
         bool near = false;
         RankedEngine engine;
     };
+    const std::vector<Backend> candidates = sample(all, "", random);
     const auto loads = lookUp(candidates, load);
     std::uint32_t mostFree = 0;
     for (const auto &known : loads) {
--- a/src/decide/engineledger.cpp
+++ b/src/decide/engineledger.cpp
@@ -140,6 +140,11 @@
     return release;
 }
 
+void EngineLedger::setUnreachable()
+{
+    this->hasReport = false;
+}
+
 void EngineLedger::addHeld(const SlotGrant &grant, TimePoint now, bool confirmed)
 {
     this->held.emplace(grant.requestId, Held{grant, now, confirmed});
@@ -342,7 +347,9 @@
         used += entry->ask.slots;
         tokens += static_cast<double>(entry->ask.tokens);
     }
-    load.held = static_cast<std::uint32_t>(std::min<std::uint64_t>(used, this->reported.slots));
+    // Nothing is free while nothing is granted, so that askers turn to other engines.
+    load.held = this->canGrant(now) ? static_cast<std::uint32_t>(std::min<std::uint64_t>(used, this->reported.slots))
+                                    : this->reported.slots;
     load.queuedTokens = static_cast<std::uint64_t>(tokens);
     return load;
 }
--- a/src/decide/engineledger_test.cpp
+++ b/src/decide/engineledger_test.cpp
@@ -55,6 +55,21 @@
     CHECK(refused[0].reason == "no-fresh-report");
 }
 
+// Guards against prefills wasted on a decode engine that has just died, and against its old report being trusted when
+// it is back.
+TEST_CASE("an unreachable engine gets nothing until it has been read anew")
+{
+    EngineLedger ledger("engine");
+    ledger.report(makeLoad(2, Start), {}, Start);
+    ledger.setUnreachable();
+    ledger.ask(makeAsk("a.1.1"), Start + Millis(10));
+    CHECK(grantedIds(ledger, Start + Millis(10)).empty());
+    ledger.reportLoad(makeLoad(2, Start + Millis(20)), Start + Millis(20));
+    CHECK(grantedIds(ledger, Start + Millis(20)).empty());
+    ledger.report(makeLoad(2, Start + Millis(30)), {"b.1.1"}, Start + Millis(30));
+    CHECK(grantedIds(ledger, Start + Millis(30)) == "a.1.1 ");
+}
+
 // Guards against a late copy of an ask that takes a slot which nobody releases, and against a late release of an
 // earlier ask that frees the slot of a later one.
 TEST_CASE("asks and releases are told apart by their number")
--- /dev/null
+++ b/src/decide/slopesbench.cpp
@@ -0,0 +1,198 @@
+#include "slopesbench.h"
+
+#include "cyclamencross/base/hash.h"
+#include "cyclamencross/decide/crashledger.h"
+#include "cyclamencross/decide/enginechoice.h"
+#include "cyclamencross/decide/engineledger.h"
+#include "cyclamencross/decide/engineowner.h"
+
+#include <cstddef>
+#include <cstdio>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <malloc.h>
+
+namespace Cyclamen
+{
+
+namespace
+{
+
+constexpr std::uint32_t Slots = 20;
+constexpr std::int64_t Now = 1000000; // Unix seconds
+
+std::size_t allocatedBytes()
+{
+    return mallinfo2().uordblks;
+}
+
+// Returns the microseconds that one call of @p action takes, over @p times calls.
+double microsPerCall(int times, const std::function<void(int)> &action)
+{
+    const TimePoint began = Clock::now();
+    for (int i = 0; i < times; ++i) {
+        action(i);
+    }
+    return std::chrono::duration<double, std::micro>(Clock::now() - began).count() / times;
+}
+
+void printRow(const char *what, std::size_t size, double bytes, double micros)
+{
+    std::printf("| %s | %zu | %.0f | %.2f |\n", what, size, bytes, micros);
+}
+
+std::string requestId(std::size_t n)
+{
+    return "entry-012.0123456789abcdef." + std::to_string(n);
+}
+
+SlotAsk makeAsk(std::size_t n, Millis maxWait)
+{
+    return {requestId(n), "10.11.12.13:8000", "workspace-" + std::to_string(n % 350), 1, 1, 0, maxWait, n + 1};
+}
+
+std::vector<Member> makeMembers(std::size_t count)
+{
+    std::vector<Member> members(count);
+    for (std::size_t i = 0; i < count; ++i) {
+        members[i].name = "entry-" + std::to_string(i);
+        members[i].zone = "zone-" + std::to_string(i % 13);
+        members[i].region = "region-" + std::to_string(i % 6);
+        members[i].callerAddress = members[i].adminAddress = members[i].gossipAddress = "10.11.12.13:8000";
+    }
+    return members;
+}
+
+std::vector<Backend> makeEngines(std::size_t count)
+{
+    std::vector<Backend> engines(count);
+    for (std::size_t i = 0; i < count; ++i) {
+        engines[i].address = "10.11." + std::to_string(i / 250) + "." + std::to_string(i % 250) + ":8000";
+        engines[i].zone = "zone-" + std::to_string(i % 13);
+        engines[i].model = "draft-llm";
+    }
+    return engines;
+}
+
+void measureLedgers()
+{
+    const TimePoint now = Clock::now();
+    std::vector<std::string> held;
+    for (std::size_t i = 0; i < Slots; ++i) {
+        held.push_back(requestId(i));
+    }
+    for (const std::size_t count : {10U, 100U, 1000U}) {
+        const std::size_t before = allocatedBytes();
+        std::vector<EngineLedger> ledgers;
+        ledgers.reserve(count);
+        for (std::size_t i = 0; i < count; ++i) {
+            ledgers.emplace_back("10.11.12.13:8000");
+            ledgers.back().report({"", Slots, Slots, 0, 0, now}, held, now);
+        }
+        const double bytes = static_cast<double>(allocatedBytes() - before) / static_cast<double>(count);
+        const double micros = microsPerCall(20000, [&](int i) {
+            ledgers[static_cast<std::size_t>(i) % count].report({"", Slots, Slots, 0, 0, now}, held, now);
+        });
+        printRow("owned engine with 20 requests: memory, time of a full report", count, bytes, micros);
+    }
+}
+
+void measureAsks()
+{
+    const TimePoint now = Clock::now();
+    for (const std::size_t waiting : {0U, 16U, 64U, 128U}) {
+        EngineLedger ledger("10.11.12.13:8000");
+        ledger.report({"", Slots, 0, 0, 0, now}, {}, now);
+        for (std::size_t i = 0; i < Slots; ++i) {
+            ledger.ask(makeAsk(i, Millis(1000)), now);
+        }
+        ledger.decide(now);
+        const std::size_t before = allocatedBytes();
+        for (std::size_t i = 0; i < waiting; ++i) {
+            ledger.ask(makeAsk(100 + i, Millis(1000)), now);
+        }
+        const double bytes = static_cast<double>(allocatedBytes() - before) / std::max<double>(1, double(waiting));
+        // The queue keeps its length: each round releases one grant and adds one ask.
+        std::vector<std::string> granted;
+        for (std::size_t i = 0; i < Slots; ++i) {
+            granted.push_back(requestId(i));
+        }
+        std::size_t next = 1000;
+        std::size_t turn = 0;
+        const double micros = microsPerCall(2000, [&](int) {
+            ledger.release(granted[turn], now);
+            ledger.ask(makeAsk(next++, Millis(1000)), now);
+            for (const auto &decision : ledger.decide(now)) {
+                granted[turn] = decision.ask.requestId;
+            }
+            turn = (turn + 1) % Slots;
+        });
+        printRow("waiting ask: memory, time of release, ask and decision", waiting, bytes, micros);
+    }
+}
+
+void measureCrashes()
+{
+    for (const std::size_t count : {100U, 1000U, 10000U}) {
+        const std::size_t before = allocatedBytes();
+        CrashLedger ledger;
+        const double micros = microsPerCall(static_cast<int>(count), [&](int i) {
+            ledger.add({hash64(std::to_string(i)), "10.11.12.13:8000", "entry-012", Now});
+        });
+        const double bytes = static_cast<double>(allocatedBytes() - before) / static_cast<double>(count);
+        printRow("crash record: memory, time of adding", count, bytes, micros);
+        std::size_t contained = 0;
+        const double check = microsPerCall(
+            20000, [&](int i) { contained += ledger.isContained(hash64(std::to_string(i)), Now) ? 1 : 0; });
+        printRow("crash record: time of checking a request", count, static_cast<double>(contained), check);
+    }
+}
+
+void measureOwners()
+{
+    for (const std::size_t count : {16U, 160U, 670U}) {
+        const std::size_t before = allocatedBytes();
+        const auto members = makeMembers(count);
+        const double bytes = static_cast<double>(allocatedBytes() - before) / static_cast<double>(count);
+        const auto engines = makeEngines(count * 5800 / 670);
+        std::size_t sink = 0;
+        const double first = microsPerCall(2000, [&](int i) {
+            sink += firstOwners(engines[static_cast<std::size_t>(i) % engines.size()], members, 3).size();
+        });
+        printRow("member: memory, time of finding three owners of an engine", count, bytes, first);
+        const double all = microsPerCall(20, [&](int) { sink += ownedEngines("entry-7", engines, members).size(); });
+        printRow("engine: time of finding all owned ones", engines.size(), sink > 0 ? 0 : 1, all);
+    }
+}
+
+void measureRanking()
+{
+    std::mt19937_64 random(1);
+    const LoadLookup load = [](const std::string &engine) {
+        return EngineLoad{engine, Slots, static_cast<std::uint32_t>(engine.size() % Slots), 100, 1e5, {}};
+    };
+    for (const std::size_t count : {12U, 100U, 1450U}) {
+        const auto engines = makeEngines(count);
+        std::size_t sink = 0;
+        const double micros =
+            microsPerCall(200, [&](int) { sink += rankPrefill(engines, load, 1000, std::nullopt, random).size(); });
+        printRow("candidate engine: time of ranking", count, sink > 0 ? 0 : 1, micros);
+    }
+}
+
+}
+
+void printSlopes()
+{
+    std::printf("| what | size | bytes each | microseconds per call |\n|---|---|---|---|\n");
+    measureLedgers();
+    measureAsks();
+    measureCrashes();
+    measureOwners();
+    measureRanking();
+}
+
+}
--- a/src/grant/enginepoller.cpp
+++ b/src/grant/enginepoller.cpp
@@ -2,12 +2,12 @@
 
 #include "engineclient.h"
 
+#include "cyclamencross/base/failures.h"
 #include "cyclamencross/base/logline.h"
 #include "cyclamencross/base/metrics.h"
 #include "cyclamencross/decide/engineledger.h"
 
 #include <algorithm>
-#include <optional>
 #include <set>
 #include <utility>
 
@@ -149,7 +149,7 @@
         engine = job.engine;
     }
     const EngineClient client(engine.address, this->settings.connectTimeout, ReplyTimeout);
-    const auto load = valueOf(client.load());
+    const auto load = this->readLoad(client, engine.address);
     if (!load) {
         return false;
     }
@@ -178,6 +178,20 @@
     return true;
 }
 
+std::optional<EngineLoad> EnginePoller::readLoad(const EngineClient &client, const std::string &engine)
+{
+    return boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<std::optional<EngineLoad>> {
+            BOOST_LEAF_AUTO(load, client.load());
+            return std::optional(load);
+        },
+        [&](const ConnectFailed &) -> std::optional<EngineLoad> {
+            this->hooks.unreachable(engine);
+            return std::nullopt;
+        },
+        []() -> std::optional<EngineLoad> { return std::nullopt; });
+}
+
 void EnginePoller::sweep(const EngineClient &client, const std::string &engine, const std::vector<HeldRequest> &list)
 {
     const FleetViewPtr view = this->hooks.view();
--- a/src/grant/enginepoller.h
+++ b/src/grant/enginepoller.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -35,6 +36,7 @@
     {
         std::function<FleetViewPtr()> view;
         std::function<void(const EngineReport &report)> report;
+        std::function<void(const std::string &engine)> unreachable; ///< No connection could be opened.
     };
 
     EnginePoller(const Settings &settings, Hooks hooks, OrphanTracker &orphans, PrefixHints &hints, Metrics &metrics);
@@ -63,6 +65,7 @@
     JobPtr nextJob(TimePoint now);
     TimePoint nextDue(TimePoint now) const;
     bool poll(Job &job);
+    std::optional<EngineLoad> readLoad(const EngineClient &client, const std::string &engine);
     void sweep(const EngineClient &client, const std::string &engine, const std::vector<HeldRequest> &list);
     void readCacheEvents(const EngineClient &client, const std::string &engine);
     void finish(Job &job, bool isGood);
--- a/src/grant/grantservice.cpp
+++ b/src/grant/grantservice.cpp
@@ -28,6 +28,10 @@
     SlotAsk ask;
     std::string replyAddress; // empty: this process
 };
+struct UnreachableMessage
+{
+    std::string engine;
+};
 struct TickMessage
 {
 };
@@ -46,6 +50,7 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(Cyclamen::AskMessage)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(Cyclamen::SlotRelease)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(Cyclamen::EngineReport)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(Cyclamen::UnreachableMessage)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(Cyclamen::TickMessage)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(Cyclamen::WakeMessage)
 
@@ -87,6 +92,10 @@
             book->takeReport(report, Clock::now());
             planWake(self, *book);
         },
+        [=](const UnreachableMessage &message) {
+            book->takeUnreachable(message.engine, Clock::now());
+            planWake(self, *book);
+        },
         [=](const TickMessage & /*message*/) {
             self->delayed_send(self, TickPeriod, TickMessage{});
             book->tick(Clock::now());
@@ -117,6 +126,7 @@
     Members(const Settings &settings, ViewHook view, ControlSystem &control, SendHook send, Metrics &metrics);
     SlotClient::Hooks clientHooks();
     LedgerBook::Hooks bookHooks();
+    EnginePoller::Hooks pollerHooks();
 
     ViewHook view;
     SendHook send;
@@ -140,8 +150,7 @@
     , client(this->clientHooks(), this->loads, metrics)
     , book(this->bookHooks(), metrics)
     , actor(controlSystem.actors().spawn(makeBehavior, &this->book))
-    , poller(settings, {this->view, [this](const EngineReport &report) { caf::anon_send(this->actor, report); }},
-             this->orphans, this->hints, metrics)
+    , poller(settings, this->pollerHooks(), this->orphans, this->hints, metrics)
 {
 }
 
@@ -187,6 +196,15 @@
     return hooks;
 }
 
+EnginePoller::Hooks GrantService::Members::pollerHooks()
+{
+    EnginePoller::Hooks hooks;
+    hooks.view = this->view;
+    hooks.report = [this](const EngineReport &report) { caf::anon_send(this->actor, report); };
+    hooks.unreachable = [this](const std::string &engine) { caf::anon_send(this->actor, UnreachableMessage{engine}); };
+    return hooks;
+}
+
 GrantService::GrantService(const Settings &settings, ViewHook view, ControlSystem &control, SendHook send,
                            Metrics &metrics)
     : members(std::make_unique<Members>(settings, std::move(view), control, std::move(send), metrics))
--- a/src/grant/grantservice_test.cpp
+++ b/src/grant/grantservice_test.cpp
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <set>
 #include <thread>
@@ -260,6 +261,16 @@
     CHECK(eventually([&] { return fleet.acquire("e1", idOf("e1", 3)).has_value(); }));
 }
 
+// Guards against requests that are sent to an engine which has died, before the host list shows it.
+TEST_CASE("an engine that refuses connections gets no grant")
+{
+    auto engine = std::make_unique<FakeEngine>(5);
+    FakeFleet fleet({"e1", "e2"}, engine->address);
+    REQUIRE(eventually([&] { return fleet.acquire("e1", idOf("e1", 1)).has_value(); }));
+    engine.reset();
+    CHECK(eventually([&] { return !fleet.acquire("e1", idOf("e1", 2)).has_value(); }));
+}
+
 // Guards against engine memory that a dead entry's requests keep for ever, and against cancelling live ones.
 TEST_CASE("the owner cancels requests of dead entries")
 {
--- a/src/grant/ledgerbook.cpp
+++ b/src/grant/ledgerbook.cpp
@@ -189,6 +189,15 @@
     this->settle(it->second, now);
 }
 
+void LedgerBook::takeUnreachable(const std::string &engine, TimePoint now)
+{
+    const auto it = this->records.find(engine);
+    if (it != this->records.end()) {
+        it->second.ledger.setUnreachable();
+        this->settle(it->second, now);
+    }
+}
+
 void LedgerBook::wake(TimePoint now)
 {
     for (auto &[address, record] : this->records) {
--- a/src/grant/ledgerbook.h
+++ b/src/grant/ledgerbook.h
@@ -45,6 +45,8 @@
     void takeAsk(const SlotAsk &ask, const std::string &replyAddress, TimePoint now);
     void takeRelease(const SlotRelease &release, TimePoint now);
     void takeReport(const EngineReport &report, TimePoint now);
+    /// Grants nothing on an engine that refuses connections, until it is read again.
+    void takeUnreachable(const std::string &engine, TimePoint now);
     /// Follows changes of the fleet, forgets the dead, and ends waits that are over.
     void tick(TimePoint now);
     /// Decides where a wait ends or prefill room comes free by now.
--- a/src/include/cyclamencross/decide/engineledger.h
+++ b/src/include/cyclamencross/decide/engineledger.h
@@ -49,7 +49,7 @@
     /// Reports and lists of an engine may lag behind by this much: what was released within it is not foreign.
     static constexpr Millis ReportLag{500};
     /// Bounds the memory and the time of one decide().
-    static constexpr std::size_t MaxWaiting = 512;
+    static constexpr std::size_t MaxWaiting = 128;
     /// Bounds the memory against a peer that floods releases.
     static constexpr std::size_t MaxReleased = 4096;
 
@@ -62,6 +62,8 @@
     void report(const EngineLoad &load, const std::vector<std::string> &held, TimePoint now);
     /// Takes a load report without the list of requests.
     void reportLoad(const EngineLoad &load, TimePoint now);
+    /// The engine refuses connections: nothing is granted until the next full report.
+    void setUnreachable();
     /// Enters an ask. The same request id again replaces its earlier ask or repeats its grant; a copy of an ask that
     /// was released is refused.
     void ask(const SlotAsk &ask, TimePoint now);
@@ -76,7 +78,8 @@
     /// Returns the asks decided by now: granted in order of priority, then fairly among workspaces; refused when
     /// their wait has run out or cannot be met.
     std::vector<Decision> decide(TimePoint now);
-    /// Returns the load that includes what is granted and waits. `held` is at most `slots`.
+    /// Returns the load that includes what is granted and waits. `held` is at most `slots`, and equal to it while
+    /// nothing can be granted.
     EngineLoad load(TimePoint now) const;
     /// Returns when decide() must run next although nothing else happens; nothing if no one waits.
     std::optional<TimePoint> nextDeadline(TimePoint now) const;
