--- a/src/grant/grantservice_test.cpp
+++ b/src/grant/grantservice_test.cpp
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <set>
 #include <thread>
@@ -260,6 +261,18 @@
     CHECK(eventually([&] { return fleet.acquire("e1", idOf("e1", 3)).has_value(); }));
 }
 
+// Guards against requests that are sent to an engine which has died, before the host list shows it.
+TEST_CASE("an engine that refuses connections gets no grant")
+{
+    auto engine = std::make_unique<FakeEngine>(5000);
+    FakeFleet fleet({"e1", "e2"}, engine->address);
+    REQUIRE(eventually([&] { return fleet.acquire("e1", idOf("e1", 1)).has_value(); }));
+    engine.reset();
+    int n = 1;
+    CHECK(eventually([&] { return !fleet.acquire("e1", idOf("e1", ++n)).has_value(); }));
+    CHECK(n < 5000); // Slots were left, so the lost connection is the reason.
+}
+
 // Guards against engine memory that a dead entry's requests keep for ever, and against cancelling live ones.
 TEST_CASE("the owner cancels requests of dead entries")
 {
