--- a/src/cyclamencross/adminroutes.cpp
+++ b/src/cyclamencross/adminroutes.cpp
@@ -1,6 +1,5 @@
 #include "adminroutes.h"
 
-#include "confighistory.h"
 #include "statusjson.h"
 
 #include "cyclamencross/admin/adminserver.h"
@@ -11,6 +10,7 @@
 #include "cyclamencross/base/runoutcome.h"
 #include "cyclamencross/base/timing.h"
 #include "cyclamencross/decide/crashledger.h"
+#include "cyclamencross/fleet/configtext.h"
 
 #include <set>
 #include <utility>
@@ -64,17 +64,35 @@
                 {"text", text}};
 }
 
-Json historyJson(const ConfigHistory &history)
+Json revisionJson(const std::string &text)
 {
-    Json body{{"revisions", Json::array()}};
-    for (const ConfigRevision &revision : history.revisions()) {
-        body["revisions"].push_back(Json{{"revision", revision.revision},
-                                         {"change_id", revision.changeId},
-                                         {"author", revision.author},
-                                         {"seen_unix_time", revision.seenUnixTime},
-                                         {"text", revision.text}});
-    }
-    return body;
+    return boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<Json> {
+            BOOST_LEAF_AUTO(config, parseConfig(text, ""));
+            return Json{{"revision", config.revision},
+                        {"change_id", config.changeId},
+                        {"author", config.author},
+                        {"text", text}};
+        },
+        // A text of another version must not hide the rest of the history.
+        [&] {
+            return Json{{"revision", 0}, {"change_id", ""}, {"author", ""}, {"text", text}};
+        });
+}
+
+HttpReply listHistory(const AdminHooks &hooks)
+{
+    return boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<HttpReply> {
+            BOOST_LEAF_AUTO(texts, hooks.configHistory());
+            Json body{{"revisions", Json::array()}};
+            for (const std::string &text : texts) {
+                body["revisions"].push_back(revisionJson(text));
+            }
+            return jsonReply(200, body);
+        },
+        [](const KeyValueUnavailable &fault) { return notRun(503, "key-value-unavailable", fault.detail); },
+        [] { return notRun(500, "internal", "the history could not be read"); });
 }
 
 HttpReply conflictReply(const AdminHooks &hooks, const RevisionConflict &conflict)
@@ -163,7 +181,7 @@
 
 }
 
-void addAdminRoutes(AdminServer &server, AdminHooks hooks, const ConfigHistory &history)
+void addAdminRoutes(AdminServer &server, AdminHooks hooks)
 {
     // Reading needs no signature: the admin port is for operators and peers only.
     const auto shared = std::make_shared<const AdminHooks>(std::move(hooks));
@@ -173,7 +191,7 @@
     server.route("GET", "/admin/config", RouteAccess::Open,
                  [shared](const HttpRequest &) { return jsonReply(200, configJson(*shared)); });
     server.route("GET", "/admin/config/history", RouteAccess::Open,
-                 [&history](const HttpRequest &) { return jsonReply(200, historyJson(history)); });
+                 [shared](const HttpRequest &) { return listHistory(*shared); });
     server.route("POST", "/admin/config", RouteAccess::Signed,
                  [shared](const HttpRequest &request) { return applyConfig(*shared, request); });
     server.route("GET", "/admin/crashes", RouteAccess::Open,
--- a/src/cyclamencross/adminroutes.h
+++ b/src/cyclamencross/adminroutes.h
@@ -14,7 +14,6 @@
 {
 
 class AdminServer;
-class ConfigHistory;
 
 /// What the operators' routes need from the process; see FleetService for the contracts.
 struct AdminHooks
@@ -24,6 +23,7 @@
     std::function<boost::leaf::result<std::uint64_t>(const std::string &text, std::uint64_t baseRevision,
                                                      const std::string &changeId, const std::string &author)>
         applyConfig;
+    std::function<boost::leaf::result<std::vector<std::string>>()> configHistory;
     std::function<std::vector<CrashReport>()> crashes;
     std::function<void(std::uint64_t)> liftCrash;
 };
@@ -31,7 +31,6 @@
 /// Adds the routes for operators and the peers' configuration fetch to @p server:
 /// `GET /admin/status`, `GET|POST /admin/config`, `GET /admin/config/history`, `GET /admin/crashes`,
 /// `POST /admin/crashes/lift` and `GET /peer/config`.
-/// @param history must outlive the server.
-void addAdminRoutes(AdminServer &server, AdminHooks hooks, const ConfigHistory &history);
+void addAdminRoutes(AdminServer &server, AdminHooks hooks);
 
 }
--- a/src/cyclamencross/configapplycommand.cpp
+++ b/src/cyclamencross/configapplycommand.cpp
@@ -8,6 +8,7 @@
 
 #include "cyclamencross/base/hash.h"
 #include "cyclamencross/base/inifile.h"
+#include "cyclamencross/fleet/configtext.h"
 
 #include <charconv>
 #include <cstdlib>
@@ -65,23 +66,6 @@
         });
 }
 
-// The file says which revision it was made from, unless --base overrides it.
-boost::leaf::result<std::uint64_t> readBase(const CommandOptions &options, const std::string &text)
-{
-    std::optional<std::uint64_t> base = parseRevision(options.value("base"));
-    BOOST_LEAF_AUTO(entries, parseIni(text, options.value("file")));
-    for (const IniEntry &entry : entries) {
-        if (!options.has("base") && entry.section == "change" && entry.key == "revision") {
-            base = parseRevision(entry.value);
-        }
-    }
-    if (!base) {
-        return boost::leaf::new_error(
-            UsageFault{"the file or --base must name the revision that the change is based on"});
-    }
-    return *base;
-}
-
 }
 
 int configApplyCommand(int count, const char *const *arguments)
@@ -97,7 +81,12 @@
     return runCommand([&]() -> boost::leaf::result<int> {
         ConfigChange change;
         BOOST_LEAF_ASSIGN(change.text, readTextFile(options.value("file")));
-        BOOST_LEAF_ASSIGN(change.baseRevision, readBase(options, change.text));
+        BOOST_LEAF_AUTO(config, parseConfig(change.text, options.value("file")));
+        const auto base = options.has("base") ? parseRevision(options.value("base")) : config.revision;
+        if (!base) {
+            return boost::leaf::new_error(UsageFault{"--base takes a revision number"});
+        }
+        change.baseRevision = *base;
         change.changeId = toHex(randomNumber());
         change.author = options.has("author") ? options.value("author") : defaultAuthor();
         if (change.author.empty()) {
--- a/src/cyclamencross/configchange.cpp
+++ b/src/cyclamencross/configchange.cpp
@@ -40,6 +40,20 @@
         [] { return std::optional<std::uint64_t>(); });
 }
 
+std::optional<std::string> findText(const std::string &historyBody, std::uint64_t wanted)
+{
+    if (wanted == 0) {
+        // Before the first change, the built-in values are in force, which an empty text stands for.
+        return "";
+    }
+    for (const Json &revision : list(parseBody(historyBody), "revisions")) {
+        if (number(revision, "revision") == wanted) {
+            return text(revision, "text");
+        }
+    }
+    return std::nullopt;
+}
+
 boost::leaf::result<std::uint64_t> resolve(const AdminClient &client, const ConfigChange &change,
                                            const std::string &detail, Millis resolveTime)
 {
@@ -75,7 +89,7 @@
             return info.error();
         },
         [&](const ExchangeBroken &fault) -> boost::leaf::result<std::uint64_t> {
-            return resolve(client, change, fault.detail, resolveTime);
+            return resolve(client, change, "the connection broke (" + fault.detail + ")", resolveTime);
         });
 }
 
@@ -88,16 +102,12 @@
     const std::string found = std::to_string(number(current, "revision"));
     std::string description = "Conflict: the change is based on revision " + base + ", but revision " + found + " by "
         + text(current, "author") + " is stored.\n";
-    for (const Json &revision : list(parseBody(historyBody), "revisions")) {
-        if (number(revision, "revision") == change.baseRevision) {
-            const std::string baseText = text(revision, "text");
-            return description + "Your change to revision " + base + ":\n"
-                + format(compareConfig(baseText, change.text)) + "Stored since revision " + base + ":\n"
-                + format(compareConfig(baseText, stored));
-        }
+    if (const auto baseText = findText(historyBody, change.baseRevision)) {
+        return description + "Your change to revision " + base + ":\n" + format(compareConfig(*baseText, change.text))
+            + "Stored since revision " + base + ":\n" + format(compareConfig(*baseText, stored));
     }
-    return description + "The entry no longer knows revision " + base + ". From revision " + found + " to your file:\n"
-        + format(compareConfig(stored, change.text));
+    return description + "The history no longer holds revision " + base + ". From revision " + found
+        + " to your file:\n" + format(compareConfig(stored, change.text));
 }
 
 }
--- a/src/cyclamencross/configcheckcommand.cpp
+++ b/src/cyclamencross/configcheckcommand.cpp
@@ -3,7 +3,9 @@
 #include "exitcode.h"
 #include "runcommand.h"
 
+#include "cyclamencross/base/inifile.h"
 #include "cyclamencross/base/settings.h"
+#include "cyclamencross/fleet/configtext.h"
 
 #include <iostream>
 
@@ -18,6 +20,12 @@
         return *code;
     }
     return runCommand([&]() -> boost::leaf::result<int> {
+        if (options.has("fleet")) {
+            BOOST_LEAF_AUTO(text, readTextFile(options.value("file")));
+            BOOST_LEAF_AUTO(config, parseConfig(text, options.value("file")));
+            std::cout << options.value("file") << ": ok, " << config.exceptions.size() << " exceptions\n";
+            return ExitOk;
+        }
         BOOST_LEAF_AUTO(settings, loadSettings(options.value("file")));
         std::cout << options.value("file") << ": ok, entry " << settings.name << "\n";
         return ExitOk;
--- a/src/cyclamencross/configdiff.cpp
+++ b/src/cyclamencross/configdiff.cpp
@@ -1,9 +1,9 @@
 #include "configdiff.h"
 
 #include "cyclamencross/base/inifile.h"
+#include "cyclamencross/fleet/configtext.h"
 
 #include <algorithm>
-#include <array>
 #include <iterator>
 #include <string_view>
 
@@ -15,29 +15,46 @@
 namespace
 {
 
-constexpr std::array<std::string_view, 3> RevisionKeys{"revision", "id", "author"};
+constexpr std::string_view ExceptionPrefix = "exception ";
 
-bool namesRevision(const IniEntry &entry)
+// Brings units, order and built-in values into the form in which configurations are stored.
+std::string normalise(const std::string &text)
 {
-    // Exceptions have an author of their own, which is part of the change.
-    return entry.section == "change"
-        && std::find(RevisionKeys.begin(), RevisionKeys.end(), entry.key) != RevisionKeys.end();
+    return boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<std::string> {
+            BOOST_LEAF_AUTO(config, parseConfig(text, ""));
+            return formatConfig(config);
+        },
+        [&] { return text; });
 }
 
-std::vector<std::string> sortedLines(const std::string &text)
+// Returns one line for each default and one for each exception. Exceptions have no lasting names: they are numbered
+// anew whenever a configuration is stored.
+std::vector<std::string> toLines(const std::vector<IniEntry> &entries)
 {
     std::vector<std::string> lines;
-    boost::leaf::try_handle_all(
-        [&]() -> boost::leaf::result<void> {
-            BOOST_LEAF_AUTO(entries, parseIni(text, ""));
-            for (const IniEntry &entry : entries) {
-                if (!entry.key.empty() && !namesRevision(entry)) {
-                    lines.push_back(entry.section + "." + entry.key + " = " + entry.value);
-                }
+    for (const IniEntry &entry : entries) {
+        if (entry.section.starts_with(ExceptionPrefix)) {
+            if (entry.key.empty()) {
+                lines.emplace_back("exception:");
+            } else {
+                lines.back() += " " + entry.key + " = " + entry.value + ";";
             }
-            return {};
+        } else if (!entry.key.empty() && entry.section != "change") {
+            lines.push_back(entry.section + "." + entry.key + " = " + entry.value);
+        }
+    }
+    return lines;
+}
+
+std::vector<std::string> sortedLines(const std::string &text)
+{
+    std::vector<std::string> lines = boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<std::vector<std::string>> {
+            BOOST_LEAF_AUTO(entries, parseIni(normalise(text), ""));
+            return toLines(entries);
         },
-        [] {});
+        [] { return std::vector<std::string>(); });
     std::sort(lines.begin(), lines.end());
     return lines;
 }
--- a/src/cyclamencross/configdiff.h
+++ b/src/cyclamencross/configdiff.h
@@ -6,7 +6,7 @@
 namespace Cyclamen
 {
 
-/// The difference between two configurations, as lines of the form "section.key = value".
+/// The difference between two configurations, as one line for each default and one for each exception.
 struct ConfigDiff
 {
     std::vector<std::string> removed;
@@ -15,8 +15,8 @@
     bool operator==(const ConfigDiff &) const = default;
 };
 
-/// Compares two INI texts by section and key, ignoring order, comments and the keys that name the revision itself.
-/// Text that is not INI is compared as empty.
+/// Compares two fleet configurations, ignoring order, comments, units, names of exceptions and the section [change].
+/// Text that is not INI counts as empty.
 ConfigDiff compareConfig(const std::string &before, const std::string &after);
 
 /// Returns @p diff as indented lines that start with '-' and '+'.
--- a/src/cyclamencross/entryprocess.cpp
+++ b/src/cyclamencross/entryprocess.cpp
@@ -1,7 +1,6 @@
 #include "entryprocess.h"
 
 #include "adminroutes.h"
-#include "confighistory.h"
 #include "stopsignal.h"
 
 #include "cyclamencross/admin/adminserver.h"
@@ -16,7 +15,6 @@
 #include "cyclamencross/proxy/proxyserver.h"
 
 #include <atomic>
-#include <utility>
 
 namespace Cyclamen
 {
@@ -25,8 +23,6 @@
 {
 
 constexpr Millis StopPollPeriod{100};
-constexpr std::size_t HistoryEntries = 200;
-constexpr std::size_t HistoryBytes = 4U << 20U;
 
 ProxyHooks makeHooks(FleetService &fleet, GrantService &grants)
 {
@@ -56,25 +52,12 @@
                                  const std::string &author) {
         return fleet.applyConfig(text, baseRevision, changeId, author);
     };
+    hooks.configHistory = [&fleet] { return fleet.configHistory(); };
     hooks.crashes = [&fleet] { return fleet.crashes(); };
     hooks.liftCrash = [&fleet](std::uint64_t fingerprint) { fleet.liftCrash(fingerprint); };
     return hooks;
 }
 
-void noteConfig(const FleetService &fleet, ConfigHistory &history)
-{
-    const FleetViewPtr view = fleet.view();
-    if (!view->config || view->config->revision <= history.newest()) {
-        return;
-    }
-    std::string text = fleet.configText();
-    // If the configuration changed in between, the text may belong to the later revision; the next poll notes it.
-    if (fleet.view()->config->revision == view->config->revision) {
-        history.note(ConfigRevision{view->config->revision, view->config->changeId, view->config->author, unixSeconds(),
-                                    std::move(text)});
-    }
-}
-
 // Keeps accepting until the last entry address that callers were given has expired, then waits for the rest.
 // A second signal skips the waiting.
 void drain(const Settings &settings, const StopSignal &signal, FleetService &fleet, ProxyServer &proxy)
@@ -107,10 +90,9 @@
         settings, [&fleet] { return fleet.view(); }, control, port, metrics);
     ProxyServer proxy(settings, incarnation, makeHooks(fleet, grants), metrics);
     ProcessMetrics process(metrics);
-    ConfigHistory history(HistoryEntries, HistoryBytes);
     AdminServer admin(settings, metrics);
     admin.readiness([&fleet] { return fleet.view()->ready && !fleet.view()->isolated; });
-    addAdminRoutes(admin, makeAdminHooks(fleet), history);
+    addAdminRoutes(admin, makeAdminHooks(fleet));
     admin.route("POST", "/peer/call", RouteAccess::Signed,
                 [&proxy](const HttpRequest &request) { return proxy.answerPeerCall(request); });
     admin.route("POST", "/admin/drain", RouteAccess::Signed, [&drainOrdered](const HttpRequest &) {
@@ -128,7 +110,6 @@
     LogLine("entry-started").add("caller", settings.callerAddress).add("incarnation", toHex(incarnation)).write();
     while (signal.count() == 0 && !drainOrdered.load()) {
         signal.wait(0, StopPollPeriod);
-        noteConfig(fleet, history);
     }
     drain(settings, signal, fleet, proxy);
     return 0;
--- a/src/cyclamencross/fakeentry.h
+++ b/src/cyclamencross/fakeentry.h
@@ -2,7 +2,6 @@
 
 #include "adminclient.h"
 #include "adminroutes.h"
-#include "confighistory.h"
 
 #include "cyclamencross/admin/adminserver.h"
 #include "cyclamencross/base/metrics.h"
@@ -43,7 +42,8 @@
     /// Runs a subcommand with the options that point it at this entry.
     Output run(const std::function<int(int, const char *const *)> &command, std::vector<std::string> arguments) const;
     AdminClient client() const;
-    void store(const std::string &text, std::uint64_t revision, const std::string &changeId, const std::string &author);
+    void store(const std::string &changed, std::uint64_t revision, const std::string &changeId,
+               const std::string &author);
     std::uint64_t revision() const;
 
     bool loseAnswers = false; ///< Each change ends as KeyValueUnavailable.
@@ -55,7 +55,7 @@
     mutable std::mutex mutex;
     FleetView view;
     std::string text;
-    ConfigHistory history{10, 100000};
+    std::vector<std::string> history; ///< Texts, the newest first.
     Settings settings;
     Metrics metrics;
     AdminServer server;
