--- a/src/cyclamencross/adminroutes.cpp
+++ b/src/cyclamencross/adminroutes.cpp
@@ -91,7 +91,9 @@
             }
             return jsonReply(200, body);
         },
-        [](const KeyValueUnavailable &fault) { return notRun(503, "key-value-unavailable", fault.detail); },
+        [](const KeyValueUnavailable &fault) {
+            return notRun(503, "key-value-unavailable", "the key-value service did not answer: " + fault.detail);
+        },
         [] { return notRun(500, "internal", "the history could not be read"); });
 }
 
@@ -138,7 +140,8 @@
         },
         [](const KeyValueUnavailable &fault) {
             // The write may have taken effect although its answer was lost.
-            return errorReply(503, RunOutcome::Unknown, "key-value-unavailable", fault.detail);
+            return errorReply(503, RunOutcome::Unknown, "key-value-unavailable",
+                              "the key-value service did not answer: " + fault.detail);
         },
         [] { return errorReply(500, RunOutcome::Unknown, "internal", "the change failed for an unknown reason"); });
 }
