--- a/testsuite/harness.py
+++ b/testsuite/harness.py
@@ -290,6 +290,17 @@
         self.wait_ready(again)
         return again
 
+    def restart_entry_killed(self, entry):
+        """Kills an entry and starts it again."""
+        entry.kill()
+        return self.restart_entry(entry)
+
+    def stored_revision(self):
+        """Returns the configuration revision in the key-value service."""
+        text = self.read_key("/cyclamencross/config/current") or b""
+        found = re.search(rb"^revision *= *(\d+)", text, re.MULTILINE)
+        return int(found[1]) if found else 0
+
     def wait_ready(self, entry):
         def ready():
             if not entry.running():
