--- a/src/proxy/callguard.cpp
+++ b/src/proxy/callguard.cpp
@@ -147,6 +147,7 @@
         },
         []() -> std::optional<CallRecord> { return std::nullopt; });
     if (standing && standing->attempt == wanted.attempt) {
+        this->registry.setAttempt(registryKey(request), wanted.attempt);
         return std::nullopt;
     }
     this->registry.forget(registryKey(request));
@@ -200,9 +201,10 @@
         this->registry.refused(key);
         return reply;
     }
+    CallRecord record = this->recordOf(request);
+    record.attempt = this->registry.attempt(key);
     this->registry.finish(key, reply);
-    if (!looksLikeTicket(keyOf(request))) {
-        CallRecord record = this->recordOf(request);
+    if (!record.attempt.empty()) {
         record.finished = true;
         record.status = reply.headers.contains("Run-Outcome") ? 0 : reply.status;
         this->core.hooks.finishCallRecord(record);
--- a/src/proxy/callregistry.cpp
+++ b/src/proxy/callregistry.cpp
@@ -35,7 +35,7 @@
     if (this->calls.size() >= MaxKeys) {
         return Answer{Standing::Full, {}};
     }
-    this->calls.emplace(key, Call{State::Running, requestHash, {}, {}});
+    this->calls.emplace(key, Call{State::Running, requestHash, "", {}, {}});
     return Answer{Standing::New, {}};
 }
 
@@ -78,6 +78,18 @@
     return Answer{Standing::ResultDropped, {}};
 }
 
+void CallRegistry::setAttempt(const std::string &key, const std::string &attempt)
+{
+    const std::scoped_lock lock(this->mutex);
+    this->calls.at(key).attempt = attempt;
+}
+
+std::string CallRegistry::attempt(const std::string &key)
+{
+    const std::scoped_lock lock(this->mutex);
+    return this->calls.at(key).attempt;
+}
+
 void CallRegistry::finish(const std::string &key, const HttpReply &result)
 {
     const std::scoped_lock lock(this->mutex);
--- a/src/proxy/callregistry.h
+++ b/src/proxy/callregistry.h
@@ -57,6 +57,10 @@
     /// Returns what is known of @p key without beginning it; New if nothing is, Again if it may be begun once more.
     Answer look(const std::string &key, const std::string &requestHash);
 
+    /// Keeps the attempt under which the durable record of a running call was created.
+    void setAttempt(const std::string &key, const std::string &attempt);
+    /// Returns the attempt of a running call; empty if it has no record.
+    std::string attempt(const std::string &key);
     /// The call ended with @p result.
     void finish(const std::string &key, const HttpReply &result);
     /// The call did not run; its key is remembered and may be begun again.
@@ -71,6 +75,7 @@
     {
         State state = State::Running;
         std::string requestHash;
+        std::string attempt;
         HttpReply result;
         TimePoint ended;
     };
--- a/src/proxy/errorreply.cpp
+++ b/src/proxy/errorreply.cpp
@@ -30,4 +30,12 @@
     return reply;
 }
 
+std::string errorType(const HttpReply &reply)
+{
+    const auto body = nlohmann::json::parse(reply.body, nullptr, false);
+    const auto pointer = nlohmann::json::json_pointer("/error/type");
+    return body.is_object() && body.contains(pointer) && body[pointer].is_string() ? body[pointer].get<std::string>()
+                                                                                   : "";
+}
+
 }
--- a/src/proxy/errorreply.h
+++ b/src/proxy/errorreply.h
@@ -29,4 +29,7 @@
 /// rounded up to seconds, so that refused callers do not all return at once.
 HttpReply errorReply(const CallerError &error, const std::string &requestId);
 
+/// Returns the type in the error that @p reply holds; empty if it holds none.
+std::string errorType(const HttpReply &reply);
+
 }
--- a/src/proxy/modelflow.cpp
+++ b/src/proxy/modelflow.cpp
@@ -1,9 +1,9 @@
 #include "modelflow.h"
 
-#include "effectivedefaults.h"
 #include "engineselection.h"
 #include "modelrequest.h"
 #include "modelrun.h"
+#include "requestdefaults.h"
 
 #include "cyclamencross/base/hash.h"
 #include "cyclamencross/base/logline.h"
@@ -72,13 +72,13 @@
     const CallerRequest &received = exchange.request();
     const FleetViewPtr view = this->core.hooks.view();
     const std::string workspace = received.header("Workspace", "default");
-    FleetDefaults defaults = effectiveDefaults(*view, workspace, "", unixSeconds());
+    FleetDefaults defaults = requestDefaults(*view, workspace, "", unixSeconds());
     auto parsed = parseModelRequest(received, defaults);
     if (const auto *error = std::get_if<CallerError>(&parsed)) {
         return refuse(*error);
     }
     ModelRequest &request = std::get<ModelRequest>(parsed);
-    defaults = effectiveDefaults(*view, workspace, request.model, unixSeconds());
+    defaults = requestDefaults(*view, workspace, request.model, unixSeconds());
     request.deadline = std::min(request.deadline, defaults.requestDeadline);
     request.maxTokens = std::min(request.maxTokens, defaults.maxTokens);
     if (!EngineSelection(this->core, request.model, false).modelKnown()) {
--- a/src/proxy/proxyserver.cpp
+++ b/src/proxy/proxyserver.cpp
@@ -57,7 +57,12 @@
                    })
         , server(
               settings.maxConnections, ConnectionLimits{settings.idleTimeout, 64U << 10U, settings.maxBodyBytes},
-              [this](CallerExchange &exchange) { this->handle(exchange); }, earlyRefusal)
+              [this](CallerExchange &exchange) { this->handle(exchange); },
+              [&metrics](int status) {
+                  HttpReply refusal = earlyRefusal(status);
+                  metrics.count("cyclamencross_refusals_total", {{"type", errorType(refusal)}});
+                  return refusal;
+              })
     {
     }
 
--- a/src/proxy/effectivedefaults.h
+++ b/src/proxy/requestdefaults.h
@@ -10,7 +10,7 @@
 
 /// Returns the fleet's defaults with the exceptions in force for a request. Exceptions for the availability zone apply
 /// first, then those for the model, then those for the workspace, so that the narrowest one wins.
-FleetDefaults effectiveDefaults(const FleetView &view, const std::string &workspace, const std::string &model,
-                                std::int64_t unixTime);
+FleetDefaults requestDefaults(const FleetView &view, const std::string &workspace, const std::string &model,
+                              std::int64_t unixTime);
 
 }
--- a/src/proxy/serviceflow.cpp
+++ b/src/proxy/serviceflow.cpp
@@ -1,8 +1,8 @@
 #include "serviceflow.h"
 
-#include "effectivedefaults.h"
 #include "engineselection.h"
 #include "modelrequest.h"
+#include "requestdefaults.h"
 
 #include "cyclamencross/base/logline.h"
 #include "cyclamencross/base/metrics.h"
@@ -86,7 +86,7 @@
     const std::string requestId = this->core.newRequestId();
     const CallerRequest &request = exchange.request();
     const FleetViewPtr view = this->core.hooks.view();
-    const FleetDefaults defaults = effectiveDefaults(*view, request.header("Workspace", "default"), "", unixSeconds());
+    const FleetDefaults defaults = requestDefaults(*view, request.header("Workspace", "default"), "", unixSeconds());
     const auto deadline = parseDeadline(request, defaults.requestDeadline);
     HttpReply reply;
     const bool keyed = !request.header("Idempotency-Key").empty();
@@ -104,6 +104,10 @@
     }
     const auto found = reply.headers.find("Run-Outcome");
     const std::string outcome = found == reply.headers.end() ? "done" : found->second;
+    const std::string type = outcome == "done" ? "" : errorType(reply);
+    if (!type.empty()) {
+        this->core.metrics.count("cyclamencross_refusals_total", {{"type", type}});
+    }
     this->core.metrics.count("cyclamencross_requests_total", {{"kind", "service"}, {"outcome", outcome}});
     LogLine("request-end")
         .add("request", requestId)
@@ -122,7 +126,6 @@
     call.fingerprint = this->core.crashGuard.fingerprint(request.header("Workspace", "default"),
                                                          request.method + " " + request.target, request.body);
     if (this->core.crashGuard.isContained(call.fingerprint)) {
-        this->core.metrics.count("cyclamencross_refusals_total", {{"type", "crash-contained"}});
         return errorReply(CallerError{422, "crash-contained", "requests like this one crashed backend servers",
                                       RunOutcome::NotRun, ContainedRetryAfter},
                           requestId);
@@ -139,7 +142,6 @@
         }
     }
     if (!known) {
-        this->core.metrics.count("cyclamencross_refusals_total", {{"type", "unknown-service"}});
         return errorReply(CallerError{404, "unknown-service", "no backend server belongs to the service"}, requestId);
     }
     servers = withoutOutliers(this->core.retries, servers);
@@ -203,7 +205,6 @@
         error.status = 504;
         error.type = "deadline-exceeded";
     }
-    this->core.metrics.count("cyclamencross_refusals_total", {{"type", error.type}});
     return errorReply(error, call.requestId);
 }
 
--- a/src/proxy/services_test.cpp
+++ b/src/proxy/services_test.cpp
@@ -111,6 +111,10 @@
     fixture.start();
     const std::string key = GENERATE(true, false) ? ticketOf(fixture) : "foreign-key";
     CHECK(post(fixture, key)->get_header_value_count("Idempotent-Replay") == 0);
+    for (const auto &[name, record] : fixture.records) {
+        CHECK(record.finished);
+        CHECK(record.status == 201);
+    }
     const auto again = post(fixture, key);
     CHECK(again->status == 201);
     CHECK(again->body == "booked");
