--- a/src/proxy/callguard.cpp
+++ b/src/proxy/callguard.cpp
@@ -125,21 +125,26 @@
         return *refusal;
     }
     const auto answer = this->registry.beginOrWait(registryKey(request), this->hashOf(request), cancel);
-    if (answer.standing == CallRegistry::Standing::New) {
-        if (auto otherwise = this->record(request, requestId, cancel)) {
-            return *otherwise;
-        }
-    } else if (answer.standing != CallRegistry::Standing::Again) {
+    if (answer.standing != CallRegistry::Standing::New && answer.standing != CallRegistry::Standing::Again) {
         return this->fromRegistry(answer, requestId);
     }
+    if (auto otherwise = this->record(request, requestId, cancel)) {
+        return *otherwise;
+    }
     return this->runAndKeep(request, requestId, cancel);
 }
 
 std::optional<HttpReply> CallGuard::record(const CallerRequest &request, const std::string &requestId,
                                            CancelSignal &cancel)
 {
+    const std::string key = registryKey(request);
     CallRecord wanted = this->recordOf(request);
-    wanted.attempt = toHex(randomNumber()) + toHex(randomNumber());
+    // An earlier try that was refused may have left a record of its attempt, so that attempt is used again.
+    wanted.attempt = this->registry.attempt(key);
+    if (wanted.attempt.empty()) {
+        wanted.attempt = toHex(randomNumber()) + toHex(randomNumber());
+        this->registry.setAttempt(key, wanted.attempt);
+    }
     const auto standing = leaf::try_handle_all(
         [&]() -> leaf::result<std::optional<CallRecord>> {
             BOOST_LEAF_AUTO(record, this->core.hooks.createCallRecord(wanted));
@@ -147,15 +152,15 @@
         },
         []() -> std::optional<CallRecord> { return std::nullopt; });
     if (standing && standing->attempt == wanted.attempt) {
-        this->registry.setAttempt(registryKey(request), wanted.attempt);
         return std::nullopt;
     }
-    this->registry.forget(registryKey(request));
     if (!standing) {
+        this->registry.refused(key);
         return errorReply(CallerError{503, "key-value-unavailable", "the call cannot be recorded, so it was not begun",
                                       RunOutcome::NotRun, KeyValueRetryAfter},
                           requestId);
     }
+    this->registry.forget(key);
     if (standing->bodyHash != wanted.bodyHash) {
         return this->fromRegistry({CallRegistry::Standing::OtherRequest, {}}, requestId);
     }
--- a/src/proxy/callregistry.h
+++ b/src/proxy/callregistry.h
@@ -57,9 +57,9 @@
     /// Returns what is known of @p key without beginning it; New if nothing is, Again if it may be begun once more.
     Answer look(const std::string &key, const std::string &requestHash);
 
-    /// Keeps the attempt under which the durable record of a running call was created.
+    /// Keeps the attempt under which the durable record of a running call is created, also when it is refused.
     void setAttempt(const std::string &key, const std::string &attempt);
-    /// Returns the attempt of a running call; empty if it has no record.
+    /// Returns the attempt of a running call; empty if it never had one.
     std::string attempt(const std::string &key);
     /// The call ended with @p result.
     void finish(const std::string &key, const HttpReply &result);
--- a/src/proxy/services_test.cpp
+++ b/src/proxy/services_test.cpp
@@ -176,6 +176,13 @@
     CHECK(refused->status == 503);
     CHECK(ProxyFixture::type(refused) == "key-value-unavailable");
     CHECK(refused->get_header_value("Run-Outcome") == "not-run");
+    // The lost answer of the write may hide a record of this attempt, which must not block its key.
+    fixture.loseWrites = true;
+    CHECK(post(fixture, "lost-write")->get_header_value("Run-Outcome") == "not-run");
+    fixture.loseWrites = false;
+    fixture.keyValueDown = false;
+    CHECK(post(fixture, "lost-write")->status == 201);
+    CHECK(fixture.service.requests(Path).size() == 2);
     CHECK(post(fixture, "cxt1.127.0.0.1:1.0.0.0")->status == 400);
 }
 
