bench: count attempt goodput by the end of the request; runtest: report a missing reference

Attempt goodput by arrival credited a storm with answers given long after it. A session without ref/out.txt ended runtest.py with a trace; it now counts as failed.

--- a/src/emu/loadreport.cpp
+++ b/src/emu/loadreport.cpp
@@ -71,7 +71,7 @@
     BySecond arrivals;
     BySecond goodEnds;
     BySecond goodArrivals;
-    BySecond goodAttemptArrivals;
+    BySecond goodAttemptEnds;
     std::vector<double> first;
     std::vector<double> between;
     std::size_t count = 0;
@@ -95,7 +95,7 @@
         ++arrivals[arrived];
         if (this->isGood(record, record.firstOfAttempt)) {
             ++goodAttempts;
-            ++goodAttemptArrivals[arrived];
+            ++goodAttemptEnds[static_cast<std::size_t>(record.end)];
         }
         if (this->isGood(record, record.first)) {
             ++good;
@@ -123,7 +123,7 @@
             {"between_outputs_s", percentiles(between)},
             {"arrivals_by_second", series(arrivals)},
             {"good_by_arrival", series(goodArrivals)},
-            {"good_from_last_attempt_by_arrival", series(goodAttemptArrivals)},
+            {"good_from_last_attempt_by_end", series(goodAttemptEnds)},
             {"good_by_end", series(goodEnds)}};
 }
 
--- a/testsuite/bench.py
+++ b/testsuite/bench.py
@@ -9,6 +9,7 @@
 import dataclasses
 import json
 import math
+import os
 import pathlib
 import subprocess
 import sys
@@ -65,13 +66,13 @@
 
 @dataclasses.dataclass
 class Result:
-    """What one run measured. Rates are per second, for the requests that arrived after the warm-up."""
+    """What one run measured. Rates are per second, after the warm-up; in a storm, while it lasts."""
 
     case: str
     seed: int
     offered: float
-    goodput: float  # The time to first output counts from the arrival of the request, retries included.
-    attempt_goodput: float  # It counts from the start of the last attempt.
+    goodput: float  # Of the requests that arrived; the time to first output includes their retries.
+    attempt_goodput: float  # Of the requests that ended; the time to first output is that of the last attempt.
     waste: float
     prefills: int
     reports: list  # The model part of each load generator's report.
@@ -144,7 +145,7 @@
             waste, prefills = self.waste(fleet, engines)
         return Result(f"{share:.1f}", seed, rate(report["arrivals_by_second"], WARM_UP_S, seconds),
                       rate(report["good_by_arrival"], WARM_UP_S, seconds),
-                      rate(report["good_from_last_attempt_by_arrival"], WARM_UP_S, seconds), waste, prefills, [report])
+                      rate(report["good_from_last_attempt_by_end"], WARM_UP_S, seconds), waste, prefills, [report])
 
     def storm(self, seed):
         """Runs at 0.7 all the time and adds more callers in the middle; all give up early and retry often."""
@@ -166,7 +167,7 @@
         def during(member):
             return rate(base[member], begin, end) + rate(storm[member], 0, shape.storm_seconds)
         result = Result("storm", seed, during("arrivals_by_second"), during("good_by_arrival"),
-                        during("good_from_last_attempt_by_arrival"), waste, prefills, [base, storm])
+                        during("good_from_last_attempt_by_end"), waste, prefills, [base, storm])
         result.recovery_s = recovery(base["good_by_end"], begin, end)
         return result
 
@@ -193,11 +194,13 @@
             f"{recovered} | {outcomes} |")
 
 
-def table(results, rates):
+def table(results, rates, load_average):
     best = min(rates)
     lines = [f"Computed capacity: prefill engines {rates[0]:.1f}/s, decode engines {rates[1]:.1f}/s; the bound is the "
-             f"smaller of {best:.1f}/s and the offered rate. Goodput counts from the arrival of a request, attempt "
-             "goodput from the start of its last attempt.", "",
+             f"smaller of {best:.1f}/s and the offered rate. Goodput is of the requests that arrived per second and "
+             "measures the time to first output from the arrival, retries included. Attempt goodput is of the requests "
+             "that ended per second and measures it from the start of the last attempt. Load average of the machine "
+             f"when the runs began: {load_average:.1f} on {os.cpu_count()} processors.", "",
              "| load | seed | offered/s | goodput/s | of bound | attempt goodput/s | wasted prefill | "
              "first output p50 / p95, s | between outputs p95, ms | requests + retries | recovery | outcomes |",
              "|" + "---|" * 12]
@@ -216,6 +219,7 @@
     shape = SHORT if arguments.short else Shape()
     seeds = [int(one) for one in (arguments.seeds or ("1" if arguments.short else "1,2,3")).split(",")]
     bench = Bench(arguments.build, shape)
+    load_average = os.getloadavg()[0]
     results = []
     failed = 0
     for case in arguments.cases.split(","):
@@ -229,7 +233,7 @@
             results.append(result)
             print(f"{case}, seed {seed}: goodput {result.goodput:.1f}/s, wasted prefill {100 * result.waste:.1f}%",
                   file=sys.stderr, flush=True)
-    text = table(results, capacity(shape))
+    text = table(results, capacity(shape), load_average)
     print(text)
     if arguments.out:
         pathlib.Path(arguments.out).write_text(text)
--- a/testsuite/runtest.py
+++ b/testsuite/runtest.py
@@ -17,7 +17,10 @@
                               text=True, timeout=SESSION_TIMEOUT_S, check=False)
     except subprocess.TimeoutExpired:
         return f"no end within {SESSION_TIMEOUT_S} s"
-    wanted = (folder / "ref" / "out.txt").read_text()
+    reference = folder / "ref" / "out.txt"
+    if not reference.exists():
+        return f"{reference.relative_to(folder)} is missing; the session printed:\n{done.stdout[-3000:]}"
+    wanted = reference.read_text()
     if done.returncode != 0:
         return f"exit code {done.returncode}\n{done.stdout[-3000:]}\n{done.stderr[-3000:]}"
     if done.stdout == wanted:
