testsuite: end a session's processes when it runs out of time

runtest.py killed a session that took too long, which left its stand-ins and entries running. It now sends SIGTERM first, and the harness ends its processes on it.

--- a/testsuite/harness.py
+++ b/testsuite/harness.py
@@ -147,6 +147,8 @@
         self.folder = None
 
     def __enter__(self):
+        # Without a handler, SIGTERM would end the session and leave its processes behind.
+        signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(128 + number))
         self.folder = tempfile.mkdtemp(prefix="cyclamencross-test-")
         return self
 
--- a/testsuite/runtest.py
+++ b/testsuite/runtest.py
@@ -8,24 +8,37 @@
 import sys
 
 SESSION_TIMEOUT_S = 120
+STOP_TIMEOUT_S = 20
+
+
+def stop_session(process):
+    """Ends a session that takes too long. SIGTERM lets the harness end the processes that it started."""
+    process.terminate()
+    try:
+        output, errors = process.communicate(timeout=STOP_TIMEOUT_S)
+    except subprocess.TimeoutExpired:
+        process.kill()
+        output, errors = process.communicate()
+    return f"no end within {SESSION_TIMEOUT_S} s\n{output[-3000:]}\n{errors[-3000:]}"
 
 
 def run_session(folder, build):
     """Returns the problem that the session in folder showed, or an empty text."""
+    process = subprocess.Popen([sys.executable, str(folder / "run.py"), "--build", str(build)], stdout=subprocess.PIPE,
+                               stderr=subprocess.PIPE, text=True)
     try:
-        done = subprocess.run([sys.executable, str(folder / "run.py"), "--build", str(build)], capture_output=True,
-                              text=True, timeout=SESSION_TIMEOUT_S, check=False)
+        output, errors = process.communicate(timeout=SESSION_TIMEOUT_S)
     except subprocess.TimeoutExpired:
-        return f"no end within {SESSION_TIMEOUT_S} s"
+        return stop_session(process)
     reference = folder / "ref" / "out.txt"
     if not reference.exists():
-        return f"{reference.relative_to(folder)} is missing; the session printed:\n{done.stdout[-3000:]}"
+        return f"{reference.relative_to(folder)} is missing; the session printed:\n{output[-3000:]}"
     wanted = reference.read_text()
-    if done.returncode != 0:
-        return f"exit code {done.returncode}\n{done.stdout[-3000:]}\n{done.stderr[-3000:]}"
-    if done.stdout == wanted:
+    if process.returncode != 0:
+        return f"exit code {process.returncode}\n{output[-3000:]}\n{errors[-3000:]}"
+    if output == wanted:
         return ""
-    return "".join(difflib.unified_diff(wanted.splitlines(True), done.stdout.splitlines(True), "ref", "out"))
+    return "".join(difflib.unified_diff(wanted.splitlines(True), output.splitlines(True), "ref", "out"))
 
 
 def known_red(root):
