--- a/src/admin/adminserver_test.cpp
+++ b/src/admin/adminserver_test.cpp
@@ -11,6 +11,7 @@
 
 #include <condition_variable>
 #include <mutex>
+#include <stdexcept>
 #include <thread>
 
 #include <catch2/catch.hpp>
@@ -114,6 +115,20 @@
     CHECK(fixture.runs == 0);
 }
 
+// Guards against a failing handler whose request is reported as not run although part of it may have happened.
+TEST_CASE("a handler that throws leaves the outcome unknown")
+{
+    Fixture fixture;
+    fixture.server.route("GET", "/admin/broken", RouteAccess::Open,
+                         [](const HttpRequest &) -> HttpReply { throw std::runtime_error("broken"); });
+    REQUIRE(fixture.server.start());
+    const auto result = httplib::Client("http://" + fixture.settings.adminAddress).Get("/admin/broken");
+    REQUIRE(result);
+    CHECK(result->status == 500);
+    CHECK(result->get_header_value("Run-Outcome") == "unknown");
+    CHECK(result->body.find("\"type\":\"internal\"") != std::string::npos);
+}
+
 TEST_CASE("health, readiness and metrics are open")
 {
     Fixture fixture;
@@ -175,12 +190,15 @@
     CHECK(refused == excess);
 }
 
-TEST_CASE("remembered signatures expire and are bounded")
+// Guards against the replay of an order, such as a drain, to the process that has replaced its receiver.
+TEST_CASE("remembered signatures expire and are bounded, and older ones than the process are refused")
 {
-    SignatureMemory memory(2);
-    CHECK(memory.record("a", 100) == SignatureMemory::Verdict::New);
-    CHECK(memory.record("a", 100 + SignatureMemory::KeepSeconds) == SignatureMemory::Verdict::Replay);
-    CHECK(memory.record("b", 101) == SignatureMemory::Verdict::New);
-    CHECK(memory.record("c", 101) == SignatureMemory::Verdict::Full);
-    CHECK(memory.record("c", 101 + SignatureMemory::KeepSeconds) == SignatureMemory::Verdict::New);
+    using Verdict = SignatureMemory::Verdict;
+    SignatureMemory memory(2, 100);
+    CHECK(memory.record("99.a", 100) == Verdict::TooEarly);
+    CHECK(memory.record("100.a", 100) == Verdict::New);
+    CHECK(memory.record("100.a", 100 + SignatureMemory::KeepSeconds) == Verdict::Replay);
+    CHECK(memory.record("101.b", 101) == Verdict::New);
+    CHECK(memory.record("101.c", 101) == Verdict::Full);
+    CHECK(memory.record("101.c", 101 + SignatureMemory::KeepSeconds) == Verdict::New);
 }
--- a/src/cyclamencross/adminroutes.cpp
+++ b/src/cyclamencross/adminroutes.cpp
@@ -1,21 +1,23 @@
 #include "adminroutes.h"
 
-#include "confighistory.h"
+#include "jsonbody.h"
 #include "statusjson.h"
 
+#include "cyclamencross/admin/adminerror.h"
 #include "cyclamencross/admin/adminserver.h"
 #include "cyclamencross/base/failures.h"
 #include "cyclamencross/base/hash.h"
 #include "cyclamencross/base/logline.h"
-#include "cyclamencross/base/runoutcome.h"
+#include "cyclamencross/base/number.h"
+#include "cyclamencross/base/processmetrics.h"
 #include "cyclamencross/base/timing.h"
 #include "cyclamencross/decide/crashledger.h"
+#include "cyclamencross/fleet/configtext.h"
 
 #include <set>
 #include <utility>
 
 #include <boost/leaf/handle_errors.hpp>
-#include <nlohmann/json.hpp>
 
 namespace Cyclamen
 {
@@ -23,26 +25,12 @@
 namespace
 {
 
-using Json = nlohmann::ordered_json;
-
 HttpReply jsonReply(int status, const Json &body)
 {
     return HttpReply{
         status, {{"Content-Type", "application/json"}}, body.dump(-1, ' ', false, Json::error_handler_t::replace)};
 }
 
-HttpReply errorReply(int status, RunOutcome outcome, const std::string &type, const std::string &message)
-{
-    HttpReply reply = jsonReply(status, Json{{"error", {{"type", type}, {"message", message}}}});
-    reply.headers.emplace("Run-Outcome", toString(outcome));
-    return reply;
-}
-
-HttpReply notRun(int status, const std::string &type, const std::string &message)
-{
-    return errorReply(status, RunOutcome::NotRun, type, message);
-}
-
 std::uint64_t revisionOf(const FleetViewPtr &view)
 {
     return view->config ? view->config->revision : 0;
@@ -63,24 +51,44 @@
                 {"text", text}};
 }
 
-Json historyJson(const ConfigHistory &history)
+Json revisionJson(const std::string &text)
 {
-    Json body{{"revisions", Json::array()}};
-    for (const ConfigRevision &revision : history.revisions()) {
-        body["revisions"].push_back(Json{{"revision", revision.revision},
-                                         {"change_id", revision.changeId},
-                                         {"author", revision.author},
-                                         {"seen_unix_time", revision.seenUnixTime},
-                                         {"text", revision.text}});
-    }
-    return body;
+    return boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<Json> {
+            BOOST_LEAF_AUTO(config, parseConfig(text, ""));
+            return Json{{"revision", config.revision},
+                        {"change_id", config.changeId},
+                        {"author", config.author},
+                        {"text", text}};
+        },
+        // A text of another version must not hide the rest of the history.
+        [&] {
+            return Json{{"revision", 0}, {"change_id", ""}, {"author", ""}, {"text", text}};
+        });
+}
+
+HttpReply listHistory(const AdminHooks &hooks)
+{
+    return boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<HttpReply> {
+            BOOST_LEAF_AUTO(texts, hooks.configHistory());
+            Json body{{"revisions", Json::array()}};
+            for (const std::string &text : texts) {
+                body["revisions"].push_back(revisionJson(text));
+            }
+            return jsonReply(200, body);
+        },
+        [](const KeyValueUnavailable &fault) {
+            return adminRefusal(503, "key-value-unavailable", "the key-value service did not answer: " + fault.detail);
+        },
+        [] { return adminRefusal(500, "internal", "the history could not be read"); });
 }
 
 HttpReply conflictReply(const AdminHooks &hooks, const RevisionConflict &conflict)
 {
-    HttpReply reply = notRun(409, "revision-conflict",
-                             "the change is based on revision " + std::to_string(conflict.expected) + ", but revision "
-                                 + std::to_string(conflict.found) + " is stored");
+    HttpReply reply = adminRefusal(409, "revision-conflict",
+                                   "the change is based on revision " + std::to_string(conflict.expected)
+                                       + ", but revision " + std::to_string(conflict.found) + " is stored");
     Json body = Json::parse(reply.body);
     body["current"] = configJson(hooks);
     reply.body = body.dump(-1, ' ', false, Json::error_handler_t::replace);
@@ -89,21 +97,17 @@
 
 HttpReply applyConfig(const AdminHooks &hooks, const HttpRequest &request)
 {
-    const Json body = Json::parse(request.body, nullptr, false);
-    const auto isText = [&body](const char *key) { return body.contains(key) && body[key].is_string(); };
-    if (!body.is_object() || !isText("text") || !isText("change_id") || !isText("author")
-        || !body.contains("base_revision") || !body["base_revision"].is_number_unsigned()) {
-        return notRun(400, "invalid-request", "expected text, base_revision, change_id and author");
-    }
-    const auto changeId = body["change_id"].get<std::string>();
-    const auto author = body["author"].get<std::string>();
-    if (changeId.empty() || author.empty()) {
-        return notRun(400, "invalid-request", "change_id and author must not be empty");
+    const Json body = parseBody(request.body);
+    const std::string changeId = text(body, "change_id");
+    const std::string author = text(body, "author");
+    if (!member(body, "text").is_string() || !member(body, "base_revision").is_number_unsigned() || changeId.empty()
+        || author.empty()) {
+        return adminRefusal(400, "invalid-request", "expected text, base_revision, change_id and author");
     }
-    const auto base = body["base_revision"].get<std::uint64_t>();
+    const std::uint64_t base = number(body, "base_revision");
     return boost::leaf::try_handle_all(
         [&]() -> boost::leaf::result<HttpReply> {
-            BOOST_LEAF_AUTO(revision, hooks.applyConfig(body["text"].get<std::string>(), base, changeId, author));
+            BOOST_LEAF_AUTO(revision, hooks.applyConfig(text(body, "text"), base, changeId, author));
             LogLine("config-applied")
                 .add("revision", revision)
                 .add("base", base)
@@ -114,14 +118,16 @@
         },
         [&](const RevisionConflict &conflict) { return conflictReply(hooks, conflict); },
         [](const InvalidSetting &fault) {
-            return notRun(400, "invalid-setting",
-                          "line " + std::to_string(fault.line) + ": " + fault.key + ": expected " + fault.expected);
+            return adminRefusal(400, "invalid-setting",
+                                "line " + std::to_string(fault.line) + ": " + fault.key + ": expected "
+                                    + fault.expected);
         },
         [](const KeyValueUnavailable &fault) {
             // The write may have taken effect although its answer was lost.
-            return errorReply(503, RunOutcome::Unknown, "key-value-unavailable", fault.detail);
+            return adminError(503, RunOutcome::Unknown, "key-value-unavailable",
+                              "the key-value service did not answer: " + fault.detail);
         },
-        [] { return errorReply(500, RunOutcome::Unknown, "internal", "the change failed for an unknown reason"); });
+        [] { return adminError(500, RunOutcome::Unknown, "internal", "the change failed for an unknown reason"); });
 }
 
 HttpReply listCrashes(const AdminHooks &hooks)
@@ -148,12 +154,9 @@
 
 HttpReply liftCrash(const AdminHooks &hooks, const HttpRequest &request)
 {
-    const Json body = Json::parse(request.body, nullptr, false);
-    const auto fingerprint = body.is_object() && body.contains("fingerprint") && body["fingerprint"].is_string()
-        ? parseHex(body["fingerprint"].get<std::string>())
-        : std::nullopt;
+    const auto fingerprint = parseHex(text(parseBody(request.body), "fingerprint"));
     if (!fingerprint) {
-        return notRun(400, "invalid-request", "expected fingerprint as hexadecimal digits");
+        return adminRefusal(400, "invalid-request", "expected fingerprint as hexadecimal digits");
     }
     hooks.liftCrash(*fingerprint);
     LogLine("crash-lifted").add("fingerprint", toHex(*fingerprint)).write();
@@ -162,7 +165,7 @@
 
 }
 
-void addAdminRoutes(AdminServer &server, AdminHooks hooks, const ConfigHistory &history)
+void addAdminRoutes(AdminServer &server, AdminHooks hooks)
 {
     // Reading needs no signature: the admin port is for operators and peers only.
     const auto shared = std::make_shared<const AdminHooks>(std::move(hooks));
@@ -172,7 +175,7 @@
     server.route("GET", "/admin/config", RouteAccess::Open,
                  [shared](const HttpRequest &) { return jsonReply(200, configJson(*shared)); });
     server.route("GET", "/admin/config/history", RouteAccess::Open,
-                 [&history](const HttpRequest &) { return jsonReply(200, historyJson(history)); });
+                 [shared](const HttpRequest &) { return listHistory(*shared); });
     server.route("POST", "/admin/config", RouteAccess::Signed,
                  [shared](const HttpRequest &request) { return applyConfig(*shared, request); });
     server.route("GET", "/admin/crashes", RouteAccess::Open,
@@ -180,7 +183,9 @@
     server.route("POST", "/admin/crashes/lift", RouteAccess::Signed,
                  [shared](const HttpRequest &request) { return liftCrash(*shared, request); });
     server.route("GET", "/peer/config", RouteAccess::Signed, [shared](const HttpRequest &) {
-        return HttpReply{200, {{"Content-Type", "text/plain; charset=utf-8"}}, shared->configText()};
+        std::string text = shared->configText();
+        addControlBytesSent(text.size());
+        return HttpReply{200, {{"Content-Type", "text/plain; charset=utf-8"}}, std::move(text)};
     });
 }
 
--- a/src/grant/grantservice_test.cpp
+++ b/src/grant/grantservice_test.cpp
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <set>
 #include <thread>
@@ -213,6 +214,26 @@
     CHECK_FALSE(fleet.acquire(asker, idOf(asker, 5), Millis(0)));
 }
 
+// Guards against callers' threads that keep waiting for a slot after the caller is gone, and against a slot that is
+// granted to such a request.
+TEST_CASE("a release withdraws an ask that waits")
+{
+    FakeEngine engine(1);
+    engine.hold(idOf("e1", 100));
+    FakeFleet fleet({"e1", "e2"}, engine.address);
+    const std::string owner = fleet.owners().at(0);
+    const std::string asker = fleet.owners().at(1);
+    REQUIRE(eventually([&] { return fleet.services.at(owner)->load(engine.address).has_value(); }));
+    std::thread caller([&] {
+        std::this_thread::sleep_for(Millis(50));
+        fleet.services.at(asker)->release({idOf(asker, 1), engine.address, "", 1, 0, Millis(0), 0});
+    });
+    const TimePoint began = Clock::now();
+    CHECK_FALSE(fleet.acquire(asker, idOf(asker, 1), Millis(60000)));
+    CHECK(Clock::now() - began < Millis(30000));
+    caller.join();
+}
+
 // Guards against requests that hang or fail because the owner of an engine has just died.
 TEST_CASE("a silent owner is passed over, and without any owner the engine decides")
 {
@@ -240,6 +261,18 @@
     CHECK(eventually([&] { return fleet.acquire("e1", idOf("e1", 3)).has_value(); }));
 }
 
+// Guards against requests that are sent to an engine which has died, before the host list shows it.
+TEST_CASE("an engine that refuses connections gets no grant")
+{
+    auto engine = std::make_unique<FakeEngine>(5000);
+    FakeFleet fleet({"e1", "e2"}, engine->address);
+    REQUIRE(eventually([&] { return fleet.acquire("e1", idOf("e1", 1)).has_value(); }));
+    engine.reset();
+    int n = 1;
+    CHECK(eventually([&] { return !fleet.acquire("e1", idOf("e1", ++n)).has_value(); }));
+    CHECK(n < 5000); // Slots were left, so the lost connection is the reason.
+}
+
 // Guards against engine memory that a dead entry's requests keep for ever, and against cancelling live ones.
 TEST_CASE("the owner cancels requests of dead entries")
 {
--- a/src/proxy/proxyserver.cpp
+++ b/src/proxy/proxyserver.cpp
@@ -57,7 +57,12 @@
                    })
         , server(
               settings.maxConnections, ConnectionLimits{settings.idleTimeout, 64U << 10U, settings.maxBodyBytes},
-              [this](CallerExchange &exchange) { this->handle(exchange); }, earlyRefusal)
+              [this](CallerExchange &exchange) { this->handle(exchange); },
+              [&metrics](int status) {
+                  HttpReply refusal = earlyRefusal(status);
+                  metrics.count("cyclamencross_refusals_total", {{"type", errorType(refusal)}});
+                  return refusal;
+              })
     {
     }
 
@@ -107,6 +112,13 @@
     const bool get = request.method == "GET" || request.method == "HEAD";
     if (get && request.path == "/v1/entry") {
         const FleetViewPtr view = this->core.hooks.view();
+        if (view->isolated || !view->ready) {
+            exchange.reply(errorReply(CallerError{503, view->isolated ? "isolated" : "not-ready",
+                                                  "this entry does not know the fleet; ask another one",
+                                                  RunOutcome::NotRun, BusyRetryAfter},
+                                      ""));
+            return;
+        }
         exchange.reply(answerEntry(request, *view, this->services.guard().newTicket()));
     } else if (get && request.path == "/healthz") {
         exchange.reply(plain(200, "ok\n"));
--- a/testsuite/harness.py
+++ b/testsuite/harness.py
@@ -147,6 +147,8 @@
         self.folder = None
 
     def __enter__(self):
+        # Without a handler, SIGTERM would end the session and leave its processes behind.
+        signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(128 + number))
         self.folder = tempfile.mkdtemp(prefix="cyclamencross-test-")
         return self
 
@@ -290,6 +292,17 @@
         self.wait_ready(again)
         return again
 
+    def restart_entry_killed(self, entry):
+        """Kills an entry and starts it again."""
+        entry.kill()
+        return self.restart_entry(entry)
+
+    def stored_revision(self):
+        """Returns the configuration revision in the key-value service."""
+        text = self.read_key("/cyclamencross/config/current") or b""
+        found = re.search(rb"^revision *= *(\d+)", text, re.MULTILINE)
+        return int(found[1]) if found else 0
+
     def wait_ready(self, entry):
         def ready():
             if not entry.running():
@@ -310,7 +323,7 @@
                     return True
             return False
         for entry in entries:
-            wait_until(lambda entry=entry: knows_all(entry), f"{entry.name} knows all entries")
+            wait_until(lambda entry=entry: knows_all(entry), f"{entry.name} knows all entries", period=0.2)
 
     # Requests
 
@@ -323,6 +336,42 @@
             return stream(entry.caller, "/v1/completions", body, headers, **options)
         return send(entry.caller, "POST", "/v1/completions", body, headers, **options)
 
+    # Operators
+
+    def cli(self, *arguments, entry=None):
+        """Runs a subcommand of cyclamencross against an entry and returns the finished process."""
+        entry = entry or self.entries[0]
+        command = [str(self.build / "src" / "cyclamencross"), *map(str, arguments), "--settings",
+                   str(pathlib.Path(self.folder) / f"{entry.name}.ini")]
+        return subprocess.run(command, capture_output=True, text=True, timeout=WAIT_LIMIT_S, check=False)
+
+    def status(self, entry=None):
+        """Returns what an entry knows of the fleet."""
+        return json.loads(self.cli("status", "--json", entry=entry).stdout)
+
+    def revision(self, entry):
+        """Returns the configuration revision in force at an entry."""
+        return self.status(entry)["config_revision"]
+
+    def config_file(self, defaults, name="change.ini", revision=None, exceptions=""):
+        """Writes a fleet configuration based on the revision in force."""
+        revision = self.revision(self.entries[0]) if revision is None else revision
+        lines = ["[change]", f"revision = {revision}", "id = base", "author = test", "", "[defaults]"]
+        lines += [f"{key} = {value}" for key, value in defaults.items()]
+        path = pathlib.Path(self.folder) / name
+        path.write_text("\n".join(lines) + "\n\n" + exceptions)
+        return path
+
+    def apply_config(self, defaults, entry=None):
+        """Applies fleet defaults and waits until they are in force at every entry."""
+        done = self.cli("config", "apply", self.config_file(defaults), "--author", "test", entry=entry)
+        if done.returncode != 0:
+            raise RuntimeError(f"config apply: exit code {done.returncode}: {done.stdout} {done.stderr}")
+        revision = self.revision(entry or self.entries[0])
+        for one in self.entries:
+            wait_until(lambda one=one: self.revision(one) >= revision, f"{one.name} has revision {revision}")
+        return revision
+
     def held(self, engines):
         """Returns how many requests the engines hold."""
         return sum(engine.counts().get("held", 0) for engine in engines if engine.running())
@@ -357,6 +406,12 @@
         return text
 
 
+def show(what, *values):
+    """Prints one line of a session's transcript, normalised."""
+    line = f"{what}: " + " ".join(json.dumps(value, default=repr) for value in values)
+    print(Normaliser()(line), flush=True)
+
+
 def build_argument():
     """Returns the build folder given on the command line of a session."""
     parser = argparse.ArgumentParser()
