emu: let a prompt crash the decode engine that runs it

A decode request carries no prompt, so the crash fault with a text could only end prefill engines, and crash containment on decode engines could not be tested. The pull of the prefill result now carries the first 512 bytes of the prompt.

--- a/src/emu/decodeengine.cpp
+++ b/src/emu/decodeengine.cpp
@@ -1,5 +1,6 @@
 #include "decodeengine.h"
 
+#include "base64.h"
 #include "connection.h"
 #include "emuserver.h"
 #include "jsonbody.h"
@@ -84,6 +85,7 @@
     }
     ++this->totals.streams;
     lock.unlock();
+    this->server->crashIfTold(request.path, stream->promptStart);
     if (this->server->activeFaults().take("crossed", request.path, request.body)) {
         this->cross(stream, CrossPatience);
     }
@@ -113,6 +115,7 @@
     }
     const std::lock_guard lock(this->mutex);
     stream->tag = result->get_header_value("Prompt-Tag");
+    stream->promptStart = decodeBase64(result->get_header_value("Prompt-Start"));
     return result->status;
 }
 
--- a/src/emu/decodestream.h
+++ b/src/emu/decodestream.h
@@ -16,6 +16,7 @@
 {
     std::string id;
     std::string tag; ///< Of the prompt; see promptTag().
+    std::string promptStart; ///< The first bytes of the prompt.
     DecodeStage stage = DecodeStage::Pulling;
     int produced = 0;
     int maxTokens = 0;
--- a/src/emu/emuserver.cpp
+++ b/src/emu/emuserver.cpp
@@ -110,6 +110,13 @@
     }
 }
 
+void EmuServer::crashIfTold(const std::string &path, const std::string &text)
+{
+    if (this->faults.take("crash", path, text)) {
+        std::_Exit(CrashExitCode);
+    }
+}
+
 bool EmuServer::failBefore(const httplib::Request &request, httplib::Response &response)
 {
     if (const auto fault = this->faults.take("stall", request.path, request.body)) {
@@ -118,9 +125,7 @@
     if (const auto fault = this->faults.take("slow", request.path, request.body)) {
         std::this_thread::sleep_for(fault->delay);
     }
-    if (this->faults.take("crash", request.path, request.body)) {
-        std::_Exit(CrashExitCode);
-    }
+    this->crashIfTold(request.path, request.body);
     if (this->faults.take("close", request.path, request.body)) {
         Connection::breakOff();
         return true;
--- a/src/emu/emuserver.h
+++ b/src/emu/emuserver.h
@@ -35,6 +35,9 @@
     /// @return false if the address can't be bound.
     bool run(const std::string &address);
     Faults &activeFaults();
+    /// Ends the process at once, as a crash does, if a "crash" fault applies to a request.
+    /// @param text the text of the request: its body, or the prompt that came another way.
+    void crashIfTold(const std::string &path, const std::string &text);
     /// Calls @p counter with the path of each request on a route with faults, before any fault applies.
     void countCalls(std::function<void(const std::string &)> counter);
 
--- a/src/emu/prefillengine.cpp
+++ b/src/emu/prefillengine.cpp
@@ -1,5 +1,6 @@
 #include "prefillengine.h"
 
+#include "base64.h"
 #include "connection.h"
 #include "emuserver.h"
 #include "jsonbody.h"
@@ -19,6 +20,7 @@
 
 constexpr Millis EvictPeriod{10};
 constexpr Millis PeerPollPeriod{50};
+constexpr std::size_t PromptStartBytes = 512;
 constexpr std::size_t PullChunk = 64U << 10U;
 
 std::string toText(PrefillStage stage)
@@ -133,6 +135,8 @@
         job->stage = PrefillStage::Pulled;
     }
     response.set_header("Prompt-Tag", promptTag(job->prompt));
+    // A decode engine never sees the prompt itself, but a test may want a prompt that crashes it.
+    response.set_header("Prompt-Start", encodeBase64(job->prompt.substr(0, PromptStartBytes)));
     const std::size_t size = std::max<std::size_t>(1, job->promptTokens * this->options.kvBytesPerToken);
     response.set_content_provider(
         size, "application/octet-stream",
--- a/testsuite/standins/run.py
+++ b/testsuite/standins/run.py
@@ -106,6 +106,13 @@
     show("orders", order(5).status, order(4).status, order(6).status)
 
 
+def show_crash(prefill, decode):
+    decode.fault("crash", path="/v1/decode", text="poison")
+    engines = Engines(prefill, decode)
+    show("harmless prompt", engines.both("p.1", "harmless", 2).ended)
+    show("decode engine crashed by a prompt", engines.both("p.2", "a poison pill", 2).error, decode.wait_end())
+
+
 def show_faults(service):
     def call(body=b"1", key="k"):
         return send(service.address, "POST", "/x", body, {"Idempotency-Key": key})
@@ -219,6 +226,7 @@
         show_faults(service)
         show_key_value(fleet)
         show_hosts(fleet)
+        show_crash(prefill[0], decode[0])
 
 
 if __name__ == "__main__":
