--- a/testsuite/runtest.py
+++ b/testsuite/runtest.py
@@ -2,12 +2,14 @@
 """Runs every golden session in testsuite/NAME/run.py and compares its output with ref/out.txt."""
 
 import argparse
+import concurrent.futures
 import difflib
 import pathlib
 import subprocess
 import sys
 
-SESSION_TIMEOUT_S = 120
+SESSION_TIMEOUT_S = 300
+PARALLEL_SESSIONS = 3  # Sessions mostly wait, so a few at once leave cores to spare.
 STOP_TIMEOUT_S = 20
 
 
@@ -60,16 +62,17 @@
     if arguments.names:
         folders = [folder for folder in folders if folder.name in arguments.names]
     passed = failed = 0
-    for folder in folders:
-        problem = run_session(folder, build)
-        if not problem:
-            passed += 1
-            print(f"ok        {folder.name}", flush=True)
-        elif folder.name in red:
-            print(f"known red {folder.name}\n{problem}", flush=True)
-        else:
-            failed += 1
-            print(f"FAILED    {folder.name}\n{problem}", flush=True)
+    with concurrent.futures.ThreadPoolExecutor(PARALLEL_SESSIONS) as pool:
+        problems = pool.map(lambda folder: run_session(folder, build), folders)
+        for folder, problem in zip(folders, problems):
+            if not problem:
+                passed += 1
+                print(f"ok        {folder.name}", flush=True)
+            elif folder.name in red:
+                print(f"known red {folder.name}\n{problem}", flush=True)
+            else:
+                failed += 1
+                print(f"FAILED    {folder.name}\n{problem}", flush=True)
     print(f"{passed} passed, {failed} failed")
     return 1 if failed else 0
 
