--- a/src/proxy/requestdefaults.cpp
+++ b/src/proxy/requestdefaults.cpp
@@ -22,7 +22,7 @@
 // Reads a number with its unit, as the fleet configuration checks it: 500ms, 2s, 1min or 1h.
 Millis toMillis(std::string_view text, Millis otherwise)
 {
-    constexpr std::array<std::pair<std::string_view, int>, 4> Units{
+    static constexpr std::array<std::pair<std::string_view, int>, 4> Units{
         {{"ms", 1}, {"s", 1000}, {"min", 60000}, {"h", 3600000}}};
     const std::string_view unit = text.substr(std::min(text.find_first_not_of("0123456789"), text.size()));
     for (const auto &[name, millis] : Units) {
