Notice within 5 s that the key-value service went back to an older configuration

Cause: the first watcher of a zone only compared the stored revision when its watch was opened anew after 60 s of silence, and a restored store sends no event. Change: a silent watch is opened anew after 5 s; that costs one read and one watch per watcher and 5 s.

--- a/src/fleet/keyvaluewatch.h
+++ b/src/fleet/keyvaluewatch.h
@@ -20,7 +20,9 @@
     using Receiver = std::function<void(const KeyValueEntry &)>;
 
     /// A watch that has been silent for this long is opened anew, since its connection may be dead.
-    static constexpr Millis LongestSilence{60000};
+    /// The read in front of the next watch also notices a service that came back with an older state, which sends no
+    /// event; 5 s keeps the repair within the 10 s in which a configuration must be in force.
+    static constexpr Millis LongestSilence{5000};
 
     KeyValueWatch(const Settings &settings, Metrics &metrics);
     ~KeyValueWatch();
