--- a/testsuite/bench.py
+++ b/testsuite/bench.py
@@ -11,7 +11,6 @@
 import math
 import os
 import pathlib
-import subprocess
 import sys
 import time
 
