--- a/src/proxy/callerserver.cpp
+++ b/src/proxy/callerserver.cpp
@@ -14,6 +14,7 @@
 {
 
 constexpr int Backlog = 1024; // cpp-httplib asks for 5, which makes bursts of callers wait for a repeated SYN.
+constexpr std::size_t KeepAliveRequests = 100000; // cpp-httplib announces 5, after which callers would reconnect.
 constexpr Millis RefusalReadTime{1000};
 constexpr Millis GentleCloseTime{200};
 
@@ -70,6 +71,9 @@
             setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
         });
         this->set_payload_max_length(limits.bodyBytes);
+        // These two only fill the Keep-Alive header; the bounds themselves hold in CallerConnection.
+        this->set_keep_alive_timeout(std::chrono::duration_cast<std::chrono::seconds>(limits.idle).count());
+        this->set_keep_alive_max_count(KeepAliveRequests);
         const auto handle = [this](const httplib::Request &request, httplib::Response &response) {
             this->handle(request, response);
         };
