Answer unknown, not not-run, while a key's record cannot be read

Cause: in an outage of the key-value service an entry refused every call with a foreign key as not-run, also a resend of a call that had run through another entry. The caller could take the booking for not done and book anew. Ruled out: asking all peers for the key (its owner may be dead, so the answer would still be in doubt). Change: such a call is still not begun, but its outcome is unknown; tickets remain the way to book in an outage. Result: the new line in record-calls shows '503 not-run, executions: 1' before and '503 unknown, executions: 1' after.

--- a/src/proxy/callguard.cpp
+++ b/src/proxy/callguard.cpp
@@ -156,8 +156,12 @@
     }
     if (!standing) {
         this->registry.refused(key);
-        return errorReply(CallerError{503, "key-value-unavailable", "the call cannot be recorded, so it was not begun",
-                                      RunOutcome::NotRun, KeyValueRetryAfter},
+        // This send did not begin the call, but an earlier one, through another entry, may have: its record cannot be
+        // read now. A caller that is told not-run might book anew under another key.
+        return errorReply(CallerError{503, "key-value-unavailable",
+                                      "the key's record cannot be read or written, so the call was not begun now; an "
+                                      "earlier send with this key may have run",
+                                      RunOutcome::Unknown, KeyValueRetryAfter},
                           requestId);
     }
     this->registry.forget(key);
--- a/testsuite/record-calls/run.py
+++ b/testsuite/record-calls/run.py
@@ -46,7 +46,11 @@
         print(f"twelve sends at once through three entries: {sorted({reply.status for reply in replies})}")
         print(f"executions: {executions('visit-2')}")
 
+        book(one, "visit-0")
         fleet.platform.fault("error", path="/v3/")
+        reply = book(two, "visit-0")
+        print(f"key-value service down, resend of a call that ran elsewhere: {describe(reply)}, "
+              f"executions: {executions('visit-0')}")
         print(f"key-value service down: {describe(book(one, 'visit-3'))}, executions: {executions('visit-3')}")
         fleet.platform.clear_faults()
         again = wait_until(lambda: (reply := book(two, "visit-3")).status == 200 and reply, "the service is back")
