Look exceptions up in one place, in decide

The proxy repeated the lookup of the fleet library's effectiveDefaults(), with its own reading of durations and numbers, since it may not use fleet. effectiveDefaults(), explainDefaults() and the table of configuration keys now stand in decide, which fleet, proxy and the program may all use. requestDefaults() only names the subject of a request.

The proxy's copy let an empty subject match and read values without their bounds; parseConfig(), through which every configuration passes, refuses both, so the values in force are the same.

--- a/src/cyclamencross/configexplaincommand.cpp
+++ b/src/cyclamencross/configexplaincommand.cpp
@@ -8,8 +8,8 @@
 
 #include "cyclamencross/base/inifile.h"
 #include "cyclamencross/base/timing.h"
+#include "cyclamencross/decide/effectivedefaults.h"
 #include "cyclamencross/fleet/configtext.h"
-#include "cyclamencross/fleet/effectivedefaults.h"
 
 #include <iomanip>
 #include <iostream>
--- a/src/fleet/configkeys.cpp
+++ b/src/decide/configkeys.cpp
@@ -1,4 +1,4 @@
-#include "configkeys.h"
+#include "cyclamencross/decide/configkeys.h"
 
 #include <algorithm>
 #include <array>
--- a/src/fleet/effectivedefaults.cpp
+++ b/src/decide/effectivedefaults.cpp
@@ -1,6 +1,6 @@
-#include "cyclamencross/fleet/effectivedefaults.h"
+#include "cyclamencross/decide/effectivedefaults.h"
 
-#include "configkeys.h"
+#include "cyclamencross/decide/configkeys.h"
 
 #include <algorithm>
 
--- a/src/fleet/config_test.cpp
+++ b/src/fleet/config_test.cpp
@@ -2,8 +2,8 @@
 #include "fakekeyvalue.h"
 
 #include "cyclamencross/base/metrics.h"
+#include "cyclamencross/decide/effectivedefaults.h"
 #include "cyclamencross/fleet/configtext.h"
-#include "cyclamencross/fleet/effectivedefaults.h"
 
 #include <boost/leaf/handle_errors.hpp>
 #include <catch2/catch.hpp>
--- a/src/fleet/configtext.cpp
+++ b/src/fleet/configtext.cpp
@@ -1,6 +1,6 @@
 #include "cyclamencross/fleet/configtext.h"
 
-#include "configkeys.h"
+#include "cyclamencross/decide/configkeys.h"
 #include "inireader.h"
 
 #include <array>
--- a/src/include/cyclamencross/fleet/effectivedefaults.h
+++ b/src/include/cyclamencross/decide/effectivedefaults.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "cyclamencross/base/fleetconfig.h"
-#include "cyclamencross/fleet/valuesource.h"
+#include "cyclamencross/decide/valuesource.h"
 
 #include <cstdint>
 #include <string>
