Use one bounded task queue in net for the caller and admin ports

proxy and admin each had a queue that bounds connections and passes the rest to threads that only refuse. BoundedTaskQueue now stands in net, takes its bounds from TaskQueueLimits, and reaches cpp-httplib through newHttpTaskQueue(), which keeps that header out of the public one. Both ports keep their bounds; the threads of the admin port now start as they are needed. The queue admits by the number of unfinished tasks, so a thread that is still starting does not count against the waiting line.

--- a/src/admin/adminserver.cpp
+++ b/src/admin/adminserver.cpp
@@ -1,6 +1,5 @@
 #include "cyclamencross/admin/adminserver.h"
 
-#include "adminqueue.h"
 #include "signaturememory.h"
 
 #include "cyclamencross/admin/adminerror.h"
@@ -8,10 +7,12 @@
 #include "cyclamencross/base/logline.h"
 #include "cyclamencross/base/metrics.h"
 #include "cyclamencross/base/timing.h"
+#include "cyclamencross/net/boundedtaskqueue.h"
 #include "cyclamencross/net/peerhttp.h"
 
 #include <atomic>
 #include <map>
+#include <memory>
 #include <optional>
 #include <thread>
 #include <utility>
@@ -26,6 +27,8 @@
 {
 
 constexpr auto SignatureHeader = "Peer-Signature";
+// Connections past the threads and their line that wait for the one thread that refuses.
+constexpr std::size_t RefusalsWaiting = 31;
 // At 1,000 signed requests a second, 61 s of signatures; about 10 MB.
 constexpr std::size_t MaxSignatures = 65536;
 // A forwarded call wraps the caller's body, which escaping may lengthen.
@@ -102,7 +105,7 @@
 
 std::optional<HttpReply> AdminServer::Members::refuseHead(const httplib::Request &request) const
 {
-    if (AdminQueue::mustRefuse()) {
+    if (BoundedTaskQueue::isOverflowThread()) {
         return adminRefusal(503, "overloaded", "all threads of the admin port are busy");
     }
     const std::string path = pathOf(request);
@@ -206,7 +209,10 @@
 void AdminServer::Members::setUp()
 {
     const std::size_t threads = this->settings.adminThreads;
-    this->server.new_task_queue = [threads] { return new AdminQueue(threads); };
+    this->server.new_task_queue = [threads] {
+        return newHttpTaskQueue(
+            std::make_shared<BoundedTaskQueue>(TaskQueueLimits{threads, threads, 1, RefusalsWaiting}));
+    };
     this->server.set_socket_options(allowRebind);
     this->server.set_tcp_nodelay(true);
     // An idle connection would hold one of the threads.
--- a/src/proxy/boundedtaskqueue.h
+++ b/src/include/cyclamencross/net/boundedtaskqueue.h
@@ -1,35 +1,41 @@
 #pragma once
 
+#include "cyclamencross/net/taskqueuelimits.h"
+
 #include <condition_variable>
 #include <cstddef>
 #include <deque>
 #include <functional>
+#include <memory>
 #include <mutex>
 #include <thread>
 #include <vector>
 
-#include <httplib.h>
+namespace httplib
+{
+
+class TaskQueue;
+
+}
 
 namespace Cyclamen
 {
 
-/// Runs connections on at most a given number of threads, started as they are needed. Connections past that go to a
-/// few overflow threads that only refuse; past the overflow bound, enqueue() blocks, and the kernel's backlog holds
-/// further callers.
-class BoundedTaskQueue : public httplib::TaskQueue
+/// Runs connections on at most a given number of threads, started as they are needed, with a bounded waiting line.
+/// Connections past that go to a few overflow threads that only refuse; past the overflow bound, enqueue() blocks, and
+/// the kernel's backlog holds further callers.
+class BoundedTaskQueue
 {
 public:
-    static constexpr std::size_t OverflowThreads = 4;
-    static constexpr std::size_t OverflowWaiting = 64;
-
-    explicit BoundedTaskQueue(std::size_t threads);
-    ~BoundedTaskQueue() override;
+    explicit BoundedTaskQueue(const TaskQueueLimits &limits);
+    /// Shuts down.
+    ~BoundedTaskQueue();
     BoundedTaskQueue(const BoundedTaskQueue &) = delete;
     BoundedTaskQueue &operator=(const BoundedTaskQueue &) = delete;
 
-    void enqueue(std::function<void()> task) override;
+    void enqueue(std::function<void()> task);
     /// Waits until all tasks are done.
-    void shutdown() override;
+    void shutdown();
 
     /// Returns whether all threads are taken.
     bool isFull();
@@ -40,7 +46,9 @@
     struct Pool
     {
         std::size_t maxThreads = 0;
+        std::size_t maxWaiting = 0;
         std::size_t idle = 0;
+        std::size_t unfinished = 0; ///< Tasks that wait or run.
         std::deque<std::function<void()>> tasks;
         std::condition_variable added;
         std::vector<std::thread> threads;
@@ -57,4 +65,7 @@
     bool stopping = false;
 };
 
+/// Returns a task queue for cpp-httplib that passes its tasks on to @p queue. cpp-httplib deletes it.
+httplib::TaskQueue *newHttpTaskQueue(std::shared_ptr<BoundedTaskQueue> queue);
+
 }
--- a/src/proxy/boundedtaskqueue.cpp
+++ b/src/net/boundedtaskqueue.cpp
@@ -1,4 +1,8 @@
-#include "boundedtaskqueue.h"
+#include "cyclamencross/net/boundedtaskqueue.h"
+
+#include <utility>
+
+#include <httplib.h>
 
 namespace Cyclamen
 {
@@ -8,12 +12,36 @@
 
 thread_local bool overflowThread = false;
 
+class HttpTaskQueue : public httplib::TaskQueue
+{
+public:
+    explicit HttpTaskQueue(std::shared_ptr<BoundedTaskQueue> queue)
+        : queue(std::move(queue))
+    {
+    }
+
+    void enqueue(std::function<void()> task) override
+    {
+        this->queue->enqueue(std::move(task));
+    }
+
+    void shutdown() override
+    {
+        this->queue->shutdown();
+    }
+
+private:
+    std::shared_ptr<BoundedTaskQueue> queue;
+};
+
 }
 
-BoundedTaskQueue::BoundedTaskQueue(std::size_t threads)
+BoundedTaskQueue::BoundedTaskQueue(const TaskQueueLimits &limits)
 {
-    this->regular.maxThreads = threads;
-    this->overflow.maxThreads = OverflowThreads;
+    this->regular.maxThreads = limits.threads;
+    this->regular.maxWaiting = limits.waiting;
+    this->overflow.maxThreads = limits.overflowThreads;
+    this->overflow.maxWaiting = limits.overflowWaiting;
 }
 
 BoundedTaskQueue::~BoundedTaskQueue()
@@ -35,16 +63,18 @@
 void BoundedTaskQueue::enqueue(std::function<void()> task)
 {
     std::unique_lock lock(this->mutex);
-    if (this->regular.idle > this->regular.tasks.size() || this->regular.threads.size() < this->regular.maxThreads) {
+    if (this->regular.unfinished < this->regular.maxThreads + this->regular.maxWaiting) {
         this->add(this->regular, std::move(task));
         return;
     }
-    this->taken.wait(lock, [this] { return this->stopping || this->overflow.tasks.size() < OverflowWaiting; });
+    this->taken.wait(lock,
+                     [this] { return this->stopping || this->overflow.tasks.size() < this->overflow.maxWaiting; });
     this->add(this->overflow, std::move(task));
 }
 
 void BoundedTaskQueue::add(Pool &pool, std::function<void()> task)
 {
+    ++pool.unfinished;
     pool.tasks.push_back(std::move(task));
     if (pool.idle < pool.tasks.size() && pool.threads.size() < pool.maxThreads) {
         pool.threads.emplace_back([this, &pool] { this->work(pool); });
@@ -85,7 +115,13 @@
         this->taken.notify_one();
         task();
         lock.lock();
+        --pool.unfinished;
     }
 }
 
+httplib::TaskQueue *newHttpTaskQueue(std::shared_ptr<BoundedTaskQueue> queue)
+{
+    return new HttpTaskQueue(std::move(queue));
+}
+
 }
--- a/src/proxy/callerserver.cpp
+++ b/src/proxy/callerserver.cpp
@@ -1,6 +1,8 @@
 #include "callerserver.h"
 
-#include "boundedtaskqueue.h"
+#include "cyclamencross/net/boundedtaskqueue.h"
+
+#include <memory>
 
 #include <netinet/tcp.h>
 #include <sys/eventfd.h>
@@ -15,6 +17,9 @@
 
 constexpr int Backlog = 1024; // cpp-httplib asks for 5, which makes bursts of callers wait for a repeated SYN.
 constexpr std::size_t KeepAliveRequests = 100000; // cpp-httplib announces 5, after which callers would reconnect.
+// Threads that refuse connections past the limit, and connections that wait for one of them.
+constexpr std::size_t OverflowThreads = 4;
+constexpr std::size_t OverflowWaiting = 64;
 constexpr Millis RefusalReadTime{1000};
 constexpr Millis GentleCloseTime{200};
 
@@ -62,8 +67,9 @@
         , stopEvent(eventfd(0, EFD_CLOEXEC))
     {
         this->new_task_queue = [this, maxConnections] {
-            this->queue = new BoundedTaskQueue(maxConnections); // Owned by cpp-httplib for as long as it listens.
-            return this->queue;
+            this->queue = std::make_shared<BoundedTaskQueue>(
+                TaskQueueLimits{maxConnections, 0, OverflowThreads, OverflowWaiting});
+            return newHttpTaskQueue(this->queue);
         };
         // cpp-httplib sets SO_REUSEPORT, with which two processes can share a port without an error.
         this->set_socket_options([](int socket) {
@@ -202,7 +208,7 @@
     CallerServer::Handler handler;
     Refusal refusal;
     CallerWatch &watch;
-    BoundedTaskQueue *queue = nullptr;
+    std::shared_ptr<BoundedTaskQueue> queue;
     int stopEvent;
 };
 
