Parse "IP:PORT" in one place, in base

net had a second parser of addresses, and the backend client, the engine client and the caller port each split addresses by hand. All of them now use parseIpPort() of base. Its new argument lets port 0 through where a socket is bound to any free port.

A backend server or engine whose address is no IPv4 address with a port now fails to connect at once; before, its text was passed on as a host name. A datagram to port 0 is dropped as bad-address instead of send-failed.

--- a/src/fleet/gossipmessage.cpp
+++ b/src/fleet/gossipmessage.cpp
@@ -1,6 +1,6 @@
 #include "gossipmessage.h"
 
-#include "cyclamencross/net/socketaddress.h"
+#include "cyclamencross/base/ipport.h"
 
 #include <array>
 #include <sstream>
@@ -44,7 +44,7 @@
 
 void saveAddress(Output &archive, const std::string &text)
 {
-    const auto address = parseAddress(text);
+    const auto address = parseIpPort(text, 0);
     in_addr ip{};
     if (address) {
         inet_pton(AF_INET, address->ip.c_str(), &ip);
--- a/src/fleet/hostlistpoll.cpp
+++ b/src/fleet/hostlistpoll.cpp
@@ -1,7 +1,7 @@
 #include "hostlistpoll.h"
 
+#include "cyclamencross/base/ipport.h"
 #include "cyclamencross/base/logline.h"
-#include "cyclamencross/net/socketaddress.h"
 
 #include <condition_variable>
 #include <mutex>
@@ -49,7 +49,7 @@
 
 void HostListPoll::Members::run()
 {
-    const auto address = parseAddress(this->settings.hostListAddress);
+    const auto address = parseIpPort(this->settings.hostListAddress);
     if (!address) {
         LogLine("host-list-address-invalid").add("address", this->settings.hostListAddress).error();
         return;
--- a/src/fleet/keyvaluehttp.cpp
+++ b/src/fleet/keyvaluehttp.cpp
@@ -1,7 +1,7 @@
 #include "keyvaluehttp.h"
 
 #include "cyclamencross/base/failures.h"
-#include "cyclamencross/net/socketaddress.h"
+#include "cyclamencross/base/ipport.h"
 
 #include <mutex>
 #include <semaphore>
@@ -41,7 +41,7 @@
                 return client;
             }
         }
-        const auto address = parseAddress(this->settings.keyValueAddress).value_or(SocketAddress{"0.0.0.0", 0});
+        const auto address = parseIpPort(this->settings.keyValueAddress).value_or(IpPort{"0.0.0.0", 0});
         auto client = std::make_unique<httplib::Client>(address.ip, address.port);
         client->set_connection_timeout(this->settings.connectTimeout);
         client->set_read_timeout(this->settings.keyValueTimeout);
--- a/src/fleet/keyvaluewatch.cpp
+++ b/src/fleet/keyvaluewatch.cpp
@@ -3,9 +3,9 @@
 #include "base64.h"
 #include "keyvaluejson.h"
 
+#include "cyclamencross/base/ipport.h"
 #include "cyclamencross/base/logline.h"
 #include "cyclamencross/base/metrics.h"
-#include "cyclamencross/net/socketaddress.h"
 
 #include <mutex>
 
@@ -98,7 +98,7 @@
 
 bool KeyValueWatch::run(const std::string &key, std::int64_t startRevision, const Receiver &receiver)
 {
-    const auto address = parseAddress(this->members->settings.keyValueAddress).value_or(SocketAddress{"0.0.0.0", 0});
+    const auto address = parseIpPort(this->members->settings.keyValueAddress).value_or(IpPort{"0.0.0.0", 0});
     {
         const std::scoped_lock lock(this->members->mutex);
         if (this->members->stopped) {
--- a/src/grant/engineclient.cpp
+++ b/src/grant/engineclient.cpp
@@ -1,6 +1,7 @@
 #include "engineclient.h"
 
 #include "cyclamencross/base/failures.h"
+#include "cyclamencross/base/ipport.h"
 
 #include <cstdlib>
 #include <utility>
@@ -38,11 +39,11 @@
 
 boost::leaf::result<std::string> EngineClient::exchange(const std::string &path, const std::string &body) const
 {
-    const std::size_t colon = this->address.rfind(':');
-    if (colon == std::string::npos) {
+    const auto target = parseIpPort(this->address);
+    if (!target) {
         return boost::leaf::new_error(ConnectFailed{this->address});
     }
-    httplib::Client client(this->address.substr(0, colon), std::atoi(this->address.c_str() + colon + 1));
+    httplib::Client client(target->ip, target->port);
     client.set_connection_timeout(this->connectTimeout);
     client.set_read_timeout(this->replyTimeout);
     client.set_write_timeout(this->replyTimeout);
--- a/src/net/datagramport.cpp
+++ b/src/net/datagramport.cpp
@@ -3,9 +3,9 @@
 #include "envelope.h"
 #include "replayguard.h"
 
+#include "cyclamencross/base/ipport.h"
 #include "cyclamencross/base/logline.h"
 #include "cyclamencross/base/metrics.h"
-#include "cyclamencross/net/socketaddress.h"
 
 #include <array>
 #include <atomic>
@@ -29,7 +29,7 @@
 // Room for a burst of slot questions while the receiving thread waits for a processor.
 constexpr int ReceiveBufferBytes = 1 << 20;
 
-sockaddr_in toNative(const SocketAddress &address)
+sockaddr_in toNative(const IpPort &address)
 {
     sockaddr_in native{};
     native.sin_family = AF_INET;
@@ -113,7 +113,7 @@
                            std::string sharedKey, Metrics &metrics)
     : members(std::make_unique<Members>(std::move(sender), incarnation, sharedKey, metrics))
 {
-    const auto parsed = parseAddress(address);
+    const auto parsed = parseIpPort(address, 0);
     if (!parsed) {
         throw std::system_error(EINVAL, std::generic_category(), "datagram address " + address);
     }
@@ -155,7 +155,7 @@
 
 void DatagramPort::send(const std::string &address, DatagramKind kind, const std::string &payload)
 {
-    const auto target = parseAddress(address);
+    const auto target = parseIpPort(address);
     if (!target) {
         this->members->drop("bad-address");
         return;
--- a/src/net/peerhttp.cpp
+++ b/src/net/peerhttp.cpp
@@ -2,7 +2,7 @@
 
 #include "cyclamencross/base/failures.h"
 #include "cyclamencross/base/hash.h"
-#include "cyclamencross/net/socketaddress.h"
+#include "cyclamencross/base/ipport.h"
 
 #include <algorithm>
 #include <charconv>
@@ -53,7 +53,7 @@
 boost::leaf::result<HttpReply> callPeer(const std::string &address, const HttpRequest &request,
                                         const std::string &sharedKey, Millis timeout)
 {
-    const auto target = parseAddress(address);
+    const auto target = parseIpPort(address);
     if (!target) {
         return boost::leaf::new_error(ConnectFailed{address});
     }
--- a/src/proxy/backendclient.cpp
+++ b/src/proxy/backendclient.cpp
@@ -1,5 +1,7 @@
 #include "backendclient.h"
 
+#include "cyclamencross/base/ipport.h"
+
 #include <atomic>
 #include <thread>
 
@@ -21,16 +23,6 @@
 constexpr int DeathChecks = 5;
 constexpr Millis DeathCheckPeriod{10};
 
-std::string hostOf(const std::string &address)
-{
-    return address.substr(0, address.rfind(':'));
-}
-
-int portOf(const std::string &address)
-{
-    return std::atoi(address.c_str() + address.rfind(':') + 1);
-}
-
 // A second descriptor of a client's socket.
 class SocketCopy
 {
@@ -88,10 +80,11 @@
 
 ExchangeEnd BackendClient::stream(const BackendRequest &request, CancelSignal &cancel, const Receiver &receiver) const
 {
-    if (cancel.reason() != CancelReason::None) {
+    const auto target = parseIpPort(request.address);
+    if (!target || cancel.reason() != CancelReason::None) {
         return ConnectFailed{request.address};
     }
-    httplib::Client client(hostOf(request.address), portOf(request.address));
+    httplib::Client client(target->ip, target->port);
     client.set_connection_timeout(this->connectTimeout);
     client.set_read_timeout(this->silence);
     client.set_write_timeout(this->silence);
@@ -147,11 +140,15 @@
 
 bool BackendClient::refusesOnce(const std::string &address) const
 {
+    const auto target = parseIpPort(address);
+    if (!target) {
+        return false;
+    }
     const int probe = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     sockaddr_in to{};
     to.sin_family = AF_INET;
-    to.sin_port = htons(static_cast<std::uint16_t>(portOf(address)));
-    inet_pton(AF_INET, hostOf(address).c_str(), &to.sin_addr);
+    to.sin_port = htons(target->port);
+    inet_pton(AF_INET, target->ip.c_str(), &to.sin_addr);
     int failure = 0;
     if (connect(probe, reinterpret_cast<sockaddr *>(&to), sizeof to) != 0) {
         failure = errno;
--- a/src/proxy/callerserver.cpp
+++ b/src/proxy/callerserver.cpp
@@ -1,5 +1,6 @@
 #include "callerserver.h"
 
+#include "cyclamencross/base/ipport.h"
 #include "cyclamencross/net/boundedtaskqueue.h"
 
 #include <memory>
@@ -229,13 +230,14 @@
 
 bool CallerServer::start(const std::string &address)
 {
-    const std::size_t colon = address.rfind(':');
-    const std::string host = address.substr(0, colon);
-    const int wanted = std::atoi(address.c_str() + colon + 1);
-    if (wanted == 0) {
-        this->listener->port = this->listener->bind_to_any_port(host);
-    } else if (this->listener->bind_to_port(host, wanted)) {
-        this->listener->port = wanted;
+    const auto wanted = parseIpPort(address, 0);
+    if (!wanted) {
+        return false;
+    }
+    if (wanted->port == 0) {
+        this->listener->port = this->listener->bind_to_any_port(wanted->ip);
+    } else if (this->listener->bind_to_port(wanted->ip, wanted->port)) {
+        this->listener->port = wanted->port;
     }
     if (this->listener->port <= 0) {
         return false;
