Read the fleet configuration with the INI reader of base

fleet had a reader of its own around inih. Both set inih's global limits, so the longest line of a fleet configuration depended on whether the process had read its settings before. parseConfig() now uses parseIni(); the rule that a key appears once in its section stays with it.

A syntax error is reported before a wrong key in an earlier line. The test of a line without an equals sign expects the words of parseIni(), "[section], key = value", which is as strict as "name = value" was.

--- a/src/fleet/config_test.cpp
+++ b/src/fleet/config_test.cpp
@@ -93,7 +93,7 @@
         {"[defaults]\nmax_tokens = 1\nmax_tokens = 2\n", 3, "max_tokens", "once"},
         {"[change]\nrevison = 1\n", 2, "revison", "revision, id or author"},
         {"[other]\nkey = 1\n", 2, "key", "the section"},
-        {"no equals sign\n", 1, "", "name = value"},
+        {"no equals sign\n", 1, "", "[section], key = value"},
         {reasonless, 4, "reason", "reason"},
         {reasonless + "reason =\n", 4, "reason", "reason"},
         {"[exception e]\nscope = planet\n", 2, "scope", "workspace, model, zone or backend"},
--- a/src/fleet/configtext.cpp
+++ b/src/fleet/configtext.cpp
@@ -1,12 +1,15 @@
 #include "cyclamencross/fleet/configtext.h"
 
+#include "cyclamencross/base/failures.h"
+#include "cyclamencross/base/inifile.h"
 #include "cyclamencross/decide/configkeys.h"
-#include "inireader.h"
 
 #include <array>
 #include <charconv>
 #include <ctime>
 #include <map>
+#include <optional>
+#include <set>
 
 #include <boost/leaf/error.hpp>
 
@@ -50,20 +53,20 @@
 class ConfigReader
 {
 public:
-    std::optional<std::string> take(const IniLine &line)
+    std::optional<std::string> take(const IniEntry &entry)
     {
-        if (line.section == "change") {
-            return this->takeChange(line);
+        if (entry.section == "change") {
+            return this->takeChange(entry);
         }
-        if (line.section == "defaults") {
-            const ConfigKey *key = findConfigKey(line.name);
+        if (entry.section == "defaults") {
+            const ConfigKey *key = findConfigKey(entry.key);
             if (key == nullptr) {
                 return "a key of [defaults]";
             }
-            return key->set(this->config.defaults, line.value) ? std::nullopt : std::optional(key->expected);
+            return key->set(this->config.defaults, entry.value) ? std::nullopt : std::optional(key->expected);
         }
-        if (line.section.starts_with(ExceptionPrefix) && line.section.size() > ExceptionPrefix.size()) {
-            return this->takeException(line);
+        if (entry.section.starts_with(ExceptionPrefix) && entry.section.size() > ExceptionPrefix.size()) {
+            return this->takeException(entry);
         }
         return "the section [change], [defaults] or [exception NAME]";
     }
@@ -84,15 +87,15 @@
     FleetConfig config;
 
 private:
-    std::optional<std::string> takeChange(const IniLine &line)
+    std::optional<std::string> takeChange(const IniEntry &entry)
     {
-        if (line.name == "id") {
-            this->config.changeId = line.value;
-        } else if (line.name == "author") {
-            this->config.author = line.value;
-        } else if (line.name == "revision") {
-            const char *end = line.value.data() + line.value.size();
-            const auto [rest, error] = std::from_chars(line.value.data(), end, this->config.revision);
+        if (entry.key == "id") {
+            this->config.changeId = entry.value;
+        } else if (entry.key == "author") {
+            this->config.author = entry.value;
+        } else if (entry.key == "revision") {
+            const char *end = entry.value.data() + entry.value.size();
+            const auto [rest, error] = std::from_chars(entry.value.data(), end, this->config.revision);
             if (error != std::errc() || rest != end) {
                 return "a whole number";
             }
@@ -102,26 +105,26 @@
         return std::nullopt;
     }
 
-    std::optional<std::string> takeException(const IniLine &line)
+    std::optional<std::string> takeException(const IniEntry &entry)
     {
-        const auto [found, isNew] = this->exceptions.try_emplace(line.section);
+        const auto [found, isNew] = this->exceptions.try_emplace(entry.section);
         if (isNew) {
-            this->order.push_back(line.section);
+            this->order.push_back(entry.section);
         }
         PendingException &pending = found->second;
         FleetException &exception = pending.exception;
-        pending.lines[line.name] = line.line;
-        if (line.name == "scope") {
+        pending.lines[entry.key] = entry.line;
+        if (entry.key == "scope") {
             for (std::size_t i = 0; i < Scopes.size(); ++i) {
-                if (line.value == Scopes[i]) {
+                if (entry.value == Scopes[i]) {
                     exception.scope = static_cast<ExceptionScope>(i);
                     pending.hasScope = true;
                 }
             }
             return pending.hasScope ? std::nullopt : std::optional<std::string>("workspace, model, zone or backend");
         }
-        if (line.name == "expiry") {
-            exception.expiry = parseExpiry(line.value);
+        if (entry.key == "expiry") {
+            exception.expiry = parseExpiry(entry.value);
             return exception.expiry ? std::nullopt : std::optional<std::string>("a time like 2026-12-31T23:59:59Z");
         }
         const std::map<std::string, std::string *> texts{{"subject", &exception.subject},
@@ -129,11 +132,11 @@
                                                          {"value", &exception.value},
                                                          {"reason", &exception.reason},
                                                          {"author", &exception.author}};
-        const auto text = texts.find(line.name);
+        const auto text = texts.find(entry.key);
         if (text == texts.end()) {
             return "scope, subject, key, value, reason, author or expiry";
         }
-        *text->second = line.value;
+        *text->second = entry.value;
         return std::nullopt;
     }
 
@@ -183,12 +186,21 @@
 
 boost::leaf::result<FleetConfig> parseConfig(const std::string &text, const std::string &file)
 {
+    BOOST_LEAF_AUTO(entries, parseIni(text, file));
     ConfigReader reader;
-    auto fault = readIni(text, [&reader](const IniLine &line) { return reader.take(line); });
-    if (!fault) {
-        fault = reader.finish();
+    std::set<std::pair<std::string, std::string>> seen;
+    for (const IniEntry &entry : entries) {
+        if (entry.key.empty()) {
+            continue; // The line of a section.
+        }
+        const auto expected = seen.emplace(entry.section, entry.key).second
+            ? reader.take(entry)
+            : std::optional<std::string>("a key that appears once in its section");
+        if (expected) {
+            return boost::leaf::new_error(InvalidSetting{file, entry.line, entry.key, *expected});
+        }
     }
-    if (fault) {
+    if (auto fault = reader.finish()) {
         fault->file = file;
         return boost::leaf::new_error(*fault);
     }
