Give every metric the prefix cyclamencross_

The metrics of datagrams, key-value calls and the fleet lacked the prefix that all others have. Dashboards that use the old names must change.

--- a/src/fleet/callrecords_test.cpp
+++ b/src/fleet/callrecords_test.cpp
@@ -122,7 +122,7 @@
     service.leases.clear();
     CHECK(create(records, next(), start + std::chrono::minutes(61)));
     CHECK(service.leases.size() == 1);
-    CHECK(metrics.text().find("keyvalue_calls_total{kind=\"lease-grant\"} 3") != std::string::npos);
+    CHECK(metrics.text().find("cyclamencross_keyvalue_calls_total{kind=\"lease-grant\"} 3") != std::string::npos);
 }
 
 // Guards against two callers whose names put together read the same and who would block each other's calls.
--- a/src/fleet/fleetservice.cpp
+++ b/src/fleet/fleetservice.cpp
@@ -105,7 +105,7 @@
         },
         [=](const Datagram &datagram) {
             if (!state->receive(datagram, Clock::now(), unixSeconds())) {
-                metrics->count("datagrams_dropped_total", {{"reason", "malformed-payload"}});
+                metrics->count("cyclamencross_datagrams_dropped_total", {{"reason", "malformed-payload"}});
             }
         },
         [=](const HostListRead &message) { state->takeHostList(message.list, Clock::now()); },
@@ -191,9 +191,9 @@
         this->port.send(address, kind, payload);
     };
     hooks.publish = [this](FleetViewPtr next) {
-        this->metrics.set("fleet_members", static_cast<double>(next->members.size()));
-        this->metrics.set("fleet_config_revision", static_cast<double>(next->config->revision));
-        this->metrics.set("fleet_isolated", next->isolated ? 1 : 0);
+        this->metrics.set("cyclamencross_fleet_members", static_cast<double>(next->members.size()));
+        this->metrics.set("cyclamencross_fleet_config_revision", static_cast<double>(next->config->revision));
+        this->metrics.set("cyclamencross_fleet_isolated", next->isolated ? 1 : 0);
         const std::scoped_lock lock(this->mutex);
         this->view.swap(next);
     };
--- a/src/fleet/fleetservice_test.cpp
+++ b/src/fleet/fleetservice_test.cpp
@@ -251,5 +251,5 @@
     CHECK(accepted);
     CHECK(seen == std::vector{KeyValueEntry{"k", "v", 0, 4, 0}});
     CHECK(requested.find("\"start_revision\":\"3\"") != std::string::npos);
-    CHECK(metrics.text().find("keyvalue_calls_total{kind=\"watch\"} 1") != std::string::npos);
+    CHECK(metrics.text().find("cyclamencross_keyvalue_calls_total{kind=\"watch\"} 1") != std::string::npos);
 }
--- a/src/fleet/keyvalueclient.cpp
+++ b/src/fleet/keyvalueclient.cpp
@@ -154,10 +154,10 @@
 boost::leaf::result<std::string> KeyValueClient::send(const char *kind, const std::string &path,
                                                       const std::string &body)
 {
-    this->metrics.count("keyvalue_calls_total", {{"kind", kind}});
+    this->metrics.count("cyclamencross_keyvalue_calls_total", {{"kind", kind}});
     auto answer = this->call(path, body);
     if (!answer) {
-        this->metrics.count("keyvalue_failures_total", {{"kind", kind}});
+        this->metrics.count("cyclamencross_keyvalue_failures_total", {{"kind", kind}});
     }
     return answer;
 }
--- a/src/fleet/keyvaluewatch.cpp
+++ b/src/fleet/keyvaluewatch.cpp
@@ -109,7 +109,7 @@
     httplib::Client &client = *this->members->client;
     client.set_connection_timeout(this->members->settings.connectTimeout);
     client.set_read_timeout(LongestSilence);
-    this->members->metrics->count("keyvalue_calls_total", {{"kind", "watch"}});
+    this->members->metrics->count("cyclamencross_keyvalue_calls_total", {{"kind", "watch"}});
 
     const nlohmann::json body = {
         {"create_request", {{"key", toBase64(key)}, {"start_revision", std::to_string(startRevision)}}}};
--- a/src/net/datagramport.cpp
+++ b/src/net/datagramport.cpp
@@ -90,7 +90,7 @@
 
     void drop(const char *reason)
     {
-        this->metrics.count("datagrams_dropped_total", {{"reason", reason}});
+        this->metrics.count("cyclamencross_datagrams_dropped_total", {{"reason", reason}});
     }
 
     void deliver(std::string_view bytes, const sockaddr_in &from);
@@ -175,8 +175,9 @@
         this->members->drop("send-failed");
         return;
     }
-    this->members->metrics.count("datagrams_sent_total", {{"kind", kindName(kind)}});
-    this->members->metrics.count("datagram_bytes_total", {{"direction", "sent"}}, static_cast<double>(sent));
+    this->members->metrics.count("cyclamencross_datagrams_sent_total", {{"kind", kindName(kind)}});
+    this->members->metrics.count("cyclamencross_datagram_bytes_total", {{"direction", "sent"}},
+                                 static_cast<double>(sent));
 }
 
 std::string DatagramPort::address() const
@@ -209,7 +210,8 @@
 
 void DatagramPort::Members::deliver(std::string_view bytes, const sockaddr_in &from)
 {
-    this->metrics.count("datagram_bytes_total", {{"direction", "received"}}, static_cast<double>(bytes.size()));
+    this->metrics.count("cyclamencross_datagram_bytes_total", {{"direction", "received"}},
+                        static_cast<double>(bytes.size()));
     if (bytes.size() > MaxBytes) {
         this->drop("oversize-received");
         return;
--- a/testsuite/forged-messages/run.py
+++ b/testsuite/forged-messages/run.py
@@ -21,7 +21,7 @@
     """Returns the number of datagrams that the entry has dropped."""
     text = send(entry.admin, "GET", "/metrics").body.decode()
     return sum(float(line.rsplit(" ", 1)[1]) for line in text.splitlines()
-               if "datagrams_dropped" in line and not line.startswith("#"))
+               if line.startswith("cyclamencross_datagrams_dropped_total"))
 
 
 def main():
