graceful-stop: wait for the drain of this run

Cause: one of four runs of the suite on a loaded machine timed out. The log still held the drain of the entry's first run, so both SIGTERMs were sent at once and the kernel merged them into one.

--- a/testsuite/graceful-stop/run.py
+++ b/testsuite/graceful-stop/run.py
@@ -67,6 +67,11 @@
             thread.join()
 
 
+def drains(entry):
+    """Returns how many drains the entry has logged."""
+    return sum(line.get("event") == "drain-begin" for line in entry.log_lines())
+
+
 def main():
     with Fleet(build_argument()) as fleet:
         fleet.start_platform()
@@ -92,8 +97,10 @@
         slow = threading.Thread(target=fleet.complete, args=("slow", 4000), kwargs={"entry": held})
         slow.start()
         wait_until(lambda: fleet.held([p for p in fleet.processes if p.name.startswith("decode")]) > 0, "stream runs")
+        # The log also holds the drain of the entry's earlier run, and two signals at once would count as one.
+        earlier = drains(held)
         held.terminate()
-        wait_until(lambda: any(line.get("event") == "drain-begin" for line in held.log_lines()), "drain begins")
+        wait_until(lambda: drains(held) > earlier, "drain begins")
         held.terminate()
         print(f"second SIGTERM ends the entry with exit code {held.wait_end(20)}")
         slow.join()
