Count datagrams, peer calls and key-value calls as control bytes

The gauges of control bytes were fed by GET /peer/config only, so the budget that docs/operators.md gives could not be judged. DatagramPort, callPeer(), key-value calls and the key-value watch now count what they send and receive. HTTP messages count with their bodies only, not with their heads; processmetrics.h says so.

No test covers the counts of the key-value calls and the watch.

--- a/src/fleet/keyvaluehttp.cpp
+++ b/src/fleet/keyvaluehttp.cpp
@@ -2,6 +2,7 @@
 
 #include "cyclamencross/base/failures.h"
 #include "cyclamencross/base/ipport.h"
+#include "cyclamencross/base/processmetrics.h"
 
 #include <mutex>
 #include <semaphore>
@@ -77,9 +78,13 @@
         this->members->idle.push_back(std::move(client));
     }
     this->members->places.release();
+    if (result || result.error() != httplib::Error::Connection) {
+        addControlBytesSent(body.size());
+    }
     if (!result) {
         return boost::leaf::new_error(KeyValueUnavailable{httplib::to_string(result.error())});
     }
+    addControlBytesReceived(result->body.size());
     if (result->status == 200) {
         return result->body;
     }
--- a/src/fleet/keyvaluewatch.cpp
+++ b/src/fleet/keyvaluewatch.cpp
@@ -6,6 +6,7 @@
 #include "cyclamencross/base/ipport.h"
 #include "cyclamencross/base/logline.h"
 #include "cyclamencross/base/metrics.h"
+#include "cyclamencross/base/processmetrics.h"
 
 #include <mutex>
 
@@ -119,8 +120,10 @@
     request.path = "/v3/watch";
     request.set_header("Content-Type", "application/json");
     request.body = body.dump();
+    addControlBytesSent(request.body.size());
     request.content_receiver = [this, &stream](const char *data, std::size_t size, std::uint64_t /*offset*/,
                                                std::uint64_t /*total*/) {
+        addControlBytesReceived(size);
         return !this->members->isStopped() && stream.take(data, size);
     };
     client.send(request);
--- a/src/include/cyclamencross/base/processmetrics.h
+++ b/src/include/cyclamencross/base/processmetrics.h
@@ -8,7 +8,8 @@
 
 class Metrics;
 
-/// Adds to the control bytes that this process has sent: gossip, slot requests, peer and key-value calls. Thread-safe.
+/// Adds to the control bytes that this process has sent: gossip, slot requests, peer and key-value calls. Datagrams
+/// count whole, HTTP messages with their bodies only. Thread-safe.
 void addControlBytesSent(std::uint64_t bytes);
 /// Adds to the control bytes that this process has received. Thread-safe.
 void addControlBytesReceived(std::uint64_t bytes);
--- a/src/net/datagramport.cpp
+++ b/src/net/datagramport.cpp
@@ -6,6 +6,7 @@
 #include "cyclamencross/base/ipport.h"
 #include "cyclamencross/base/logline.h"
 #include "cyclamencross/base/metrics.h"
+#include "cyclamencross/base/processmetrics.h"
 
 #include <array>
 #include <atomic>
@@ -175,6 +176,7 @@
         this->members->drop("send-failed");
         return;
     }
+    addControlBytesSent(static_cast<std::uint64_t>(sent));
     this->members->metrics.count("cyclamencross_datagrams_sent_total", {{"kind", kindName(kind)}});
     this->members->metrics.count("cyclamencross_datagram_bytes_total", {{"direction", "sent"}},
                                  static_cast<double>(sent));
@@ -210,6 +212,7 @@
 
 void DatagramPort::Members::deliver(std::string_view bytes, const sockaddr_in &from)
 {
+    addControlBytesReceived(bytes.size());
     this->metrics.count("cyclamencross_datagram_bytes_total", {{"direction", "received"}},
                         static_cast<double>(bytes.size()));
     if (bytes.size() > MaxBytes) {
--- a/src/net/peerhttp.cpp
+++ b/src/net/peerhttp.cpp
@@ -3,6 +3,7 @@
 #include "cyclamencross/base/failures.h"
 #include "cyclamencross/base/hash.h"
 #include "cyclamencross/base/ipport.h"
+#include "cyclamencross/base/processmetrics.h"
 
 #include <algorithm>
 #include <charconv>
@@ -80,8 +81,11 @@
         if (result.error() == httplib::Error::Connection || result.error() == httplib::Error::ConnectionTimeout) {
             return boost::leaf::new_error(ConnectFailed{address});
         }
+        addControlBytesSent(request.body.size());
         return boost::leaf::new_error(ExchangeBroken{address, httplib::to_string(result.error())});
     }
+    addControlBytesSent(request.body.size());
+    addControlBytesReceived(result->body.size());
     HttpReply reply{result->status, {}, result->body};
     for (const auto &[name, value] : result->headers) {
         reply.headers.emplace(name, value);
