--- a/testsuite/slopes.py
+++ b/testsuite/slopes.py
@@ -37,7 +37,7 @@
 
 
 def sample(entries):
-    return [(cpu_seconds(entry), metric(entry, "datagram_bytes_total", "sent"), metric(entry, "keyvalue_calls_total"))
+    return [(cpu_seconds(entry), metric(entry, "cyclamencross_datagram_bytes_total", "sent"), metric(entry, "cyclamencross_keyvalue_calls_total"))
             for entry in entries]
 
 
