Take the sessions' ports from below the range of outgoing connections

Cause: a port that was free when it was chosen could be taken by another process's outgoing connection before its listener, or a restarted one, bound it.

--- a/testsuite/harness.py
+++ b/testsuite/harness.py
@@ -13,6 +13,7 @@
 import base64
 import json
 import pathlib
+import random
 import re
 import shutil
 import signal
@@ -24,15 +25,26 @@
 from client import Reply, Stream, event_text, expected_text, prompt_tag, send, stream  # noqa: F401
 from process import WAIT_LIMIT_S, Entry, Process, Timeout, wait_until  # noqa: F401
 
+FIRST_PORT = 10000
+LAST_PORT = 30000
 SHARED_KEY = "loopback-test-key-0123456789abcdef"
 
 
 def free_ports(count, kind=socket.SOCK_STREAM):
-    """Returns loopback ports that are free now. They are held open together, so that all differ."""
-    sockets = [socket.socket(socket.AF_INET, kind) for _ in range(count)]
+    """Returns loopback ports that are free now. They are held open together, so that all differ.
+
+    They lie below the range from which the kernel takes the ports of outgoing connections. Otherwise a connection of
+    another process could take a port before, or between two runs of, the process that is meant to listen on it.
+    """
+    sockets = []
     try:
-        for one in sockets:
-            one.bind(("127.0.0.1", 0))
+        while len(sockets) < count:
+            one = socket.socket(socket.AF_INET, kind)
+            try:
+                one.bind(("127.0.0.1", random.SystemRandom().randrange(FIRST_PORT, LAST_PORT)))
+                sockets.append(one)
+            except OSError:
+                one.close()
         return [one.getsockname()[1] for one in sockets]
     finally:
         for one in sockets:
