--- a/src/emu/caller.cpp
+++ b/src/emu/caller.cpp
@@ -15,11 +15,6 @@
 
 constexpr Millis ConnectTimeout{1000};
 
-double toSeconds(Clock::duration duration)
-{
-    return std::chrono::duration<double>(duration).count();
-}
-
 // A read that timed out and a broken connection look alike to cpp-httplib's callers, but for the error.
 std::string outcomeOf(const httplib::Result &result, bool gaveUp)
 {
--- a/src/include/cyclamencross/base/timing.h
+++ b/src/include/cyclamencross/base/timing.h
@@ -11,6 +11,12 @@
 using Clock = std::chrono::steady_clock;
 using TimePoint = Clock::time_point;
 
+/// Returns @p duration in seconds.
+inline double toSeconds(Clock::duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
 /// Returns the wall-clock time in seconds since the Unix epoch.
 std::int64_t unixSeconds();
 
--- a/src/proxy/modelrun.cpp
+++ b/src/proxy/modelrun.cpp
@@ -19,7 +19,6 @@
 using Json = nlohmann::ordered_json;
 
 constexpr int MaxAttempts = 3;
-constexpr std::size_t LoggedCandidates = 5;
 constexpr Millis ShortWait{5}; // For asking a second engine before queueing at the first.
 constexpr Millis LongestWait{10000}; // Bounds the queueing of requests that can wait.
 constexpr Millis NoEngineRetryAfter{1000};
@@ -27,11 +26,6 @@
 constexpr Millis LongestRetryAfter{30000};
 constexpr std::uint8_t CanWait = 2;
 
-double toSeconds(Clock::duration duration)
-{
-    return std::chrono::duration<double>(duration).count();
-}
-
 Millis since(TimePoint start)
 {
     return std::chrono::duration_cast<Millis>(Clock::now() - start);
@@ -360,45 +354,4 @@
     return SlotAsk{this->attemptId, engine, this->request.workspace, this->request.priority, 0, 0, maxWait};
 }
 
-void ModelRun::logChoice(const char *stage, const std::vector<RankedEngine> &candidates, const std::string &choice,
-                         const char *reason, const AdmissionDecision &admission) const
-{
-    Json list = Json::array();
-    for (std::size_t i = 0; i < std::min(candidates.size(), LoggedCandidates); ++i) {
-        const RankedEngine &candidate = candidates[i];
-        list.push_back({{"engine", candidate.engine.address},
-                        {"wait_ms", candidate.expectedWaitMs},
-                        {"cost_ms", candidate.costMs},
-                        {"prefix_hit", candidate.prefixHit}});
-    }
-    LogLine("route")
-        .add("request", this->requestId)
-        .add("attempt", this->attemptId)
-        .add("stage", stage)
-        .add("workspace", this->request.workspace)
-        .add("model", this->request.model)
-        .addJson("candidates", dump(list))
-        .add("candidate_count", std::uint64_t(candidates.size()))
-        .add("choice", choice)
-        .add("reason", reason)
-        .add("expected_ms", std::int64_t(admission.expected.count()))
-        .add("left_ms", std::int64_t(admission.left.count()))
-        .write();
-}
-
-void ModelRun::countDone()
-{
-    const Metrics::Labels labels{{"workspace", this->workspaceLabel}, {"model", this->request.model}};
-    if (this->relay.outputs() == 0) {
-        return; // An empty answer has no times.
-    }
-    const auto firstOutput = this->relay.firstOutput() - this->arrival;
-    this->core.metrics.observe("cyclamencross_first_output_seconds", toSeconds(firstOutput));
-    this->core.metrics.observe("cyclamencross_between_outputs_seconds", toSeconds(this->relay.betweenOutputs()));
-    if (firstOutput <= this->targets.firstTokenTarget
-        && this->relay.betweenOutputs() <= this->targets.betweenTokensTarget) {
-        this->core.metrics.count("cyclamencross_goodput_total", labels);
-    }
-}
-
 }
--- a/testsuite/graceful-stop/run.py
+++ b/testsuite/graceful-stop/run.py
@@ -7,9 +7,12 @@
 import pathlib
 import sys
 import threading
+import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
-from harness import Fleet, build_argument, send, wait_until  # noqa: E402
+from concurrent.futures import ThreadPoolExecutor  # noqa: E402
+
+from harness import Fleet, build_argument, send, stream, wait_until  # noqa: E402
 
 ANSWER_TTL = "2000ms"
 
@@ -29,7 +32,6 @@
 
     def ask(self, number):
         """Returns (address, ticket, end of the time that the address may be kept)."""
-        import time
         for entry in self.fleet.entries:
             asked = time.monotonic()
             answer = send(entry.caller, "GET", f"/v1/entry?workspace=acme&session={number}", timeout=5).json()
@@ -38,7 +40,6 @@
         return None
 
     def run(self, number):
-        import time
         held = None
         turn = 0
         while not self.stop.is_set():
@@ -52,7 +53,6 @@
                              {"Workspace": "acme", "Idempotency-Key": ticket})
                 good = reply.status == 200
             else:
-                from client import stream
                 reply = stream(held[0], "/v1/completions", {"model": "model", "prompt": f"caller {number} {turn}",
                                                             "max_tokens": 40, "stream": True}, {"Workspace": "acme"})
                 good = reply.status == 200 and reply.ended
@@ -75,7 +75,7 @@
 def main():
     with Fleet(build_argument()) as fleet:
         fleet.start_platform()
-        fleet.start_engines(prefill=2, decode=2)
+        _, decode = fleet.start_engines(prefill=2, decode=2)
         fleet.start_service("bookings", "service0", delay=100)
         fleet.start_entries(3, {"timeouts.drain_margin": "1000ms"})
         fleet.apply_config({"answer_ttl": ANSWER_TTL})
@@ -93,10 +93,21 @@
             print(failure, file=sys.stderr)
         print(f"failed requests: {len(callers.failures)}")
 
+        # These outlast the wait for the kept answers (3 s), so the entry itself has to wait for them.
+        leaving = fleet.entries[1]
+        with ThreadPoolExecutor(2) as pool:
+            long_stream = pool.submit(fleet.complete, "long stream", 400, entry=leaving, streamed=True)
+            long_answer = pool.submit(fleet.complete, "long answer", 400, entry=leaving)
+            wait_until(lambda: fleet.held(decode) == 2, "both run")
+            leaving.terminate()
+            print(f"planned stop during long requests: exit code {leaving.wait_end()}")
+            print(f"long stream: {'whole' if long_stream.result().ended else 'CUT'}, "
+                  f"long answer: {long_answer.result().status}")
+
         held = fleet.entries[0]
         slow = threading.Thread(target=fleet.complete, args=("slow", 4000), kwargs={"entry": held})
         slow.start()
-        wait_until(lambda: fleet.held([p for p in fleet.processes if p.name.startswith("decode")]) > 0, "stream runs")
+        wait_until(lambda: fleet.held(decode) > 0, "stream runs")
         # The log also holds the drain of the entry's earlier run, and two signals at once would count as one.
         earlier = drains(held)
         held.terminate()
@@ -104,7 +115,7 @@
         held.terminate()
         print(f"second SIGTERM ends the entry with exit code {held.wait_end(20)}")
         slow.join()
-        wait_until(lambda: fleet.held([p for p in fleet.processes if p.name.startswith("decode")]) == 0,
+        wait_until(lambda: fleet.held(decode) == 0,
                    "engine memory freed")
         print("engine memory freed")
 
--- a/testsuite/record-calls/run.py
+++ b/testsuite/record-calls/run.py
@@ -73,6 +73,21 @@
         print(f"answer of the backend server lost: {describe(book(one, 'visit-6'))}")
         print(f"resend: {describe(book(two, 'visit-6'))}, executions: {executions('visit-6')}")
 
+        # With a second server, a repeated send would show as a second execution.
+        other = fleet.start_service("bookings", "service1")
+        wait_until(lambda: any(backend["address"] == other.address for backend in fleet.status(one)["backends"]),
+                   "the second server is known")
+        for server in (service, other):
+            server.fault("answer-lost", times=1)
+        reply = book(one, "visit-10")
+        ran = sum(server.counts()["keys"].get("visit-10", 0) for server in (service, other))
+        print(f"answer lost, two servers: {describe(reply)}, executions: {ran}")
+        fleet.remove_host(other.address)
+        wait_until(lambda: all(backend["address"] != other.address for entry in fleet.entries
+                               for backend in fleet.status(entry)["backends"]), "the second server is gone")
+        for server in (service, other):
+            server.clear_faults()
+
         service.fault("slow", ms=2000, times=1)
         with ThreadPoolExecutor(1) as pool:
             first = pool.submit(book, three, "visit-7")
