Log admission numbers only where a choice rests on them

Cause: the line of a decode choice showed expected_ms and left_ms as 0, which reads as a measured value.

--- a/src/proxy/modelreport.cpp
+++ b/src/proxy/modelreport.cpp
@@ -32,8 +32,8 @@
                         {"cost_ms", candidate.costMs},
                         {"prefix_hit", candidate.prefixHit}});
     }
-    LogLine("route")
-        .add("request", this->requestId)
+    LogLine line("route");
+    line.add("request", this->requestId)
         .add("attempt", this->attemptId)
         .add("stage", stage)
         .add("workspace", this->request.workspace)
@@ -41,10 +41,13 @@
         .addJson("candidates", list.dump(-1, ' ', false, Json::error_handler_t::replace))
         .add("candidate_count", std::uint64_t(candidates.size()))
         .add("choice", choice)
-        .add("reason", reason)
-        .add("expected_ms", std::int64_t(admission.expected.count()))
-        .add("left_ms", std::int64_t(admission.left.count()))
-        .write();
+        .add("reason", reason);
+    // Only choices that rest on an admission decision have these numbers.
+    if (admission != AdmissionDecision{}) {
+        line.add("expected_ms", std::int64_t(admission.expected.count()))
+            .add("left_ms", std::int64_t(admission.left.count()));
+    }
+    line.write();
 }
 
 void ModelRun::countDone()
