--- a/src/fleet/configfetch.cpp
+++ b/src/fleet/configfetch.cpp
@@ -9,6 +9,7 @@
 #include <mutex>
 #include <optional>
 #include <thread>
+#include <utility>
 
 #include <boost/leaf/error.hpp>
 #include <boost/leaf/handle_errors.hpp>
--- a/src/fleet/fleetstate.cpp
+++ b/src/fleet/fleetstate.cpp
@@ -7,6 +7,7 @@
 #include "configwatch.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Cyclamen
 {
--- a/src/fleet/gossipmessage.cpp
+++ b/src/fleet/gossipmessage.cpp
@@ -207,8 +207,8 @@
 
 std::size_t wireBytes(const GossipMessage &header)
 {
-    constexpr std::size_t EndianByte = 1;
-    constexpr std::size_t ItemCountBytes = 2;
+    static constexpr std::size_t EndianByte = 1;
+    static constexpr std::size_t ItemCountBytes = 2;
     return EndianByte + sizeof header.number + AddressBytes + 1 + nameBytes(header.pageAfter) + ItemCountBytes;
 }
 
--- a/src/fleet/keyvaluewatch.cpp
+++ b/src/fleet/keyvaluewatch.cpp
@@ -30,7 +30,7 @@
     bool take(const char *data, std::size_t size)
     {
         // The service stores values of up to 1 MB, which base64 makes a third larger.
-        constexpr std::size_t LongestLine = 4U << 20U;
+        static constexpr std::size_t LongestLine = 4U << 20U;
         this->buffer.append(data, size);
         for (std::size_t end = 0; (end = this->buffer.find('\n')) != std::string::npos;) {
             const std::string line = this->buffer.substr(0, end);
--- a/src/fleet/membership.cpp
+++ b/src/fleet/membership.cpp
@@ -169,12 +169,10 @@
         this->pageSecond = now;
         this->pagesServed = 0;
     }
-    if (message.page == GossipMessage::Page::Wanted) {
-        // A joining entry asks again for a page that is refused here.
-        if (this->pagesServed++ < PagesPerSecond) {
-            this->hooks.send(datagram.from, DatagramKind::Ack,
-                             encodeGossip(this->makePage(message.pageAfter, message.number)));
-        }
+    // Beyond the limit, the usual Ack tells the joining entry of other members to ask.
+    if (message.page == GossipMessage::Page::Wanted && this->pagesServed++ < PagesPerSecond) {
+        this->hooks.send(datagram.from, DatagramKind::Ack,
+                         encodeGossip(this->makePage(message.pageAfter, message.number)));
         return;
     }
     GossipMessage ack;
--- a/src/fleet/membership.h
+++ b/src/fleet/membership.h
@@ -44,7 +44,7 @@
     static constexpr std::size_t PageBytes = 1250;
     static constexpr int PagesPerSecond = 10;
     /// An entry that joined while others did may have read an incomplete list, so it reads another peer's list after
-    /// this time, then after four times as long and so on.
+    /// this time, then after twice as long and so on.
     static constexpr Millis FirstResync{2000};
     static constexpr Millis LongestResync{300000};
     static constexpr int IndirectProbes = 3;
--- a/src/fleet/membershippages.cpp
+++ b/src/fleet/membershippages.cpp
@@ -25,7 +25,7 @@
         return;
     }
     this->nextResync = now + this->resyncPeriod;
-    this->resyncPeriod = std::min(4 * this->resyncPeriod, LongestResync);
+    this->resyncPeriod = std::min(2 * this->resyncPeriod, LongestResync);
     this->pageAfter.clear();
     this->pagePeers = {this->table.find(live[this->random() % live.size()])->gossipAddress};
 }
@@ -64,14 +64,16 @@
         }
         this->joined = true;
         this->pagePeers.clear();
-    } else if (message.page == GossipMessage::Page::More) {
+        return;
+    }
+    // Another member serves the next page, so that many entries that start at once do not all wait for the few
+    // configured peers.
+    const auto live = this->table.names(isLive);
+    if (!live.empty()) {
+        this->pagePeers = {this->table.find(live[this->random() % live.size()])->gossipAddress};
+    }
+    if (message.page == GossipMessage::Page::More) {
         this->pageAfter = message.pageAfter;
-        // Another member serves the next page, so that many entries that start at once do not all wait for the few
-        // configured peers.
-        const auto live = this->table.names(isLive);
-        if (!live.empty()) {
-            this->pagePeers = {this->table.find(live[this->random() % live.size()])->gossipAddress};
-        }
         this->askForPage(now);
     }
 }
