Keep conditional temporaries out of awaited calls

Cause: processes ended with a double free; GCC 12 destroys a temporary of a conditional expression twice when it is an argument of an awaited call. Ruled out: the watch of callers, the idle links (the fault goes with these expressions only).

--- a/src/gateway/linkpool.cpp
+++ b/src/gateway/linkpool.cpp
@@ -31,7 +31,10 @@
 {
     auto link = std::make_shared<HttpLink>(this->executor, std::move(address));
     const bool isOpen = co_await link->connect(timeout);
-    co_return isOpen ? link : nullptr;
+    if (!isOpen) {
+        link = nullptr;
+    }
+    co_return link;
 }
 
 void LinkPool::giveBack(const std::string &key, const std::shared_ptr<HttpLink> &link)
--- a/src/gateway/plainrun.cpp
+++ b/src/gateway/plainrun.cpp
@@ -50,13 +50,13 @@
             break;
         }
     }
-    co_await this->giveUp(this->timeLeft() <= Millis(0) ? this->failure + ",deadline" : this->failure);
+    co_await this->giveUp(this->failure);
 }
 
 boost::asio::awaitable<PlainRun::Step> PlainRun::attempt(BackendServer server)
 {
     const WorkReservation reservation(this->state, server.id, BackendWork{1, 0, 0});
-    const bool open = co_await this->openLink(server, !this->route.mayRepeat()) != nullptr;
+    const bool open = co_await this->openLink(server, !this->route.mayRepeat());
     if (!open) {
         this->failure = "unreachable";
         co_return Step::Again;
--- a/src/gateway/requestrun.cpp
+++ b/src/gateway/requestrun.cpp
@@ -74,7 +74,7 @@
     this->logEnd();
 }
 
-boost::asio::awaitable<std::shared_ptr<HttpLink>> RequestRun::openLink(const BackendServer &server, bool fresh)
+boost::asio::awaitable<bool> RequestRun::openLink(const BackendServer &server, bool fresh)
 {
     this->link = fresh ? nullptr : this->state.links.takeIdle(server.id + server.address);
     if (!this->link) {
@@ -87,7 +87,7 @@
         this->tried.insert(server.id);
         this->note(server, CallOutcome::Unreachable);
     }
-    co_return this->link;
+    co_return this->link != nullptr;
 }
 
 void RequestRun::giveBack(const BackendServer &server)
@@ -166,6 +166,9 @@
         this->outcome = "caller-gone";
         co_return;
     }
+    if (this->timeLeft() <= Millis(0)) {
+        reason += ",deadline";
+    }
     if (this->session.isAnswered()) {
         this->outcome = "broken-off:" + reason;
         this->session.abort();
--- a/src/gateway/requestrun.h
+++ b/src/gateway/requestrun.h
@@ -46,8 +46,8 @@
 
     /// Opens a connection to @p server or takes an idle one.
     /// @param fresh whether an idle one must not be used, since it may break without notice.
-    /// @return nullptr if the server can't be reached.
-    boost::asio::awaitable<std::shared_ptr<HttpLink>> openLink(const BackendServer &server, bool fresh);
+    /// @return whether `link` is open; otherwise the server can't be reached.
+    boost::asio::awaitable<bool> openLink(const BackendServer &server, bool fresh);
     void giveBack(const BackendServer &server);
     /// Sends the request over the current link.
     void send(const BackendServer &server, BackendCall call);
--- a/src/gateway/router.cpp
+++ b/src/gateway/router.cpp
@@ -206,7 +206,8 @@
     HeaderList headers;
     headers.add("Content-Type", "text/plain; version=0.0.4");
     const bool known = request.target == "/metrics";
-    co_await session.reply(known ? 200 : 404, "", headers, known ? this->state.metrics.text() : "");
+    std::string text = known ? this->state.metrics.text() : std::string();
+    co_await session.reply(known ? 200 : 404, "", headers, std::move(text));
 }
 
 std::vector<std::string> Router::callerAddresses()
--- a/src/gateway/streamrun.cpp
+++ b/src/gateway/streamrun.cpp
@@ -86,7 +86,7 @@
         }
     }
     this->releaseMemory();
-    co_await this->giveUp(this->timeLeft() <= Millis(0) ? this->failure + ",deadline" : this->failure);
+    co_await this->giveUp(this->failure);
 }
 
 bool StreamRun::chooseDecode(const std::string &nearZone)
@@ -149,7 +149,7 @@
     }
     const BackendServer server = chosen.server;
     const WorkReservation reading(this->state, server.id, BackendWork{1, this->request.promptTokens, 0});
-    const bool open = co_await this->openLink(server, false) != nullptr;
+    const bool open = co_await this->openLink(server, false);
     if (!open || this->isOver() || !this->state.isUsable(server)) {
         co_return;
     }
@@ -197,7 +197,7 @@
 boost::asio::awaitable<StreamRun::Step> StreamRun::decode()
 {
     const BackendServer server = *this->engine;
-    const bool open = co_await this->openLink(server, !this->route.mayRepeat()) != nullptr;
+    const bool open = co_await this->openLink(server, !this->route.mayRepeat());
     if (!open) {
         this->failure = "unreachable";
         co_return Step::Unreachable;
@@ -274,8 +274,8 @@
             break;
         }
         const bool another = this->route.mayRepeat() && this->mayUseAnother();
-        status = co_await this->link->readSome(another ? std::min(this->deadline, Clock::now() + stall)
-                                                       : this->deadline);
+        const TimePoint until = another ? std::min(this->deadline, Clock::now() + stall) : this->deadline;
+        status = co_await this->link->readSome(until);
     }
     if (this->session.isCallerGone()) {
         this->failure = "caller-gone";
