Reserve room at the decode engine before the prompt is read

Cause: in bursts decode engines rejected requests whose prompts had been read elsewhere; a third of all prompt tokens were read for nothing. Ruled out: lost handles (429 of 674 prompts were taken over while engines were not full). Change: a request takes a reservation at the engine first, waits for room while that serves its caller, and is refused with a time to come back otherwise.

--- a/src/gateway/routerstate.cpp
+++ b/src/gateway/routerstate.cpp
@@ -46,6 +46,8 @@
         candidate.avoided = this->health.isAvoided(id, now);
         candidate.failureRate = this->health.failureRate(id, now);
         candidate.prefillPace = this->health.prefillPace(id);
+        const auto full = this->fullUntil.find(id);
+        candidate.full = full != this->fullUntil.end() && now < full->second;
         candidate.sameZone = server.zone == zone;
         result.push_back(std::move(candidate));
     });
@@ -67,6 +69,12 @@
     outcomes.broken += outcome == CallOutcome::Broken || outcome == CallOutcome::Unreachable ? 1 : 0;
 }
 
+void RouterState::noteFull(const std::string &backend, TimePoint now)
+{
+    std::erase_if(this->fullUntil, [now](const auto &item) { return item.second <= now; });
+    this->fullUntil[backend] = now + FullTime;
+}
+
 void RouterState::noteCrash(const CrashReport &crash)
 {
     if (this->crashes.add(crash)) {
--- a/src/gateway/routerstate.h
+++ b/src/gateway/routerstate.h
@@ -45,6 +45,8 @@
     bool isUsable(const BackendServer &server) const;
     /// Adds the outcome of a call, for this router's choices and for its peers.
     void noteOutcome(const std::string &backend, CallOutcome outcome, TimePoint now);
+    /// Notes that an engine has no room; it is passed over for a short time.
+    void noteFull(const std::string &backend, TimePoint now);
     /// Adds a crash of a backend server under a request, for this router and for its peers.
     void noteCrash(const CrashReport &crash);
     /// Takes the next report for peers; nothing if there is nothing new to tell.
@@ -86,7 +88,11 @@
         std::uint64_t incarnation = 0;
         std::uint64_t sequence = 0;
     };
+    /// How long an engine that refused a reservation is passed over: some steps of its work.
+    static constexpr Millis FullTime{60};
+
     std::mt19937_64 generator;
+    std::map<std::string, TimePoint> fullUntil;
     std::map<std::string, BackendWork> toldWork;
     std::map<std::string, PeerReport::Outcomes> untold;
     std::vector<std::pair<TimePoint, CrashReport>> recentCrashes;
--- a/src/gateway/streamrun.cpp
+++ b/src/gateway/streamrun.cpp
@@ -1,5 +1,6 @@
 #include "streamrun.h"
 
+#include "awaiting.h"
 #include "httpsession.h"
 #include "routerstate.h"
 
@@ -34,8 +35,20 @@
 constexpr int StallFactor = 3;
 constexpr Millis LeastStall{700};
 constexpr Millis ReleaseTimeout{500};
+// Part of the target for the first event up to which a request that finds room can still be on time; the rest is for
+// reading the prompt.
+constexpr double OnTimeShare = 0.6;
+// A late request waits for room for this many times the target. Callers leave a stream without a first event after four
+// times the target.
+constexpr int LateFactor = 3;
+// Pauses between two looks for room, of requests that can still be on time and of late ones.
+constexpr Millis RoomPause{15};
+constexpr Millis LateRoomPause{120};
+// Lifetime asked for a reservation: longer than reading a prompt takes, including the queue before it.
+constexpr Millis HoldTime{1500};
+constexpr Millis HoldTimeout{300};
 
-boost::asio::awaitable<void> sendRelease(RouterState &state, std::string address, std::string call)
+boost::asio::awaitable<void> sendAndForget(RouterState &state, std::string address, std::string call)
 {
     const auto link = co_await state.links.open(address, RequestRun::ConnectTimeout);
     if (!link) {
@@ -43,7 +56,8 @@
     }
     link->startExchange(call + " HTTP/1.1\r\nHost: " + address + "\r\nContent-Length: 0\r\n\r\n", false);
     const TimePoint until = Clock::now() + ReleaseTimeout;
-    if (co_await link->readHead(until) == LinkStatus::Ok) {
+    const LinkStatus status = co_await link->readHead(until);
+    if (status == LinkStatus::Ok) {
         co_await link->readRest(until);
     }
     link->close();
@@ -55,7 +69,8 @@
 {
     this->failure = "no-engine";
     this->lastEvent = this->request.lastEventId;
-    if (this->chooseDecode(this->state.settings.zone)) {
+    const bool reserved = co_await this->reserveDecode();
+    if (reserved) {
         co_await this->prefill();
     }
     for (int calls = 0; calls < MaxDecodeCalls && this->engine && !this->isOver(); ++calls) {
@@ -81,22 +96,112 @@
         if (step != Step::Unreachable && !this->mayUseAnother()) {
             break;
         }
-        if (!this->chooseDecode(this->state.settings.zone)) {
+        const bool again = co_await this->reserveDecode();
+        if (!again) {
             break;
         }
     }
+    this->dropHold();
     this->releaseMemory();
     co_await this->giveUp(this->failure);
 }
 
-bool StreamRun::chooseDecode(const std::string &nearZone)
+boost::asio::awaitable<bool> StreamRun::reserveDecode()
+{
+    const TimePoint begun = Clock::now();
+    const Millis target = this->route.targetLatency;
+    const TimePoint onTimeUntil = this->request.received + std::chrono::duration_cast<Millis>(target * OnTimeShare);
+    const TimePoint lateUntil = this->request.received + std::min(target * LateFactor, this->route.timeout / 4);
+    while (!this->isOver()) {
+        if (this->chooseDecode()) {
+            const bool taken = co_await this->takeHold();
+            if (taken) {
+                co_return true;
+            }
+            continue;
+        }
+        const TimePoint now = Clock::now();
+        if (now >= lateUntil || this->unreachable >= MaxUnreachable) {
+            this->failure = "no-room";
+            break;
+        }
+        // Requests that can still be on time look for room more often, so they go ahead of those that are late.
+        const Millis pause = now < onTimeUntil ? RoomPause : LateRoomPause;
+        co_await sleepFor(pause + Millis(std::int64_t(this->state.random() * double(pause.count()))));
+    }
+    LogLine("no-room")
+        .add("request", this->request.id)
+        .add("waited_ms", std::int64_t(toSeconds(Clock::now() - begun) * 1000))
+        .write();
+    co_return false;
+}
+
+boost::asio::awaitable<bool> StreamRun::takeHold()
+{
+    const ServiceRule *rule = this->table->service(this->service);
+    const Millis longest = rule != nullptr && rule->engine ? rule->engine->holdLifetime : Millis(0);
+    if (longest <= Millis(0)) {
+        co_return true;
+    }
+    const BackendServer server = *this->engine;
+    const bool open = co_await this->openLink(server, false);
+    if (!open || this->isOver()) {
+        this->engine = std::nullopt;
+        co_return false;
+    }
+    const auto [call, body] = this->wire.holdCall(this->decodeWork().memoryTokens, std::min(longest, HoldTime));
+    this->link->startExchange(call + " HTTP/1.1\r\nHost: " + server.address + "\r\nContent-Type: application/json\r\n"
+                                  + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body,
+                              false);
+    const TimePoint until = std::min(this->deadline, Clock::now() + HoldTimeout);
+    LinkStatus status = co_await this->link->readHead(until);
+    if (status == LinkStatus::Ok) {
+        status = co_await this->link->readRest(until);
+    }
+    if (status != LinkStatus::Ok) {
+        this->link->close();
+        this->note(server, CallOutcome::Broken);
+        this->tried.insert(server.id);
+        ++this->unreachable;
+        this->engine = std::nullopt;
+        co_return false;
+    }
+    const int code = this->link->status();
+    const auto taken = code == 200 ? this->wire.decodeHold(this->link->takeBody()) : std::nullopt;
+    this->giveBack(server);
+    if (taken) {
+        this->hold = *taken;
+        co_return true;
+    }
+    this->state.metrics.count("cyclamencross_holds_refused_total");
+    this->state.noteFull(server.id, Clock::now());
+    this->reservation = nullptr;
+    this->engine = std::nullopt;
+    co_return false;
+}
+
+void StreamRun::dropHold()
+{
+    if (!this->hold.empty() && this->engine) {
+        this->callAndForget(this->engine->address, this->wire.dropHoldCall(this->hold));
+    }
+    this->hold.clear();
+}
+
+void StreamRun::callAndForget(const std::string &address, const std::string &call)
+{
+    boost::asio::co_spawn(this->state.executor, sendAndForget(this->state, address, call), boost::asio::detached);
+}
+
+bool StreamRun::chooseDecode()
 {
     this->reservation = nullptr;
     this->engine = std::nullopt;
     const ServiceRule *rule = this->table->service(this->service);
     const double capacity = rule != nullptr && rule->engine ? double(rule->engine->memoryTokens) : 0;
     const EngineStage stage = capacity > 0 ? EngineStage::Decode : EngineStage::None;
-    const auto candidates = this->state.candidates(this->service, stage, this->tried, nearZone, Clock::now());
+    const auto candidates = this->state.candidates(this->service, stage, this->tried,
+                                                   this->state.settings.zone, Clock::now());
     const auto choice = Placement::chooseDecode(candidates, double(this->decodeWork().memoryTokens), capacity,
                                                 [this] { return this->state.random(); });
     if (!choice) {
@@ -104,7 +209,6 @@
     }
     const PlacementCandidate &chosen = candidates[*choice];
     this->engine = chosen.server;
-    this->tried.insert(chosen.server.id);
     this->reservation = std::make_unique<WorkReservation>(this->state, chosen.server.id, this->decodeWork());
     LogLine("placement")
         .add("request", this->request.id)
@@ -204,6 +308,7 @@
     }
     if (this->isOver() || !this->state.isUsable(server)) {
         this->failure = "engine-left";
+        this->tried.insert(server.id);
         co_return Step::Unreachable;
     }
     BackendCall call;
@@ -214,9 +319,10 @@
         call.memoryHandle = this->memory->handle;
     }
     this->memory = std::nullopt;
+    call.hold = std::exchange(this->hold, std::string());
+    this->tried.insert(server.id);
     ++this->sends;
-    this->lastProgress = Clock::now();
-    this->send(server, call);
+        this->send(server, call);
     const bool another = this->route.mayRepeat() && this->mayUseAnother();
     const TimePoint until = another ? std::min(this->deadline, Clock::now() + std::max(this->route.targetLatency, LeastStall))
                                     : this->deadline;
@@ -316,8 +422,7 @@
         whole += event.text;
     }
     if (!whole.empty()) {
-        this->lastProgress = Clock::now();
-        co_await this->session.sendPart(std::move(whole));
+                co_await this->session.sendPart(std::move(whole));
     }
     co_return !this->cutter.isOverlong();
 }
@@ -332,16 +437,16 @@
     if (!this->memory) {
         return;
     }
-    boost::asio::co_spawn(this->state.executor,
-                          sendRelease(this->state, this->reader->address,
-                                      this->wire.releaseCall(this->memory->handle)),
-                          boost::asio::detached);
+    this->callAndForget(this->reader->address, this->wire.releaseCall(this->memory->handle));
     this->memory = std::nullopt;
 }
 
 BackendWork StreamRun::decodeWork() const
 {
-    return BackendWork{1, 0, this->request.promptTokens + this->request.maxOutputTokens};
+    const std::int64_t output = this->request.likelyOutputTokens > 0 && this->request.maxOutputTokens > 0
+        ? std::min(this->request.likelyOutputTokens, this->request.maxOutputTokens)
+        : this->request.maxOutputTokens;
+    return BackendWork{1, 0, this->request.promptTokens + output};
 }
 
 }
--- a/src/gateway/streamrun.h
+++ b/src/gateway/streamrun.h
@@ -30,8 +30,17 @@
         Unreachable,
     };
 
-    /// Chooses the engine that generates the events, reserves its memory and marks it as tried.
-    bool chooseDecode(const std::string &nearZone);
+    /// Reserves room at a decode engine; waits for room as long as that serves the caller.
+    /// @return whether `engine` is set.
+    boost::asio::awaitable<bool> reserveDecode();
+    /// Chooses the engine that generates the events and counts its memory as taken.
+    bool chooseDecode();
+    /// Takes room for the request at the chosen engine.
+    /// @return whether the engine has room or takes no reservations.
+    boost::asio::awaitable<bool> takeHold();
+    /// Gives room that was not used back.
+    void dropHold();
+    void callAndForget(const std::string &address, const std::string &call);
     boost::asio::awaitable<void> prefill();
     boost::asio::awaitable<Step> decode();
     /// Passes on events until the stream ends.
@@ -45,12 +54,12 @@
 
     std::optional<BackendServer> engine; ///< Generates the events.
     std::unique_ptr<WorkReservation> reservation;
+    std::string hold; ///< Room taken at `engine` and not yet used.
     std::optional<BackendServer> reader; ///< Read the prompt.
     std::optional<ReadPrompt> memory; ///< Not yet taken over.
     EventCutter cutter;
     std::optional<std::int64_t> lastEvent;
     std::string failure;
-    TimePoint lastProgress;
 };
 
 }
--- a/src/include/cyclamencross/gateway/backendcall.h
+++ b/src/include/cyclamencross/gateway/backendcall.h
@@ -18,6 +18,7 @@
     Millis timeLeft{0};
     std::string memoryAddress; ///< Engine that read the prompt; empty if its memory is not used.
     std::string memoryHandle; ///< Handle of the memory there.
+    std::string hold; ///< Reservation of room at this engine; empty if there is none.
     std::optional<std::int64_t> resumeAfter; ///< Last event that the caller has.
 
     bool operator==(const BackendCall &) const = default;
--- a/src/include/cyclamencross/gateway/backendwire.h
+++ b/src/include/cyclamencross/gateway/backendwire.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace Cyclamen
 {
@@ -25,6 +26,12 @@
     std::function<std::optional<ReadPrompt>(std::string_view body)> decodePrefill;
     /// Returns the method and target of the call that frees a handle, such as "DELETE /path".
     std::function<std::string(const std::string &handle)> releaseCall;
+    /// Returns the call that reserves a slot and memory at an engine: the line "METHOD /path" and the body.
+    std::function<std::pair<std::string, std::string>(std::int64_t tokens, Millis lifetime)> holdCall;
+    /// Decodes the body of the answer to a hold call; nothing if it is malformed.
+    std::function<std::optional<std::string>(std::string_view body)> decodeHold;
+    /// Returns the method and target of the call that gives a reservation back.
+    std::function<std::string(const std::string &hold)> dropHoldCall;
     /// Returns the headers of a refusal that tells the caller when to come back.
     std::function<HeaderList(Millis comeBackIn)> refusalHeaders;
 };
--- a/src/include/cyclamencross/gateway/routerrequest.h
+++ b/src/include/cyclamencross/gateway/routerrequest.h
@@ -24,6 +24,7 @@
     std::optional<Millis> timeLeft; ///< How long the caller waits, counted from the receipt.
     std::int64_t promptTokens = 0; ///< 0 where the request is no generation.
     std::int64_t maxOutputTokens = 0;
+    std::int64_t likelyOutputTokens = 0; ///< The caller's estimate; 0 if it gives none.
     std::optional<std::int64_t> lastEventId; ///< Set where the caller resumes a stream.
 
     bool operator==(const RouterRequest &) const = default;
--- a/src/include/cyclamencross/route/placement.h
+++ b/src/include/cyclamencross/route/placement.h
@@ -24,7 +24,8 @@
 /// @param tokens prompt tokens of the request.
 std::optional<std::size_t> choosePrefill(const std::vector<PlacementCandidate> &candidates, double tokens,
                                          const std::function<double()> &random);
-/// Chooses the engine whose memory will be least full.
+/// Chooses the engine whose memory will be least full. Engines without room for the request are left out: what does
+/// not fit preempts others or is rejected after its prompt was read. Answers bursts that exceed the decode engines.
 /// @param tokens memory that the request holds at its end, in tokens.
 /// @param capacity memory of an engine in tokens; 0 if not known.
 std::optional<std::size_t> chooseDecode(const std::vector<PlacementCandidate> &candidates, double tokens,
--- a/src/include/cyclamencross/route/placementcandidate.h
+++ b/src/include/cyclamencross/route/placementcandidate.h
@@ -11,6 +11,7 @@
 {
     BackendServer server;
     BackendWork work; ///< Placed by all routers.
+    bool full = false; ///< Refused a reservation of room a moment ago.
     bool avoided = false; ///< To be used only if no other can serve.
     double failureRate = 0; ///< From 0 to 1.
     double prefillPace = 0; ///< Milliseconds for each prompt token.
--- a/src/route/placement.cpp
+++ b/src/route/placement.cpp
@@ -68,7 +68,11 @@
 std::optional<std::size_t> chooseDecode(const std::vector<PlacementCandidate> &candidates, double tokens,
                                         double capacity, const std::function<double()> &random)
 {
+    const double room = tokens >= capacity ? tokens : capacity;
     return cheapest(candidates, [&](const PlacementCandidate &candidate) {
+        if (capacity > 0 && (candidate.full || double(candidate.work.memoryTokens) + tokens > room)) {
+            return std::numeric_limits<double>::infinity();
+        }
         const double load = capacity > 0
             ? (double(candidate.work.memoryTokens) + tokens) / capacity
             : double(candidate.work.requests) / std::max(1, candidate.server.slots);
