Divide routers and engines into groups; read the store anew after a cut watch

Change: groups of at most 16 routers share engines and reports; peers tell which store revision they have seen; after a cut watch, a late peer revision or a regained store everything is read anew.

--- a/src/gateway/fleetsync.cpp
+++ b/src/gateway/fleetsync.cpp
@@ -17,6 +17,7 @@
 
 // A silence of the store from which entries may have lapsed: shorter than three heartbeats of a backend server.
 constexpr Millis LapseSilence{1000};
+constexpr Millis HintPeriod{100};
 
 std::string failureName(StoreFailure::Kind kind)
 {
@@ -54,37 +55,81 @@
 boost::asio::awaitable<void> FleetSync::follow(std::string prefix)
 {
     int failures = 0;
-    std::optional<std::uint64_t> position;
     while (true) {
-        if (!position) {
-            position = co_await this->load(prefix);
-            if (!position) {
+        if (!this->position) {
+            this->position = co_await this->load(prefix);
+            if (!this->position) {
                 co_await sleepFor(this->pause(++failures));
                 continue;
             }
             failures = 0;
         }
-        const StoreResult<StorePage> result = co_await this->store.watch(prefix, *position, WatchWait);
+        const Millis wait = this->state.groupPeers().empty() ? LoneWatchWait : WatchWait;
+        const StoreResult<StorePage> result = co_await this->store.watch(prefix, *this->position, wait);
         if (const auto *page = std::get_if<StorePage>(&result)) {
             this->noteAnswer();
             failures = 0;
-            for (const StoreItem &item : page->items) {
-                this->apply(item);
+            this->applyAll(*page);
+            if (!page->items.empty()) {
+                co_await sleepFor(GatherPause);
             }
-            position = std::max(*position, page->revision);
             continue;
         }
         const StoreFailure &failure = std::get<StoreFailure>(result);
         this->noteFailure("watch", failure);
+        // A watch that was cut may have passed over changes, so everything is read anew.
+        this->position = std::nullopt;
         if (failure.kind == StoreFailure::Kind::HistoryGone) {
             this->noteAnswer();
-            position = std::nullopt;
             continue;
         }
         co_await sleepFor(this->pause(++failures));
     }
 }
 
+boost::asio::awaitable<void> FleetSync::catchUp(std::string prefix)
+{
+    TimePoint inStep = Clock::now();
+    while (true) {
+        co_await sleepFor(HintPeriod);
+        const bool behind = this->state.peersStoreRevision > this->state.storeRevision;
+        const bool overdue = behind && Clock::now() - inStep >= CatchUpAfter;
+        if (!behind) {
+            inStep = Clock::now();
+        }
+        if (!this->position || this->contact.lost || (!overdue && !this->contact.reread)) {
+            continue;
+        }
+        LogLine("catching-up")
+            .add("revision", this->state.storeRevision)
+            .add("peers_revision", this->state.peersStoreRevision)
+            .add("regained", this->contact.reread)
+            .write();
+        this->contact.reread = false;
+        inStep = Clock::now();
+        const auto revision = co_await this->load(prefix);
+        if (revision) {
+            this->position = std::max(this->position.value_or(0), *revision);
+            // A peer's number beyond the store's own is of no use.
+            this->state.peersStoreRevision = this->state.storeRevision;
+            this->store.cancelWatch();
+        }
+    }
+}
+
+void FleetSync::applyAll(const StorePage &page)
+{
+    for (const StoreItem &item : page.items) {
+        this->apply(item);
+    }
+    if (this->position) {
+        this->position = std::max(*this->position, page.revision);
+    }
+    if (!page.items.empty()) {
+        this->state.regroup();
+    }
+}
+
 boost::asio::awaitable<std::optional<std::uint64_t>> FleetSync::load(std::string prefix)
 {
     const StoreResult<StorePage> result = co_await this->store.list(prefix);
@@ -94,10 +139,9 @@
     }
     this->noteAnswer();
     const StorePage &page = std::get<StorePage>(result);
-    for (const StoreItem &item : page.items) {
-        this->apply(item);
-    }
+    this->applyAll(page);
     this->dropMissing(prefix, page);
+    this->state.regroup();
     if (this->codec.backendPrefix.starts_with(prefix)) {
         this->state.backendsKnown = true;
     }
@@ -115,8 +159,9 @@
             return;
         }
         for (const auto &[key, revision] : known) {
-            if (!present.contains(itsPrefix + key)) {
-                this->remove(itsPrefix + key, std::max(revision, page.revision));
+            // What the watch brought after the list was begun is not in it.
+            if (!present.contains(itsPrefix + key) && revision <= page.revision) {
+                this->remove(itsPrefix + key, page.revision);
             }
         }
     };
@@ -126,6 +171,7 @@
 
 void FleetSync::apply(const StoreItem &item)
 {
+    this->state.storeRevision = std::max(this->state.storeRevision, item.revision);
     if (item.removed) {
         this->remove(item.key, item.revision);
     } else {
@@ -231,7 +277,7 @@
             continue;
         }
         // Short steps, so that a registration that others removed is renewed soon.
-        const TimePoint next = Clock::now() + RenewPeriod;
+        const TimePoint next = Clock::now() + (this->contact.lost ? Millis(0) : RenewPeriod);
         while (this->registered && !this->state.stopping && Clock::now() < next) {
             co_await sleepFor(Millis(100));
         }
@@ -243,8 +289,11 @@
             this->noteFailure("renew", *failure);
             if (failure->kind == StoreFailure::Kind::NoLease) {
                 this->registered = false;
+            } else {
+                co_await sleepFor(this->pause(++failures));
             }
         } else {
+            failures = 0;
             this->noteAnswer();
         }
     }
@@ -271,6 +320,7 @@
     this->noteAnswer();
     this->registered = true;
     this->state.members.put(settings.name, member, std::get<std::uint64_t>(written));
+    this->state.regroup();
     LogLine("registered").add("lease", this->lease).add("revision", std::get<std::uint64_t>(written)).write();
     co_return true;
 }
@@ -292,7 +342,9 @@
     if (gone > 0) {
         LogLine("held-backends-removed").add("count", std::uint64_t(gone)).write();
     }
-    this->state.members.expire(now);
+    if (this->state.members.expire(now) + gone > 0) {
+        this->state.regroup();
+    }
 }
 
 void FleetSync::noteAnswer()
@@ -303,6 +355,7 @@
         if (now - this->contact.last > LapseSilence) {
             this->contact.regained = now;
         }
+        this->contact.reread = true;
         LogLine("store-regained").add("silent_ms", std::int64_t(toSeconds(now - this->contact.last) * 1000)).write();
     }
     this->contact.last = now;
@@ -331,7 +384,7 @@
 Millis FleetSync::pause(int failures)
 {
     const Millis longest = std::min(LongestPause, FirstPause * (1 << std::min(failures, 5)));
-    return Millis(1 + std::int64_t(this->state.random() * double(longest.count())));
+    return Millis(std::int64_t((0.5 + 0.5 * this->state.random()) * double(longest.count())));
 }
 
 }
--- a/src/gateway/fleetsync.h
+++ b/src/gateway/fleetsync.h
@@ -20,23 +20,30 @@
 class FleetSync
 {
 public:
-    /// Longest wait of one watch. A connection that fell silent is noticed after this and WatchSlack, so within the time
-    /// that the platform allows for a new configuration after connections were reset.
-    static constexpr Millis WatchWait{2000};
-    static constexpr Millis WatchSlack{500};
+    /// Wait of one watch of a router without peers. A connection that fell silent is noticed after it.
+    static constexpr Millis LoneWatchWait{2000};
+    /// Wait of one watch where peers tell which changes they have seen, so that a silent connection is noticed by them.
+    static constexpr Millis WatchWait{8000};
+    /// Pause after changes, in which further ones gather: each wake-up of all routers is one call of each.
+    static constexpr Millis GatherPause{150};
+    /// Changes that peers have seen this long ago are asked for, whatever the watch does.
+    static constexpr Millis CatchUpAfter{400};
     /// How long an entry that lapsed during an outage of the store is kept: living servers are back within two seconds.
     static constexpr Millis LapseHold{2000};
     /// Lifetime of this router's registration; three renewals may be lost.
     static constexpr Millis LeaseLifetime{3000};
     static constexpr Millis RenewPeriod{900};
     /// Pause after a failed call; doubles up to the longest.
-    static constexpr Millis FirstPause{30};
-    static constexpr Millis LongestPause{500};
+    static constexpr Millis FirstPause{50};
+    static constexpr Millis LongestPause{1000};
 
     FleetSync(RouterState &state, StateStore store, FleetCodec codec);
 
     /// Follows the items under @p prefix for as long as the process runs.
     boost::asio::awaitable<void> follow(std::string prefix);
+    /// Reads everything anew when the watch may be deaf: peers have seen changes that it has not brought, or the store
+    /// was lost and another call has found it again.
+    boost::asio::awaitable<void> catchUp(std::string prefix);
     /// Keeps this router registered until withdraw().
     boost::asio::awaitable<void> keepRegistered();
     /// Removes this router's registration.
@@ -51,12 +58,14 @@
     {
         TimePoint last; ///< Newest answer of the store.
         bool lost = false;
+        bool reread = false; ///< The store was regained and is to be read anew.
         TimePoint regained;
     };
 
     boost::asio::awaitable<std::optional<std::uint64_t>> load(std::string prefix);
     boost::asio::awaitable<bool> registerOnce();
     void apply(const StoreItem &item);
+    void applyAll(const StorePage &page);
     void put(const StoreItem &item);
     void remove(const std::string &key, std::uint64_t revision);
     void dropMissing(const std::string &prefix, const StorePage &page);
@@ -68,6 +77,7 @@
     RouterState &state;
     StateStore store;
     FleetCodec codec;
+    std::optional<std::uint64_t> position; ///< Revision up to which changes were read; nothing before the first list.
     Contact contact;
     std::uint64_t lease = 0;
     bool registered = false;
--- a/src/gateway/peerport.cpp
+++ b/src/gateway/peerport.cpp
@@ -64,9 +64,9 @@
             continue;
         }
         const std::string bytes = encodePeerReport(*report);
-        this->state.members.forEach([&](const std::string &name, const RouterMember &member) {
+        const auto sendTo = [&](const RouterMember &member) {
             const auto endpoint = toUdpEndpoint(member.peerAddress);
-            if (name == this->state.settings.name || !endpoint) {
+            if (member.name == this->state.settings.name || !endpoint) {
                 return;
             }
             boost::system::error_code error;
@@ -75,7 +75,15 @@
                 // Reports are told again; the count shows a lasting fault.
                 this->state.metrics.count("cyclamencross_peer_reports_total", {{"result", "not-sent"}});
             }
-        });
+        };
+        if (!report->crashes.empty()) {
+            // The same request may come again at any router.
+            this->state.members.forEach([&](const std::string & /*name*/, const RouterMember &member) { sendTo(member); });
+            continue;
+        }
+        for (const RouterMember &member : this->state.groupPeers()) {
+            sendTo(member);
+        }
     }
 }
 
--- a/src/gateway/peerreport.h
+++ b/src/gateway/peerreport.h
@@ -27,6 +27,7 @@
     std::string router;
     std::uint64_t incarnation = 0;
     std::uint64_t sequence = 0; ///< Grows with each message of an incarnation.
+    std::uint64_t storeRevision = 0; ///< Newest change of the store that the router has seen.
     std::map<std::string, BackendWork> work; ///< By backend server; replaces what was told before.
     std::map<std::string, Outcomes> outcomes; ///< By backend server, since the message before.
     std::vector<CrashReport> crashes; ///< Recent ones, told several times.
--- a/src/gateway/router.cpp
+++ b/src/gateway/router.cpp
@@ -74,6 +74,7 @@
         boost::asio::co_spawn(this->context, std::move(work), boost::asio::detached);
     };
     spawn(this->sync.follow(""));
+    spawn(this->sync.catchUp(""));
     spawn(this->sync.keepRegistered());
     spawn(this->peers.receive());
     spawn(this->peers.send());
--- a/src/gateway/routerstate.cpp
+++ b/src/gateway/routerstate.cpp
@@ -1,6 +1,7 @@
 #include "routerstate.h"
 
 #include "cyclamencross/base/hash.h"
+#include "cyclamencross/route/subset.h"
 
 #include <algorithm>
 
@@ -37,23 +38,96 @@
 {
     std::vector<PlacementCandidate> result;
     this->backends.forEach([&](const std::string &id, const BackendServer &server) {
-        if (server.service != service || server.draining || server.stage != stage || excluded.contains(id)) {
-            return;
+        if (server.service == service && !server.draining && server.stage == stage && !excluded.contains(id)
+            && !this->backendsOutside.contains(id)) {
+            result.push_back(this->describe(server, zone, now));
         }
-        PlacementCandidate candidate;
-        candidate.server = server;
-        candidate.work = this->work.total(id);
-        candidate.avoided = this->health.isAvoided(id, now);
-        candidate.failureRate = this->health.failureRate(id, now);
-        candidate.prefillPace = this->health.prefillPace(id);
-        const auto full = this->fullUntil.find(id);
-        candidate.full = full != this->fullUntil.end() && now < full->second;
-        candidate.sameZone = server.zone == zone;
-        result.push_back(std::move(candidate));
     });
     return result;
 }
 
+std::vector<PlacementCandidate> RouterState::sampleOutside(const std::string &service, EngineStage stage,
+                                                           const std::set<std::string> &excluded, TimePoint now)
+{
+    std::vector<PlacementCandidate> result;
+    std::size_t seen = 0;
+    for (const std::string &id : this->backendsOutside) {
+        const BackendServer *server = this->backends.find(id);
+        if (server == nullptr || server->service != service || server->draining || server->stage != stage
+            || excluded.contains(id)) {
+            continue;
+        }
+        // Each of the candidates met so far is in the sample with the same probability.
+        const auto place = std::size_t(this->random() * double(++seen));
+        if (result.size() < OutsideSample) {
+            result.push_back(this->describe(*server, this->settings.zone, now));
+        } else if (place < OutsideSample) {
+            result[place] = this->describe(*server, this->settings.zone, now);
+        }
+    }
+    return result;
+}
+
+PlacementCandidate RouterState::describe(const BackendServer &server, const std::string &zone, TimePoint now) const
+{
+    PlacementCandidate candidate;
+    candidate.server = server;
+    candidate.work = this->work.total(server.id);
+    if (this->backendsShared.contains(server.id)) {
+        // The other groups place as much there as this one, unseen.
+        candidate.work.requests *= std::int64_t(this->groups);
+        candidate.work.promptTokens *= std::int64_t(this->groups);
+    }
+    candidate.avoided = this->health.isAvoided(server.id, now);
+    candidate.failureRate = this->health.failureRate(server.id, now);
+    candidate.prefillPace = this->health.prefillPace(server.id);
+    const auto full = this->fullUntil.find(server.id);
+    candidate.full = full != this->fullUntil.end() && now < full->second;
+    candidate.sameZone = server.zone == zone;
+    return candidate;
+}
+
+const std::vector<RouterMember> &RouterState::groupPeers() const
+{
+    return this->peersOfGroup;
+}
+
+void RouterState::regroup()
+{
+    std::vector<std::string> names;
+    this->members.forEach([&names](const std::string &name, const RouterMember & /*member*/) { names.push_back(name); });
+    this->groups = Subset::groupCount(names.size());
+    const auto groupOfRouter = Subset::divide(names, this->groups);
+    const auto own = groupOfRouter.find(this->settings.name);
+    const std::size_t ownGroup = own == groupOfRouter.end() ? 0 : own->second;
+    this->peersOfGroup.clear();
+    this->members.forEach([&](const std::string &name, const RouterMember &member) {
+        if (name != this->settings.name && groupOfRouter.at(name) == ownGroup) {
+            this->peersOfGroup.push_back(member);
+        }
+    });
+    std::map<std::pair<std::string, EngineStage>, std::vector<std::string>> kinds;
+    this->backends.forEach([&kinds](const std::string &id, const BackendServer &server) {
+        kinds[{server.service, server.stage}].push_back(id);
+    });
+    this->backendsOutside.clear();
+    this->backendsShared.clear();
+    for (const auto &[kind, ids] : kinds) {
+        if (this->groups == 1) {
+            continue;
+        }
+        if (ids.size() < this->groups * Subset::MinBackendsPerGroup) {
+            this->backendsShared.insert(ids.begin(), ids.end());
+            continue;
+        }
+        for (const auto &[id, group] : Subset::divide(ids, this->groups)) {
+            if (group != ownGroup) {
+                this->backendsOutside.insert(id);
+            }
+        }
+    }
+}
+
 bool RouterState::isUsable(const BackendServer &server) const
 {
     const BackendServer *known = this->backends.find(server.id);
@@ -86,7 +160,7 @@
 {
     std::erase_if(this->recentCrashes, [now](const auto &item) { return now - item.first > CrashRetellTime; });
     const bool changed = this->work.own() != this->toldWork || !this->untold.empty() || !this->recentCrashes.empty();
-    const bool due = !this->work.own().empty() && now - this->lastReport >= ReportPeriod;
+    const bool due = now - this->lastReport >= (this->work.own().empty() ? IdleReportPeriod : ReportPeriod);
     if (!changed && !due) {
         return std::nullopt;
     }
@@ -94,6 +168,7 @@
     report.router = this->settings.name;
     report.incarnation = this->incarnation;
     report.sequence = ++this->reportSequence;
+    report.storeRevision = this->storeRevision;
     report.work = this->work.own();
     report.outcomes = std::exchange(this->untold, {});
     for (const auto &[time, crash] : this->recentCrashes) {
@@ -113,6 +188,7 @@
         return;
     }
     last = PeerSequence{report.incarnation, report.sequence};
+    this->peersStoreRevision = std::max(this->peersStoreRevision, report.storeRevision);
     this->work.setPeer(report.router, report.work, now);
     for (const auto &[backend, outcomes] : report.outcomes) {
         const auto addAll = [&](CallOutcome outcome, std::uint32_t count) {
--- a/src/gateway/routerstate.h
+++ b/src/gateway/routerstate.h
@@ -41,6 +41,11 @@
     std::vector<PlacementCandidate> candidates(const std::string &service, EngineStage stage,
                                                const std::set<std::string> &excluded, const std::string &zone,
                                                TimePoint now) const;
+    /// Returns a few backend servers of other groups of routers, for when those of this router's group have no room.
+    std::vector<PlacementCandidate> sampleOutside(const std::string &service, EngineStage stage,
+                                                  const std::set<std::string> &excluded, TimePoint now);
+    /// Returns the other routers of this router's group.
+    const std::vector<RouterMember> &groupPeers() const;
     /// Returns whether @p server is still registered as it was and takes new work.
     bool isUsable(const BackendServer &server) const;
     /// Adds the outcome of a call, for this router's choices and for its peers.
@@ -49,6 +54,8 @@
     void noteFull(const std::string &backend, TimePoint now);
     /// Adds a crash of a backend server under a request, for this router and for its peers.
     void noteCrash(const CrashReport &crash);
+    /// Divides routers and backend servers into groups anew. Called after either list has changed.
+    void regroup();
     /// Takes the next report for peers; nothing if there is nothing new to tell.
     std::optional<PeerReport> takeReport(TimePoint now);
     /// Adds what a peer tells.
@@ -74,14 +81,20 @@
     LinkPool links;
     Metrics metrics;
     bool backendsKnown = false;
+    std::uint64_t storeRevision = 0; ///< Newest change of the store that this router has seen.
+    std::uint64_t peersStoreRevision = 0; ///< Newest change that a peer has seen.
     bool stopping = false;
     int activeRequests = 0;
 
 private:
     /// How often a router tells its work although nothing has changed; a third of what peers keep it.
     static constexpr Millis ReportPeriod{500};
+    /// How often a router without work tells that it lives and which changes of the store it has seen.
+    static constexpr Millis IdleReportPeriod{1000};
     /// How long crashes are told again, as datagrams may be lost.
-    static constexpr Millis CrashRetellTime{2000};
+    static constexpr Millis CrashRetellTime{400};
+    /// Backend servers of other groups that are looked at.
+    static constexpr std::size_t OutsideSample = 3;
 
     struct PeerSequence
     {
@@ -96,6 +109,12 @@
     std::map<std::string, BackendWork> toldWork;
     std::map<std::string, PeerReport::Outcomes> untold;
     std::vector<std::pair<TimePoint, CrashReport>> recentCrashes;
+    std::vector<RouterMember> peersOfGroup;
+    std::set<std::string> backendsOutside; ///< Ids of those that belong to other groups.
+    std::set<std::string> backendsShared; ///< Ids of those that all groups use.
+    std::size_t groups = 1;
+
+    PlacementCandidate describe(const BackendServer &server, const std::string &zone, TimePoint now) const;
     std::map<std::string, PeerSequence> peerSequences;
     std::uint64_t reportSequence = 0;
     TimePoint lastReport;
--- a/src/gateway/streamrun.cpp
+++ b/src/gateway/streamrun.cpp
@@ -200,10 +200,17 @@
     const ServiceRule *rule = this->table->service(this->service);
     const double capacity = rule != nullptr && rule->engine ? double(rule->engine->memoryTokens) : 0;
     const EngineStage stage = capacity > 0 ? EngineStage::Decode : EngineStage::None;
-    const auto candidates = this->state.candidates(this->service, stage, this->tried,
-                                                   this->state.settings.zone, Clock::now());
-    const auto choice = Placement::chooseDecode(candidates, double(this->decodeWork().memoryTokens), capacity,
-                                                [this] { return this->state.random(); });
+    const TimePoint now = Clock::now();
+    const auto choose = [&](const std::vector<PlacementCandidate> &from) {
+        return Placement::chooseDecode(from, double(this->decodeWork().memoryTokens), capacity,
+                                       [this] { return this->state.random(); });
+    };
+    auto candidates = this->state.candidates(this->service, stage, this->tried, this->state.settings.zone, now);
+    auto choice = choose(candidates);
+    if (!choice) {
+        candidates = this->state.sampleOutside(this->service, stage, this->tried, now);
+        choice = choose(candidates);
+    }
     if (!choice) {
         return false;
     }
--- a/src/include/cyclamencross/gateway/statestore.h
+++ b/src/include/cyclamencross/gateway/statestore.h
@@ -27,6 +27,8 @@
     std::function<StoreCall<StorePage>(std::string prefix)> list;
     /// Waits for changes after a revision. The page is empty if there was none.
     std::function<StoreCall<StorePage>(std::string prefix, std::uint64_t after, Millis wait)> watch;
+    /// Ends a waiting watch, whose connection may have fallen silent.
+    std::function<void()> cancelWatch;
     /// Takes out a lease and returns its number.
     std::function<StoreCall<std::uint64_t>(Millis lifetime)> grantLease;
     std::function<StoreCall<std::uint64_t>(std::uint64_t lease)> renewLease;
