--- a/Makefile
+++ b/Makefile
@@ -29,13 +29,13 @@
 	python3 testsuite/bench.py --build $(BUILD)
 
 format:
-	git ls-files -co --exclude-standard 'src/*.cpp' 'src/*.h' | xargs clang-format -i
+	git ls-files -co --exclude-standard 'src/*.cpp' 'src/*.h' 'platform/*.cpp' 'platform/*.h' | xargs clang-format -i
 
 format-check:
-	git ls-files -co --exclude-standard 'src/*.cpp' 'src/*.h' | xargs clang-format --dry-run --Werror
+	git ls-files -co --exclude-standard 'src/*.cpp' 'src/*.h' 'platform/*.cpp' 'platform/*.h' | xargs clang-format --dry-run --Werror
 
 lint: $(BUILD)/build.ninja
-	git ls-files 'src/*.cpp' | grep -v _test.cpp | grep -v testmain.cpp | xargs -P $(JOBS) -n 2 clang-tidy -p $(BUILD) --quiet
+	git ls-files 'src/*.cpp' 'platform/*.cpp' | grep -v _test.cpp | grep -v testmain.cpp | xargs -P $(JOBS) -n 2 clang-tidy -p $(BUILD) --quiet
 
 clean:
 	rm -rf $(BUILD)
--- a/src/emu/keyvalueapi.cpp
+++ b/src/emu/keyvalueapi.cpp
@@ -1,7 +1,7 @@
 #include "keyvalueapi.h"
 
-#include "cyclamencross/base/base64.h"
 #include "connection.h"
+#include "cyclamencross/base/base64.h"
 #include "emuserver.h"
 #include "jsonbody.h"
 
@@ -168,14 +168,15 @@
 {
     const nlohmann::json &put = member(operation, "request_put", "requestPut");
     if (!put.empty()) {
-        const bool done = this->store.put(fromBase64(textMember(put, "key")).value_or(""), fromBase64(textMember(put, "value")).value_or(""),
-                                          numberMember(put, "lease", 0), at);
+        const bool done =
+            this->store.put(fromBase64(textMember(put, "key")).value_or(""),
+                            fromBase64(textMember(put, "value")).value_or(""), numberMember(put, "lease", 0), at);
         return done ? nlohmann::json{{"response_put", {{"header", this->header()}}}} : nlohmann::json();
     }
     const nlohmann::json &erase = member(operation, "request_delete_range", "requestDeleteRange");
     if (!erase.empty()) {
-        const std::size_t count =
-            this->store.erase(fromBase64(textMember(erase, "key")).value_or(""), fromBase64(textMember(erase, "range_end")).value_or(""), at);
+        const std::size_t count = this->store.erase(fromBase64(textMember(erase, "key")).value_or(""),
+                                                    fromBase64(textMember(erase, "range_end")).value_or(""), at);
         nlohmann::json result = {{"header", this->header()}};
         if (count > 0) {
             result["deleted"] = std::to_string(count);
--- a/src/emu/prefillengine.cpp
+++ b/src/emu/prefillengine.cpp
@@ -1,7 +1,7 @@
 #include "prefillengine.h"
 
-#include "cyclamencross/base/base64.h"
 #include "connection.h"
+#include "cyclamencross/base/base64.h"
 #include "emuserver.h"
 #include "jsonbody.h"
 #include "prompttag.h"
--- a/src/gateway/fleetsync.cpp
+++ b/src/gateway/fleetsync.cpp
@@ -311,8 +311,8 @@
     const RouterSettings &settings = this->state.settings;
     const RouterMember member{settings.name, this->state.incarnation, settings.zone, settings.callerAddress,
                               settings.peerAddress};
-    const StoreResult<std::uint64_t> written
-        = co_await this->store.write(memberPrefix() + settings.name, encodeMember(member), this->lease);
+    const StoreResult<std::uint64_t> written =
+        co_await this->store.write(memberPrefix() + settings.name, encodeMember(member), this->lease);
     if (const auto *failure = std::get_if<StoreFailure>(&written)) {
         this->noteFailure("register", *failure);
         co_return false;
@@ -365,10 +365,13 @@
 {
     this->state.metrics.count("cyclamencross_store_failures_total",
                               {{"call", call}, {"reason", failureName(failure.kind)}});
-    const bool silent
-        = failure.kind == StoreFailure::Kind::Unreachable || failure.kind == StoreFailure::Kind::Refused;
+    const bool silent = failure.kind == StoreFailure::Kind::Unreachable || failure.kind == StoreFailure::Kind::Refused;
     if (silent && !std::exchange(this->contact.lost, true)) {
-        LogLine("store-lost").add("call", call).add("reason", failureName(failure.kind)).add("detail", failure.detail).warn();
+        LogLine("store-lost")
+            .add("call", call)
+            .add("reason", failureName(failure.kind))
+            .add("detail", failure.detail)
+            .warn();
     }
 }
 
--- a/src/gateway/headerlist.cpp
+++ b/src/gateway/headerlist.cpp
@@ -13,8 +13,8 @@
 {
 
 constexpr std::array<std::string_view, 10> ConnectionHeaders{
-    "Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
-    "TE",         "Trailer",    "Transfer-Encoding", "Upgrade",           "Content-Length"};
+    "Connection", "Keep-Alive",        "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "TE",
+    "Trailer",    "Transfer-Encoding", "Upgrade",          "Content-Length"};
 
 }
 
@@ -36,9 +36,8 @@
 
 std::string_view HeaderList::find(std::string_view name) const
 {
-    const auto it = std::find_if(this->headers.begin(), this->headers.end(), [name](const auto &header) {
-        return boost::beast::iequals(header.first, name);
-    });
+    const auto it = std::find_if(this->headers.begin(), this->headers.end(),
+                                 [name](const auto &header) { return boost::beast::iequals(header.first, name); });
     return it == this->headers.end() ? std::string_view() : std::string_view(it->second);
 }
 
@@ -49,9 +48,8 @@
 
 std::size_t HeaderList::count(std::string_view name) const
 {
-    return std::size_t(std::count_if(this->headers.begin(), this->headers.end(), [name](const auto &header) {
-        return boost::beast::iequals(header.first, name);
-    }));
+    return std::size_t(std::count_if(this->headers.begin(), this->headers.end(),
+                                     [name](const auto &header) { return boost::beast::iequals(header.first, name); }));
 }
 
 void HeaderList::removeConnectionHeaders()
--- a/src/gateway/httplink.cpp
+++ b/src/gateway/httplink.cpp
@@ -45,7 +45,7 @@
         return LinkStatus::Broken;
     }
     return error.category() == http::make_error_code(http::error::end_of_stream).category() ? LinkStatus::Malformed
-                                                                                             : LinkStatus::Broken;
+                                                                                            : LinkStatus::Broken;
 }
 
 }
@@ -135,7 +135,7 @@
         link.stream.expires_at(deadline);
         co_await http::async_read_header(link.stream, link.buffer, *link.parser, withError(error));
         if (error) {
-            co_return link.closed && error != boost::beast::error::timeout ? LinkStatus::Cancelled : toStatus(error);
+            co_return link.closed &&error != boost::beast::error::timeout ? LinkStatus::Cancelled : toStatus(error);
         }
         if (link.parser->get().result_int() != 100) {
             break;
--- a/src/gateway/httpsession.cpp
+++ b/src/gateway/httpsession.cpp
@@ -9,6 +9,7 @@
 
 #include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/cancellation_signal.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -34,9 +35,6 @@
 
 int refusalStatus(const boost::system::error_code &error)
 {
-    if (error == boost::beast::error::timeout) {
-        return 408;
-    }
     if (error == http::error::header_limit) {
         return 431;
     }
@@ -46,6 +44,62 @@
     return error.category() == http::make_error_code(http::error::header_limit).category() ? 400 : 0;
 }
 
+// Ends a read that takes too long and leaves the connection open.
+class ReadLimit
+{
+public:
+    ReadLimit(boost::beast::tcp_stream &stream, Millis length)
+        : stream(stream)
+        , length(length)
+        , timer(stream.get_executor())
+        , state(std::make_shared<State>())
+    {
+        this->stream.expires_never();
+        this->restart();
+    }
+
+    ~ReadLimit()
+    {
+        this->stop();
+    }
+    ReadLimit(const ReadLimit &) = delete;
+    ReadLimit &operator=(const ReadLimit &) = delete;
+
+    void restart()
+    {
+        this->timer.expires_after(this->length);
+        this->timer.async_wait([this, shared = this->state](const boost::system::error_code &error) {
+            // The handler may be queued already when stop() is called; this object may be gone then.
+            if (!error && !shared->stopped) {
+                shared->over = true;
+                this->stream.socket().cancel();
+            }
+        });
+    }
+
+    void stop()
+    {
+        this->state->stopped = true;
+        this->timer.cancel();
+    }
+
+    bool isOver() const
+    {
+        return this->state->over;
+    }
+
+private:
+    struct State
+    {
+        bool over = false;
+        bool stopped = false;
+    };
+    boost::beast::tcp_stream &stream;
+    Millis length;
+    boost::asio::steady_timer timer;
+    std::shared_ptr<State> state;
+};
+
 bool isWellFormed(const Parser &parser)
 {
     const auto &message = parser.get();
@@ -122,8 +176,8 @@
     session.stream.expires_after(session.limits().idleTimeout);
     boost::system::error_code error;
     constexpr std::size_t FirstRead = 4096;
-    const std::size_t count
-        = co_await session.stream.async_read_some(session.buffer.prepare(FirstRead), withError(error));
+    const std::size_t count =
+        co_await session.stream.async_read_some(session.buffer.prepare(FirstRead), withError(error));
     session.buffer.commit(count);
     session.busy = !error;
     session.gone = session.gone || (error && error != boost::beast::error::timeout);
@@ -138,7 +192,8 @@
     parser.header_limit(std::uint32_t(limits.maxHeaderBytes));
     parser.body_limit(limits.maxBodyBytes);
     boost::system::error_code error;
-    session.stream.expires_after(limits.headerTimeout);
+    // The stream's own time limit would close the connection, so a slow caller would get no answer.
+    ReadLimit limit(session.stream, limits.headerTimeout);
     co_await http::async_read_header(session.stream, session.buffer, parser, withError(error));
     request.received = Clock::now();
     if (!error && !isWellFormed(parser)) {
@@ -150,11 +205,12 @@
     }
     while (!error && !parser.is_done()) {
         // A body may take as long as it likes while bytes keep coming.
-        session.stream.expires_after(limits.headerTimeout);
+        limit.restart();
         co_await http::async_read_some(session.stream, session.buffer, parser, withError(error));
     }
+    limit.stop();
     if (error) {
-        const int status = refusalStatus(error);
+        const int status = limit.isOver() ? 408 : refusalStatus(error);
         if (status != 0) {
             co_await this->refuse(status);
         }
@@ -255,8 +311,8 @@
     session.stream.expires_after(LingerTime);
     while (!error) {
         session.buffer.clear();
-        const std::size_t count
-            = co_await session.stream.async_read_some(session.buffer.prepare(4096), withError(error));
+        const std::size_t count =
+            co_await session.stream.async_read_some(session.buffer.prepare(4096), withError(error));
         if (count == 0) {
             break;
         }
@@ -288,8 +344,8 @@
                     return;
                 }
                 its.stream.socket().non_blocking(true, readError);
-                const std::size_t count
-                    = its.stream.socket().read_some(its.buffer.prepare(std::min<std::size_t>(room, 4096)), readError);
+                const std::size_t count =
+                    its.stream.socket().read_some(its.buffer.prepare(std::min<std::size_t>(room, 4096)), readError);
                 its.buffer.commit(count);
                 if (readError && readError != boost::asio::error::would_block) {
                     self->markGone();
--- a/src/gateway/linkpool.cpp
+++ b/src/gateway/linkpool.cpp
@@ -40,8 +40,8 @@
 void LinkPool::giveBack(const std::string &key, const std::shared_ptr<HttpLink> &link)
 {
     const Millis kept = link->isReusable() ? link->keepAlive() : Millis(0);
-    const Millis idleTime = kept > Millis(0) ? std::min(kept, DefaultIdleTime + IdleMargin) - IdleMargin
-                                             : DefaultIdleTime;
+    const Millis idleTime =
+        kept > Millis(0) ? std::min(kept, DefaultIdleTime + IdleMargin) - IdleMargin : DefaultIdleTime;
     std::deque<IdleLink> &links = this->idle[key];
     if (!link->isReusable() || links.size() >= MaxIdlePerBackend || idleTime <= Millis(0)) {
         link->close();
--- a/src/gateway/peerport.cpp
+++ b/src/gateway/peerport.cpp
@@ -26,7 +26,10 @@
         this->socket.bind(*endpoint, error);
     }
     if (error) {
-        LogLine("listen-failed").add("address", this->state.settings.peerAddress).add("detail", error.message()).error();
+        LogLine("listen-failed")
+            .add("address", this->state.settings.peerAddress)
+            .add("detail", error.message())
+            .error();
     }
     return !error;
 }
@@ -37,8 +40,8 @@
     boost::asio::ip::udp::endpoint sender;
     while (true) {
         boost::system::error_code error;
-        const std::size_t count
-            = co_await this->socket.async_receive_from(boost::asio::buffer(buffer), sender, withError(error));
+        const std::size_t count =
+            co_await this->socket.async_receive_from(boost::asio::buffer(buffer), sender, withError(error));
         if (error) {
             // An unreachable peer shows as an error of the next receive; there is nothing to receive then.
             co_await sleepFor(ReportPause);
@@ -78,7 +81,8 @@
         };
         if (!report->crashes.empty()) {
             // The same request may come again at any router.
-            this->state.members.forEach([&](const std::string & /*name*/, const RouterMember &member) { sendTo(member); });
+            this->state.members.forEach(
+                [&](const std::string & /*name*/, const RouterMember &member) { sendTo(member); });
             continue;
         }
         for (const RouterMember &member : this->state.groupPeers()) {
--- a/src/gateway/peerreport.cpp
+++ b/src/gateway/peerreport.cpp
@@ -31,7 +31,8 @@
 template<typename Archive>
 void serialize(Archive &archive, PeerReport &report)
 {
-    archive(report.router, report.incarnation, report.sequence, report.storeRevision, report.work, report.outcomes, report.crashes);
+    archive(report.router, report.incarnation, report.sequence, report.storeRevision, report.work, report.outcomes,
+            report.crashes);
 }
 
 std::string encodePeerReport(const PeerReport &report)
--- /dev/null
+++ b/src/gateway/pieces_test.cpp
@@ -0,0 +1,146 @@
+#include "eventcutter.h"
+#include "memberrecord.h"
+#include "peerreport.h"
+#include "routerstate.h"
+
+#include "cyclamencross/gateway/headerlist.h"
+
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+
+using namespace Cyclamen;
+
+namespace
+{
+
+std::string numbered(std::string name, int number)
+{
+    name += std::to_string(number);
+    return name;
+}
+
+}
+
+TEST_CASE("Only whole events leave the cutter, however the bytes arrive")
+{
+    // Guards against half an event that is passed on before its engine breaks off.
+    const std::string stream = "id: 1\ndata: a\n\nid:2\r\ndata: b\r\n\r\ndata: c\n\nid: 4\nda";
+    for (std::size_t step = 1; step <= stream.size(); ++step) {
+        EventCutter cutter;
+        std::vector<EventCutter::Event> events;
+        for (std::size_t at = 0; at < stream.size(); at += step) {
+            for (const EventCutter::Event &event : cutter.feed(stream.substr(at, step))) {
+                events.push_back(event);
+            }
+        }
+        REQUIRE(events.size() == 3);
+        CHECK(events[0] == EventCutter::Event{"id: 1\ndata: a\n\n", 1});
+        CHECK(events[1].id == std::optional<std::int64_t>(2));
+        CHECK_FALSE(events[2].id.has_value());
+        CHECK(cutter.hasRest());
+    }
+}
+
+TEST_CASE("Headers of one connection are not passed on")
+{
+    HeaderList headers;
+    headers.add("Connection", "close, X-Hop");
+    headers.add("x-hop", "1");
+    headers.add("Transfer-Encoding", "chunked");
+    headers.add("X-End", "2");
+    headers.removeConnectionHeaders();
+    CHECK(headers.text() == "X-End: 2\r\n");
+}
+
+TEST_CASE("A router's registration survives encoding; malformed ones are refused")
+{
+    const RouterMember member{"r1", 7, "z", "10.0.0.1:80", "10.0.0.1:81"};
+    CHECK(decodeMember("r1", encodeMember(member)) == member);
+    CHECK_FALSE(decodeMember("r1", "{}").has_value());
+    CHECK_FALSE(decodeMember("r1", "not json").has_value());
+    CHECK_FALSE(decodeMember("r1",
+                             R"({"incarnation":"7","zone":"z","caller_address":"10.0.0.1:80",)"
+                             R"("peer_address":"10.0.0.1:81"})")
+                    .has_value());
+}
+
+TEST_CASE("A report survives encoding; cut ones are refused")
+{
+    PeerReport report;
+    report.router = "r1";
+    report.incarnation = 3;
+    report.sequence = 4;
+    report.storeRevision = 9;
+    report.work["e"] = BackendWork{1, 2, 3};
+    report.outcomes["e"] = PeerReport::Outcomes{1, 2, 3};
+    report.crashes.push_back(CrashReport{1, "e", "r1", 2});
+    const std::string bytes = encodePeerReport(report);
+    PeerReport decoded;
+    REQUIRE(decodePeerReport(bytes, decoded));
+    CHECK(decoded == report);
+    for (std::size_t length = 0; length < bytes.size(); ++length) {
+        CHECK_FALSE(decodePeerReport(bytes.substr(0, length), decoded));
+    }
+}
+
+TEST_CASE("An old report of a peer does not replace a newer one")
+{
+    // Guards against datagrams that overtake each other and against those of an earlier incarnation.
+    boost::asio::io_context context;
+    RouterSettings settings;
+    settings.name = "r0";
+    RouterState state(context.get_executor(), settings, 1);
+    PeerReport report;
+    report.router = "r1";
+    report.incarnation = 2;
+    report.sequence = 5;
+    report.work["e"] = BackendWork{1, 0, 0};
+    state.addReport(report, Clock::now());
+    report.sequence = 4;
+    report.work["e"] = BackendWork{9, 0, 0};
+    state.addReport(report, Clock::now());
+    CHECK(state.work.total("e").requests == 1);
+    report.incarnation = 1;
+    report.sequence = 50;
+    state.addReport(report, Clock::now());
+    CHECK(state.work.total("e").requests == 1);
+    report.incarnation = 3;
+    report.sequence = 1;
+    state.addReport(report, Clock::now());
+    CHECK(state.work.total("e").requests == 9);
+}
+
+TEST_CASE("Each engine belongs to one group of routers, and a few are shared by all")
+{
+    boost::asio::io_context context;
+    std::map<std::string, int> owners;
+    int shared = 0;
+    for (int self = 0; self < 40; ++self) {
+        RouterSettings settings;
+        settings.name = numbered("r", self);
+        RouterState state(context.get_executor(), settings, 1);
+        for (int i = 0; i < 40; ++i) {
+            const std::string name = numbered("r", i);
+            state.members.put(name, RouterMember{name, 1, "z", "10.0.0.1:1", "10.0.0.1:2"}, 1);
+        }
+        for (int i = 0; i < 30; ++i) {
+            const std::string id = numbered("e", i);
+            state.backends.put(id, BackendServer{id, "big", "10.0.1.1:1", "z", false, EngineStage::Decode, 4, 0}, 1);
+        }
+        state.backends.put("p", BackendServer{"p", "small", "10.0.1.2:1", "z", false, EngineStage::None, 4, 0}, 1);
+        state.regroup();
+        for (const auto &candidate : state.candidates("big", EngineStage::Decode, {}, "z", Clock::now())) {
+            ++owners[candidate.server.id];
+        }
+        shared += int(state.candidates("small", EngineStage::None, {}, "z", Clock::now()).size());
+        CHECK(state.sampleOutside("big", EngineStage::Decode, {}, Clock::now()).size() == 3);
+        CHECK(state.groupPeers().size() >= 12);
+        CHECK(state.groupPeers().size() <= 13);
+    }
+    CHECK(shared == 40);
+    CHECK(owners.size() == 30);
+    for (const auto &[id, count] : owners) {
+        CHECK(count >= 13);
+        CHECK(count <= 14);
+    }
+}
--- a/src/gateway/requestrun.cpp
+++ b/src/gateway/requestrun.cpp
@@ -208,8 +208,9 @@
 void RequestRun::logEnd() const
 {
     const double seconds = toSeconds(Clock::now() - this->request.received);
-    this->state.metrics.count("cyclamencross_requests_total",
-                              {{"service", this->service}, {"outcome", this->outcome.substr(0, this->outcome.find(':'))}});
+    this->state.metrics.count(
+        "cyclamencross_requests_total",
+        {{"service", this->service}, {"outcome", this->outcome.substr(0, this->outcome.find(':'))}});
     this->state.metrics.observe("cyclamencross_request_seconds", seconds, {{"service", this->service}});
     LogLine("request-end")
         .add("request", this->request.id)
--- a/src/gateway/router.cpp
+++ b/src/gateway/router.cpp
@@ -109,8 +109,8 @@
 {
     const RouterSettings &settings = this->state.settings;
     const std::size_t byDescriptors = settings.descriptors - std::min(settings.descriptors / 2, ReservedDescriptors);
-    const std::size_t byMemory
-        = std::size_t(double(settings.memoryMiB << 20U) * SessionMemoryShare / double(SessionBytes));
+    const std::size_t byMemory =
+        std::size_t(double(settings.memoryMiB << 20U) * SessionMemoryShare / double(SessionBytes));
     const std::size_t most = std::min(byDescriptors, byMemory);
     while (acceptor->is_open()) {
         boost::system::error_code error;
@@ -181,8 +181,8 @@
         .add("target", request.target)
         .add("config", this->state.table ? this->state.table->version() : 0)
         .write();
-    const HeaderList headers
-        = status == 503 ? this->hooks.backendWire.refusalHeaders(this->state.comeBackIn()) : HeaderList();
+    const HeaderList headers =
+        status == 503 ? this->hooks.backendWire.refusalHeaders(this->state.comeBackIn()) : HeaderList();
     co_await session.reply(status, "", headers, "");
 }
 
@@ -195,8 +195,7 @@
     } else if (path == this->hooks.entryWire.resolvePath) {
         const int ttl = std::min(AnswerTtlSeconds, this->state.settings.answerTtlMaxSeconds);
         headers.add("Content-Type", "application/json");
-        co_await session.reply(200, "", headers,
-                               this->hooks.entryWire.encodeAddresses(this->callerAddresses(), ttl));
+        co_await session.reply(200, "", headers, this->hooks.entryWire.encodeAddresses(this->callerAddresses(), ttl));
     } else {
         co_await session.reply(404, "", headers, "");
     }
@@ -258,8 +257,7 @@
         const TimePoint now = Clock::now();
         this->sync.expire(now);
         this->state.links.expire(now);
-        this->state.health.retain(
-            [this](const std::string &id) { return this->state.backends.find(id) != nullptr; });
+        this->state.health.retain([this](const std::string &id) { return this->state.backends.find(id) != nullptr; });
         this->state.metrics.set("cyclamencross_active_requests", this->state.activeRequests);
         this->state.metrics.set("cyclamencross_caller_connections", double(this->sessions.size()));
         this->state.metrics.set("cyclamencross_routers", double(this->state.members.size()));
--- a/src/gateway/routersettings.cpp
+++ b/src/gateway/routersettings.cpp
@@ -55,7 +55,8 @@
 // Accepts fractions, as the platform may state any bound with one.
 Rule durationRule(Millis RouterSettings::*member, double millisPerUnit)
 {
-    return Rule{true, "a number from 0 to 1000000", [member, millisPerUnit](RouterSettings &settings, const std::string &value) {
+    return Rule{true, "a number from 0 to 1000000",
+                [member, millisPerUnit](RouterSettings &settings, const std::string &value) {
                     double number = -1;
                     const auto end = std::from_chars(value.data(), value.data() + value.size(), number).ptr;
                     settings.*member = Millis(std::int64_t(number * millisPerUnit));
--- a/src/gateway/routerstate.cpp
+++ b/src/gateway/routerstate.cpp
@@ -33,8 +33,8 @@
 }
 
 std::vector<PlacementCandidate> RouterState::candidates(const std::string &service, EngineStage stage,
-                                                        const std::set<std::string> &excluded,
-                                                        const std::string &zone, TimePoint now) const
+                                                        const std::set<std::string> &excluded, const std::string &zone,
+                                                        TimePoint now) const
 {
     std::vector<PlacementCandidate> result;
     this->backends.forEach([&](const std::string &id, const BackendServer &server) {
@@ -95,7 +95,8 @@
 void RouterState::regroup()
 {
     std::vector<std::string> names;
-    this->members.forEach([&names](const std::string &name, const RouterMember & /*member*/) { names.push_back(name); });
+    this->members.forEach(
+        [&names](const std::string &name, const RouterMember & /*member*/) { names.push_back(name); });
     this->groups = Subset::groupCount(names.size());
     const auto groupOfRouter = Subset::divide(names, this->groups);
     const auto own = groupOfRouter.find(this->settings.name);
--- a/src/gateway/streamrun.cpp
+++ b/src/gateway/streamrun.cpp
@@ -233,8 +233,8 @@
 boost::asio::awaitable<void> StreamRun::prefill()
 {
     const double tokens = double(std::max<std::int64_t>(1, this->request.promptTokens));
-    const auto candidates = this->state.candidates(this->service, EngineStage::Prefill, {}, this->engine->zone,
-                                                   Clock::now());
+    const auto candidates =
+        this->state.candidates(this->service, EngineStage::Prefill, {}, this->engine->zone, Clock::now());
     const auto choice = Placement::choosePrefill(candidates, tokens, [this] { return this->state.random(); });
     if (!choice || candidates[*choice].avoided) {
         co_return;
@@ -329,10 +329,11 @@
     call.hold = std::exchange(this->hold, std::string());
     this->tried.insert(server.id);
     ++this->sends;
-        this->send(server, call);
+    this->send(server, call);
     const bool another = this->route.mayRepeat() && this->mayUseAnother();
-    const TimePoint until = another ? std::min(this->deadline, Clock::now() + std::max(this->route.targetLatency, LeastStall))
-                                    : this->deadline;
+    const TimePoint until = another
+        ? std::min(this->deadline, Clock::now() + std::max(this->route.targetLatency, LeastStall))
+        : this->deadline;
     const LinkStatus status = co_await this->readOwnHead(until);
     if (status != LinkStatus::Ok) {
         this->mayHaveRun = true;
@@ -429,7 +430,7 @@
         whole += event.text;
     }
     if (!whole.empty()) {
-                co_await this->session.sendPart(std::move(whole));
+        co_await this->session.sendPart(std::move(whole));
     }
     co_return !this->cutter.isOverlong();
 }
--- a/src/include/cyclamencross/base/logline.h
+++ b/src/include/cyclamencross/base/logline.h
@@ -47,8 +47,8 @@
 /// @param process name of the process, added to each line as "process".
 void setUpLogging(std::string_view process);
 
-/// Directs the log to standard output, as processes under supervision do. Writing never blocks: lines that a slow reader
-/// does not take, and lines beyond a fixed rate, are dropped and counted in a line "log-dropped".
+/// Directs the log to standard output, as processes under supervision do. Writing never blocks: lines that a slow
+/// reader does not take, and lines beyond a fixed rate, are dropped and counted in a line "log-dropped".
 void logToStandardOutput();
 
 }
--- a/src/include/cyclamencross/gateway/backendwire.h
+++ b/src/include/cyclamencross/gateway/backendwire.h
@@ -2,8 +2,8 @@
 
 #include "cyclamencross/gateway/backendanswer.h"
 #include "cyclamencross/gateway/backendcall.h"
-#include "cyclamencross/gateway/routerrequest.h"
 #include "cyclamencross/gateway/readprompt.h"
+#include "cyclamencross/gateway/routerrequest.h"
 
 #include <functional>
 #include <optional>
@@ -14,7 +14,8 @@
 namespace Cyclamen
 {
 
-/// Translates between the router and what callers and backend servers speak. The hooks hold no state and decide nothing.
+/// Translates between the router and what callers and backend servers speak. The hooks hold no state and decide
+/// nothing.
 struct BackendWire
 {
     /// Fills the fields of a request from its headers and removes the headers that are the router's to set.
--- a/src/include/cyclamencross/gateway/httplink.h
+++ b/src/include/cyclamencross/gateway/httplink.h
@@ -14,8 +14,8 @@
 namespace Cyclamen
 {
 
-/// One HTTP/1.1 client connection. Used from one thread. Exchanges follow one another: startExchange(), readHead(), then
-/// readSome() until isComplete().
+/// One HTTP/1.1 client connection. Used from one thread. Exchanges follow one another: startExchange(), readHead(),
+/// then readSome() until isComplete().
 class HttpLink : public std::enable_shared_from_this<HttpLink>
 {
 public:
--- a/src/include/cyclamencross/route/retryallowance.h
+++ b/src/include/cyclamencross/route/retryallowance.h
@@ -10,8 +10,9 @@
 namespace Cyclamen
 {
 
-/// This router's share of the retries that the whole fleet may make to a service in a sliding window. The shares need no
-/// coordination: each router adds a part of its own requests and an even part of the fixed allowance. Not thread-safe.
+/// This router's share of the retries that the whole fleet may make to a service in a sliding window. The shares need
+/// no coordination: each router adds a part of its own requests and an even part of the fixed allowance. Not
+/// thread-safe.
 class RetryAllowance
 {
 public:
--- a/src/include/cyclamencross/route/roster.h
+++ b/src/include/cyclamencross/route/roster.h
@@ -51,9 +51,8 @@
     /// @return how many were removed.
     std::size_t expire(TimePoint now)
     {
-        return std::erase_if(this->records, [now](const auto &item) {
-            return item.second.heldUntil && *item.second.heldUntil <= now;
-        });
+        return std::erase_if(
+            this->records, [now](const auto &item) { return item.second.heldUntil && *item.second.heldUntil <= now; });
     }
 
     /// Returns the keys known now.
--- a/src/route/placement.cpp
+++ b/src/route/placement.cpp
@@ -73,9 +73,8 @@
         if (capacity > 0 && (candidate.full || double(candidate.work.memoryTokens) + tokens > room)) {
             return std::numeric_limits<double>::infinity();
         }
-        const double load = capacity > 0
-            ? (double(candidate.work.memoryTokens) + tokens) / capacity
-            : double(candidate.work.requests) / std::max(1, candidate.server.slots);
+        const double load = capacity > 0 ? (double(candidate.work.memoryTokens) + tokens) / capacity
+                                         : double(candidate.work.requests) / std::max(1, candidate.server.slots);
         return load + commonCost(candidate, random);
     });
 }
--- a/src/route/workbook.cpp
+++ b/src/route/workbook.cpp
@@ -30,8 +30,8 @@
 
 void WorkBook::expire(TimePoint now)
 {
-    const auto expired = std::erase_if(
-        this->peers, [now](const auto &item) { return now - item.second.received > PeerLifetime; });
+    const auto expired =
+        std::erase_if(this->peers, [now](const auto &item) { return now - item.second.received > PeerLifetime; });
     if (expired > 0) {
         this->rebuildTotals();
     }
