--- a/src/gateway/streamrun.cpp
+++ b/src/gateway/streamrun.cpp
@@ -31,10 +31,11 @@
 constexpr double DirectReadFactor = 2.5;
 // Share of the target for the first event above which the wait for a prefill engine is too long.
 constexpr double LongPrefillShare = 0.5;
-// A stream that can go on elsewhere is given up after a pause of this many times the longest one that is on time.
+// A silent engine is checked after a pause of this many times the longest one that is on time.
 constexpr int StallFactor = 3;
 constexpr Millis LeastStall{700};
 constexpr Millis ReleaseTimeout{500};
+constexpr Millis ProgressPeriod{100};
 // Part of the target for the first event up to which a request that finds room can still be on time; the rest is for
 // reading the prompt.
 constexpr double OnTimeShare = 0.6;
@@ -48,6 +49,29 @@
 constexpr Millis HoldTime{1500};
 constexpr Millis HoldTimeout{300};
 
+// Watches the pauses of a stream that can go on elsewhere. An engine that is silent and accepts no connection any more is
+// gone, and its link is closed; one that only pauses is left alone, since its silence alone is no reason to give it up.
+boost::asio::awaitable<void> watchProgress(RouterState &state, std::shared_ptr<HttpLink> link,
+                                           std::shared_ptr<StreamProgress> progress, Millis stall)
+{
+    while (!progress->finished) {
+        co_await sleepFor(ProgressPeriod);
+        if (progress->finished || Clock::now() - progress->last < stall) {
+            continue;
+        }
+        const auto probe = co_await state.links.open(link->address(), RequestRun::ConnectTimeout);
+        if (probe) {
+            probe->close();
+            progress->last = Clock::now();
+            continue;
+        }
+        if (!progress->finished) {
+            link->close();
+        }
+        co_return;
+    }
+}
+
 boost::asio::awaitable<void> sendAndForget(RouterState &state, std::string address, std::string call)
 {
     const auto link = co_await state.links.open(address, RequestRun::ConnectTimeout);
@@ -330,10 +354,20 @@
     this->tried.insert(server.id);
     ++this->sends;
     this->send(server, call);
-    const bool another = this->route.mayRepeat() && this->mayUseAnother();
-    const TimePoint until = another
-        ? std::min(this->deadline, Clock::now() + std::max(this->route.targetLatency, LeastStall))
-        : this->deadline;
+    this->progress = std::make_shared<StreamProgress>();
+    if (this->route.mayRepeat() && this->mayUseAnother()) {
+        const Millis stall = std::max(LeastStall, this->route.gapTarget * StallFactor);
+        boost::asio::co_spawn(this->state.executor, watchProgress(this->state, this->link, this->progress, stall),
+                              boost::asio::detached);
+    }
+    const Step step = co_await this->readAnswer(server);
+    this->progress->finished = true;
+    co_return step;
+}
+
+boost::asio::awaitable<StreamRun::Step> StreamRun::readAnswer(BackendServer server)
+{
+    const TimePoint until = this->deadline;
     const LinkStatus status = co_await this->readOwnHead(until);
     if (status != LinkStatus::Ok) {
         this->mayHaveRun = true;
@@ -379,7 +413,6 @@
     if (!this->session.isAnswered()) {
         co_await this->session.startStream(200, this->link->reason(), this->link->headers());
     }
-    const Millis stall = std::max(LeastStall, this->route.gapTarget * StallFactor);
     LinkStatus status = LinkStatus::Ok;
     bool inOrder = true;
     while (status == LinkStatus::Ok && inOrder && !this->session.isCallerGone()) {
@@ -387,9 +420,7 @@
         if (this->link->isComplete()) {
             break;
         }
-        const bool another = this->route.mayRepeat() && this->mayUseAnother();
-        const TimePoint until = another ? std::min(this->deadline, Clock::now() + stall) : this->deadline;
-        status = co_await this->link->readSome(until);
+        status = co_await this->link->readSome(this->deadline);
     }
     if (this->session.isCallerGone()) {
         this->failure = "caller-gone";
@@ -402,7 +433,7 @@
         this->giveBack(server);
         co_return Step::Done;
     }
-    this->failure = status == LinkStatus::TimedOut ? "stalled" : !inOrder ? "out-of-order" : "broken";
+    this->failure = status == LinkStatus::TimedOut ? "timeout" : !inOrder ? "out-of-order" : "broken";
     this->note(server, CallOutcome::Broken);
     this->link->close();
     if (status == LinkStatus::Broken) {
@@ -430,6 +461,7 @@
         whole += event.text;
     }
     if (!whole.empty()) {
+        this->progress->last = Clock::now();
         co_await this->session.sendPart(std::move(whole));
     }
     co_return !this->cutter.isOverlong();
--- a/src/gateway/streamrun.h
+++ b/src/gateway/streamrun.h
@@ -2,6 +2,7 @@
 
 #include "eventcutter.h"
 #include "requestrun.h"
+#include "streamprogress.h"
 #include "workreservation.h"
 
 #include "cyclamencross/gateway/readprompt.h"
@@ -43,6 +44,7 @@
     void callAndForget(const std::string &address, const std::string &call);
     boost::asio::awaitable<void> prefill();
     boost::asio::awaitable<Step> decode();
+    boost::asio::awaitable<Step> readAnswer(BackendServer server);
     /// Passes on events until the stream ends.
     boost::asio::awaitable<Step> relay();
     boost::asio::awaitable<bool> passOnEvents(const std::string &bytes);
@@ -57,6 +59,7 @@
     std::string hold; ///< Room taken at `engine` and not yet used.
     std::optional<BackendServer> reader; ///< Read the prompt.
     std::optional<ReadPrompt> memory; ///< Not yet taken over.
+    std::shared_ptr<StreamProgress> progress; ///< Of the current call.
     EventCutter cutter;
     std::optional<std::int64_t> lastEvent;
     std::string failure;
