--- /dev/null
+++ b/testsuite/soak/callers.py
@@ -0,0 +1,105 @@
+"""Callers as the platform's pages describe them: they ask for addresses, keep them and connect there themselves."""
+import asyncio
+import json
+import random
+import time
+
+import wirehttp
+
+DEADLINE_MS = {"once": 1500, "read": 1500, "stream": 6000, "stream-once": 6000}
+PATHS = {"once": ("POST", "/plain/"), "read": ("GET", "/read/"), "stream": ("POST", "/stream/"),
+         "stream-once": ("POST", "/once/")}
+
+
+class Caller:
+    """One caller with at most one open connection, which it uses until the router closes it."""
+
+    def __init__(self, fleet, promises, seed):
+        self.fleet, self.promises = fleet, promises
+        self.random = random.Random(seed)
+        self.addresses, self.until = [], 0.0
+        self.reader = self.writer = None
+        self.serial, self.seed = 0, seed
+        self.router = ""
+        self.stopping = False
+
+    async def resolve(self):
+        """Asks up to three routers for addresses and keeps the answer."""
+        if time.monotonic() < self.until and self.addresses:
+            return
+        routers = list(self.fleet.routers.values())
+        for router in self.random.sample(routers, min(3, len(routers))):
+            try:
+                target = "/cyclamencross/resolve?Name=h.example&Zone=z1"
+                _, _, body = await wirehttp.exchange(f"127.0.0.1:{router.directory}", "GET", target, timeout=1.0)
+                answer = json.loads(body)
+                self.addresses = answer["Addresses"]
+                self.until = time.monotonic() + answer["TtlS"] * self.random.choice((1, 1, 3))
+                return
+            except (wirehttp.Broken, ValueError, KeyError):
+                continue
+
+    async def connect(self):
+        """Opens a connection if there is none."""
+        if self.writer is not None:
+            return
+        await self.resolve()
+        address = self.random.choice(self.addresses or ["127.0.0.1:1"])
+        self.router = address
+        host, port = address.split(":")
+        async with asyncio.timeout(1.0):
+            self.reader, self.writer = await asyncio.open_connection(host, int(port))
+
+    def disconnect(self):
+        """Closes the connection."""
+        if self.writer is not None:
+            self.writer.transport.abort()
+        self.reader = self.writer = None
+
+    async def run(self):
+        """Sends requests until it is to stop."""
+        while not self.stopping:
+            kind = self.random.choices(("once", "read", "stream", "stream-once"), (4, 4, 2, 2))[0]
+            leave = self.random.random() < 0.08
+            await self.request(kind, leave)
+            await asyncio.sleep(self.random.expovariate(8))
+
+    async def request(self, kind, leave):
+        """Makes one attempt and records how it ended."""
+        self.serial += 1
+        request = f"{self.seed:x}x{self.serial:x}"
+        method, path = PATHS[kind]
+        body = "x" * self.random.randrange(0, 3000) if method == "POST" else ""
+        sent = {"kind": kind, "method": method, "target": f"{path}{self.serial}", "body": body,
+                "deadline_ms": DEADLINE_MS[kind], "sent_at": time.time()}
+        headers = {"Host": "h.example", "Request-Id": request, "Deadline-Ms": str(DEADLINE_MS[kind]),
+                   "Kv-Backup": "127.0.0.1:9"}
+        if kind.startswith("stream"):
+            headers["Token-Count"] = f"{self.random.randrange(50, 4000)},100"
+        status, answer, whole = 0, b"", False
+        try:
+            await self.connect()
+            sent["router"] = self.router
+            self.promises.sent[request] = sent
+            async with asyncio.timeout(self.random.uniform(0.01, 0.3) if leave else DEADLINE_MS[kind] / 1000):
+                self.writer.write(wirehttp.message(f"{method} {sent['target']} HTTP/1.1", headers, body.encode()))
+                head = await wirehttp.read_head(self.reader)
+                if head is None:
+                    raise wirehttp.Broken("closed")
+                status = int(head[0].split()[1])
+                if head[1].get("transfer-encoding") == "chunked":
+                    while part := await wirehttp.read_chunk(self.reader):
+                        answer += part
+                else:
+                    answer = await wirehttp.read_body(self.reader, head[1])
+                whole = True
+                if head[1].get("connection") == "close":
+                    self.disconnect()
+        except TimeoutError:
+            sent["left_at"] = time.time()
+            self.disconnect()
+        except (wirehttp.Broken, OSError):
+            sent["cut_at"] = time.time()
+            self.disconnect()
+        if request in self.promises.sent:
+            self.promises.on_answer(request, status, answer.decode("latin1"), whole)
--- /dev/null
+++ b/testsuite/soak/faultproxy.py
@@ -0,0 +1,61 @@
+"""A loopback proxy whose connections can be delayed, reset, cut one way or silenced."""
+import asyncio
+
+
+class FaultProxy:
+    """Forwards connections to a target. `mode` takes effect on open and on new connections:
+
+    pass, delay (each piece waits), refuse (new connections are reset), silent (nothing is forwarded), to-target or
+    to-caller (only that direction is cut).
+    """
+
+    DELAY_SECONDS = 0.12
+
+    def __init__(self, target_port):
+        self.target_port = target_port
+        self.mode = "pass"
+        self.port = 0
+        self.writers = set()
+
+    async def start(self):
+        """Begins to listen on a free port."""
+        server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.port = server.sockets[0].getsockname()[1]
+        return server
+
+    def reset(self):
+        """Resets all open connections."""
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def pump(self, reader, writer, direction):
+        """Forwards one direction until it ends."""
+        try:
+            while data := await reader.read(65536):
+                if self.mode == "delay":
+                    await asyncio.sleep(self.DELAY_SECONDS)
+                if self.mode == "silent" or self.mode == direction:
+                    continue
+                writer.write(data)
+                await writer.drain()
+            if self.mode == "pass":
+                writer.close()
+        except (ConnectionError, OSError):
+            writer.transport.abort()
+
+    async def serve(self, reader, writer):
+        """Forwards one connection."""
+        if self.mode == "refuse":
+            writer.transport.abort()
+            return
+        try:
+            target_reader, target_writer = await asyncio.open_connection("127.0.0.1", self.target_port)
+        except OSError:
+            writer.transport.abort()
+            return
+        self.writers |= {writer, target_writer}
+        await asyncio.gather(self.pump(reader, target_writer, "to-target"),
+                             self.pump(target_reader, writer, "to-caller"))
+        self.writers -= {writer, target_writer}
+        for end in (writer, target_writer):
+            end.close()
--- /dev/null
+++ b/testsuite/soak/fleet.py
@@ -0,0 +1,177 @@
+"""The processes of one soak: routers, backend servers and the store, each reached through fault proxies."""
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+import time
+
+from faultproxy import FaultProxy
+import wirehttp
+
+HERE = os.path.dirname(os.path.abspath(__file__))
+ROUTER_SETTINGS = """[router]
+name = {name}
+zone = z1
+[listen]
+callers = 127.0.0.1:{front}
+ready = 127.0.0.1:{ready}
+directory = 127.0.0.1:{directory}
+peers = 127.0.0.1:{peers}
+[store]
+address = 127.0.0.1:{store}
+min_lease_ms = 1000
+[limits]
+memory_mib = 96
+descriptors = 1000
+[bounds]
+stop_grace_s = 8
+heartbeat_ms = 600
+retry_ratio = 0.2
+retry_slack = 30
+retry_window_s = 10
+answer_ttl_max_s = 5
+"""
+
+
+def free_ports(count):
+    """Returns ports that are free now."""
+    sockets = [socket.socket() for _ in range(count)]
+    for each in sockets:
+        each.bind(("127.0.0.1", 0))
+    ports = [each.getsockname()[1] for each in sockets]
+    for each in sockets:
+        each.close()
+    return ports
+
+
+class Process:
+    """One process that the soak has started. Only its own id is ever signalled."""
+
+    def __init__(self, name, command, log):
+        self.name, self.command, self.log = name, command, log
+        self.child = None
+        self.paused = False
+        self.last_fault = 0.0
+        self.on_line = lambda line: None
+        self.starting = asyncio.Lock()
+        self.exits = []
+
+    async def start(self):
+        """Starts the process, unless it runs, and reads its output."""
+        async with self.starting:
+            if not self.running():
+                await self.spawn()
+
+    async def spawn(self):
+        """Starts the process."""
+        self.child = await asyncio.create_subprocess_exec(*self.command, stdin=asyncio.subprocess.DEVNULL,
+                                                          stdout=asyncio.subprocess.PIPE,
+                                                          stderr=asyncio.subprocess.STDOUT, limit=1 << 20)
+        asyncio.ensure_future(self.read(self.child))
+
+    async def read(self, child):
+        """Passes lines on until the process ends."""
+        async for line in child.stdout:
+            self.log.write(f"{time.time():.3f} {self.name} ".encode() + line)
+            self.on_line(line)
+        self.exits.append(await child.wait())
+
+    def running(self):
+        """Returns whether the process has not ended."""
+        return self.child is not None and self.child.returncode is None
+
+    def send(self, number):
+        """Sends a signal."""
+        if self.running():
+            self.last_fault = time.time()
+            self.paused = {signal.SIGSTOP: True, signal.SIGCONT: False}.get(number, self.paused)
+            self.child.send_signal(number)
+
+    async def end(self):
+        """Kills the process and waits for it."""
+        if self.running():
+            self.child.send_signal(signal.SIGKILL)
+            await self.child.wait()
+
+
+class Fleet:
+    """All processes and proxies."""
+
+    def __init__(self, binary, folder, seed, routers, services, prefills, decodes):
+        self.binary, self.folder, self.seed = binary, folder, seed
+        self.counts = (routers, services, prefills, decodes)
+        self.log = open(os.path.join(folder, "log.txt"), "wb")
+        self.routers, self.backends, self.proxies = {}, {}, {}
+        self.store_port = free_ports(1)[0]
+        self.store = Process("store", [sys.executable, f"{HERE}/store.py", str(self.store_port)], self.log)
+        self.on_backend_event = lambda event: None
+        self.serial = 0
+
+    async def start(self):
+        """Starts everything."""
+        await self.store.start()
+        await self.call_store("/standin/mode", {}, tries=50)
+        routers, services, prefills, decodes = self.counts
+        for kind, count in (("none", services), ("prefill", prefills), ("decode", decodes)):
+            for _ in range(count):
+                await self.add_backend(kind)
+        for number in range(routers):
+            await self.add_router(f"r{number}")
+
+    async def add_router(self, name):
+        """Starts a router with a proxy of its own to the store."""
+        proxy = FaultProxy(self.store_port)
+        await proxy.start()
+        self.proxies[f"store-{name}"] = proxy
+        front, ready, directory, peers = free_ports(4)
+        path = os.path.join(self.folder, f"{name}.ini")
+        with open(path, "w", encoding="utf8") as file:
+            file.write(ROUTER_SETTINGS.format(name=name, front=front, ready=ready, directory=directory, peers=peers,
+                                              store=proxy.port))
+        router = Process(name, [self.binary, "router", "--settings", path], self.log)
+        router.front, router.ready, router.directory = front, ready, directory
+        router.stopped_at = 0.0
+        self.routers[name] = router
+        await router.start()
+
+    async def add_backend(self, kind):
+        """Starts a backend server behind a proxy."""
+        self.serial += 1
+        name = f"{'app' if kind == 'none' else kind}{self.serial}"
+        port = free_ports(1)[0]
+        proxy = FaultProxy(port)
+        await proxy.start()
+        self.proxies[name] = proxy
+        service = "app" if kind == "none" else "llm"
+        backend = Process(name, [sys.executable, f"{HERE}/backend.py", name, service, kind, str(port),
+                                 f"127.0.0.1:{proxy.port}", f"127.0.0.1:{self.store_port}", str(self.seed)], self.log)
+        backend.kind = kind
+        backend.on_line = self.take_line
+        self.backends[name] = backend
+        await backend.start()
+
+    def take_line(self, line):
+        """Passes an event of a backend server on."""
+        try:
+            self.on_backend_event(json.loads(line))
+        except ValueError:
+            pass  # A traceback of the stand-in; it is in the log.
+
+    async def call_store(self, target, content, tries=1):
+        """Calls the store's own interface for the soak, past all faults."""
+        for attempt in range(tries):
+            try:
+                return await wirehttp.exchange(f"127.0.0.1:{self.store_port}", "POST", target,
+                                               body=json.dumps(content).encode())
+            except wirehttp.Broken:
+                if attempt + 1 == tries:
+                    raise
+                await asyncio.sleep(0.1)
+
+    async def stop(self):
+        """Ends all processes that were started."""
+        for process in [*self.routers.values(), *self.backends.values(), self.store]:
+            await process.end()
+        self.log.flush()
--- /dev/null
+++ b/testsuite/soak/store.py
@@ -0,0 +1,167 @@
+"""Stand-in for the platform's key-value store. Usage: store.py PORT
+
+It keeps its items for as long as its process runs. Backend servers register by POST /standin/beat; the soak sets faults
+by POST /standin/mode: answers are late, lost after the call took effect, or refused.
+"""
+import asyncio
+import base64
+import json
+import random
+import sys
+import time
+import urllib.parse
+
+import wirehttp
+
+HISTORY = 2000  # changes kept for watches
+BEATS_TO_LIVE = 3.6  # seconds without a beat after which a registration is removed
+
+
+class Store:
+    """Items, leases and the history of changes."""
+
+    def __init__(self):
+        self.revision = 1
+        self.items = {}
+        self.history = []
+        self.leases = {}
+        self.beats = {}
+        self.changed = asyncio.Event()
+        self.mode = {}
+
+    def change(self, key, value, lease=0):
+        """Writes an item, or removes it if the value is None."""
+        self.revision += 1
+        if value is None:
+            self.items.pop(key, None)
+            event = {"Key": key, "Revision": self.revision, "Removed": True}
+        else:
+            created = self.items.get(key, {}).get("CreatedAt", self.revision)
+            event = {"Key": key, "Value": base64.b64encode(value).decode(), "Revision": self.revision,
+                     "CreatedAt": created, "Lease": lease}
+            self.items[key] = event
+        self.history = (self.history + [event])[-HISTORY:]
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def expire(self):
+        """Ends leases and registrations whose time is over."""
+        now = time.monotonic()
+        for lease in [lease for lease, (end, _) in self.leases.items() if end < now]:
+            del self.leases[lease]
+            for key in [key for key, item in self.items.items() if item["Lease"] == lease]:
+                self.change(key, None)
+        for key in [key for key, beat in self.beats.items() if now - beat > BEATS_TO_LIVE]:
+            del self.beats[key]
+            self.change(key, None)
+
+    async def watch(self, prefix, after, wait):
+        """Returns the changes after a revision, waiting for the first."""
+        end = time.monotonic() + wait
+        while True:
+            if after + 1 < (self.history[0]["Revision"] if self.history else 0):
+                return 410, {}
+            events = [event for event in self.history if event["Revision"] > after and event["Key"].startswith(prefix)]
+            left = end - time.monotonic()
+            if events or left <= 0:
+                return 200, {"events": events, "At": self.revision}
+            try:
+                await asyncio.wait_for(self.changed.wait(), left)
+            except TimeoutError:
+                pass
+
+    def write(self, body):
+        """Carries out a conditional write."""
+        for row in body.get("Expected", []):
+            if self.items.get(row["Key"], {}).get("Revision", 0) != row["Revision"]:
+                return 412, {"items": [self.items[r["Key"]] for r in body["Expected"] if r["Key"] in self.items]}
+        if any(write.get("Lease", 0) and write["Lease"] not in self.leases for write in body.get("Writes", [])):
+            return 404, {}
+        for write in body.get("Writes", []):
+            self.change(write["Key"], base64.b64decode(write["Value"]), write.get("Lease", 0))
+        for key in body.get("Deletes", []):
+            self.change(key, None)
+        return 200, {"Revision": self.revision}
+
+    async def answer(self, method, path, query, body):
+        """Returns status and content of one call."""
+        name = path.removeprefix("/cyclamencross/")
+        if path == "/standin/mode":
+            self.mode = body
+            return 200, {}
+        if path == "/standin/beat":
+            key, value = body["key"], body["value"]
+            old = self.items.get(key)
+            if value is None:
+                self.beats.pop(key, None)
+                if old:
+                    self.change(key, None)
+            else:
+                self.beats[key] = time.monotonic()
+                if not old or base64.b64decode(old["Value"]) != value.encode():
+                    self.change(key, value.encode())
+            return 200, {"Revision": self.revision}
+        if path == "/standin/put":
+            self.change(body["key"], body["value"].encode())
+            return 200, {"Revision": self.revision}
+        if name == "kv-range":
+            items = [item for key, item in sorted(self.items.items()) if key.startswith(query.get("PathPrefix", ""))]
+            return 200, {"items": items, "HasMore": False, "At": self.revision}
+        if name == "kv-watch":
+            return await self.watch(query.get("PathPrefix", ""), int(query["after"]), int(query["WaitMs"]) / 1000)
+        if name == "kv-lease":
+            lease = random.getrandbits(40) + 1
+            self.leases[lease] = (time.monotonic() + body["TtlMs"] / 1000, body["TtlMs"])
+            return 200, {"Lease": lease, "TtlMs": body["TtlMs"]}
+        if name.startswith("kv-keep/") or name.startswith("kv-lease-end/"):
+            lease = int(name.split("/")[1])
+            if lease not in self.leases:
+                return 404, {}
+            ttl = self.leases[lease][1]
+            self.leases[lease] = (time.monotonic() + (ttl / 1000 if "keep" in name else -1), ttl)
+            self.expire()
+            return 200, {"TtlMs": ttl}
+        if name == "kv-txn":
+            return self.write(body)
+        return 404, {}
+
+
+async def serve(store, reader, writer):
+    """Answers the calls of one connection."""
+    try:
+        while head := await wirehttp.read_head(reader):
+            method, target, _ = head[0].split()
+            raw = await wirehttp.read_body(reader, head[1])
+            url = urllib.parse.urlsplit(target)
+            query = dict(urllib.parse.parse_qsl(url.query))
+            standin = url.path.startswith("/standin/")
+            mode = {} if standin else store.mode
+            if random.random() < mode.get("refuse", 0):
+                status, content = 503, {}
+            else:
+                status, content = await store.answer(method, url.path, query, json.loads(raw or b"{}"))
+            await asyncio.sleep(mode.get("delay", 0))
+            if random.random() < mode.get("lose", 0):
+                await asyncio.sleep(3)
+                break
+            text = json.dumps(content).encode()
+            writer.write(wirehttp.message(f"HTTP/1.1 {status} X", {"Content-Type": "application/json"}, text))
+            await writer.drain()
+    except (wirehttp.Broken, ConnectionError, OSError):
+        pass
+    finally:
+        writer.close()
+
+
+async def main():
+    """Runs until the process is ended."""
+    store = Store()
+    server = await asyncio.start_server(lambda r, w: serve(store, r, w), "127.0.0.1", int(sys.argv[1]))
+    print(json.dumps({"event": "listening"}), flush=True)
+    async with server:
+        while True:
+            await asyncio.sleep(0.05)
+            store.expire()
+
+
+asyncio.run(main())
