Let three routers of each group watch the store for the others

Cause: each change of the store woke the watches of all routers; on the grown sites calls to the store were the largest price. Change: watchers pass changes on in their reports; a router that misses one reads the store, and one that hears no watcher watches itself.

--- a/src/gateway/fleetsync.cpp
+++ b/src/gateway/fleetsync.cpp
@@ -45,6 +45,9 @@
     , store(std::move(store))
     , codec(std::move(codec))
 {
+    this->state.onPeerChanges = [this](std::uint64_t after, const std::vector<StoreItem> &items) {
+        this->applyPeerChanges(after, items);
+    };
 }
 
 std::string FleetSync::memberPrefix()
@@ -64,13 +67,21 @@
             }
             failures = 0;
         }
+        if (!this->mustWatch()) {
+            this->state.watching = false;
+            co_await sleepFor(HintPeriod);
+            continue;
+        }
+        this->state.watching = !this->contact.lost;
         const Millis wait = this->state.groupPeers().empty() ? LoneWatchWait : WatchWait;
         const StoreResult<StorePage> result = co_await this->store.watch(prefix, *this->position, wait);
         if (const auto *page = std::get_if<StorePage>(&result)) {
             this->noteAnswer();
             failures = 0;
-            this->applyAll(*page);
+            const std::uint64_t before = this->state.storeRevision;
+            this->applyAll(page->items, page->revision);
             if (!page->items.empty()) {
+                this->state.passOnChanges(before, page->items);
                 co_await sleepFor(GatherPause);
             }
             continue;
@@ -117,19 +128,38 @@
     }
 }
 
-void FleetSync::applyAll(const StorePage &page)
+void FleetSync::applyAll(const std::vector<StoreItem> &items, std::uint64_t revision)
 {
-    for (const StoreItem &item : page.items) {
+    for (const StoreItem &item : items) {
         this->apply(item);
     }
     if (this->position) {
-        this->position = std::max(*this->position, page.revision);
+        this->position = std::max(*this->position, revision);
     }
-    if (!page.items.empty()) {
+    if (!items.empty()) {
         this->state.regroup();
     }
 }
 
+void FleetSync::applyPeerChanges(std::uint64_t after, const std::vector<StoreItem> &items)
+{
+    std::uint64_t newest = 0;
+    for (const StoreItem &item : items) {
+        newest = std::max(newest, item.revision);
+    }
+    // Changes before these may be missing; the peer's newer revision then leads to a read of the store.
+    if (!this->position || this->state.storeRevision < after || this->state.storeRevision >= newest) {
+        return;
+    }
+    this->applyAll(items, newest);
+    this->state.metrics.count("cyclamencross_peer_changes_total", {}, double(items.size()));
+}
+
+bool FleetSync::mustWatch() const
+{
+    return this->state.isChosenWatcher() || !this->state.hearsWatcher(Clock::now());
+}
+
 boost::asio::awaitable<std::optional<std::uint64_t>> FleetSync::load(std::string prefix)
 {
     const StoreResult<StorePage> result = co_await this->store.list(prefix);
@@ -139,7 +169,7 @@
     }
     this->noteAnswer();
     const StorePage &page = std::get<StorePage>(result);
-    this->applyAll(page);
+    this->applyAll(page.items, page.revision);
     this->dropMissing(prefix, page);
     this->state.regroup();
     if (this->codec.backendPrefix.starts_with(prefix)) {
@@ -277,7 +307,10 @@
             continue;
         }
         // Short steps, so that a registration that others removed is renewed soon.
-        const TimePoint next = Clock::now() + (this->contact.lost ? Millis(0) : RenewPeriod);
+        const TimePoint next = Clock::now()
+            + (this->contact.lost         ? Millis(0)
+                   : this->state.watching ? WatcherRenewPeriod
+                                          : RenewPeriod);
         while (this->registered && !this->state.stopping && Clock::now() < next) {
             co_await sleepFor(Millis(100));
         }
@@ -366,6 +399,9 @@
     this->state.metrics.count("cyclamencross_store_failures_total",
                               {{"call", call}, {"reason", failureName(failure.kind)}});
     const bool silent = failure.kind == StoreFailure::Kind::Unreachable || failure.kind == StoreFailure::Kind::Refused;
+    if (silent) {
+        this->state.watching = false;
+    }
     if (silent && !std::exchange(this->contact.lost, true)) {
         LogLine("store-lost")
             .add("call", call)
--- a/src/gateway/fleetsync.h
+++ b/src/gateway/fleetsync.h
@@ -33,13 +33,18 @@
     /// Lifetime of this router's registration; three renewals may be lost.
     static constexpr Millis LeaseLifetime{3000};
     static constexpr Millis RenewPeriod{900};
+    /// Pause between two renewals of a router that watches for others: it must notice soon that the store is out of
+    /// reach.
+    static constexpr Millis WatcherRenewPeriod{500};
     /// Pause after a failed call; doubles up to the longest.
     static constexpr Millis FirstPause{50};
     static constexpr Millis LongestPause{1000};
 
     FleetSync(RouterState &state, StateStore store, FleetCodec codec);
 
-    /// Follows the items under @p prefix for as long as the process runs.
+    /// Follows the items under @p prefix for as long as the process runs. A few routers of each group watch the store
+    /// and pass changes on to their peers; the calls to the store then grow with the number of groups. A router that
+    /// hears no such peer watches itself.
     boost::asio::awaitable<void> follow(std::string prefix);
     /// Reads everything anew when the watch may be deaf: peers have seen changes that it has not brought, or the store
     /// was lost and another call has found it again.
@@ -65,7 +70,11 @@
     boost::asio::awaitable<std::optional<std::uint64_t>> load(std::string prefix);
     boost::asio::awaitable<bool> registerOnce();
     void apply(const StoreItem &item);
-    void applyAll(const StorePage &page);
+    void applyAll(const std::vector<StoreItem> &items, std::uint64_t revision);
+    /// Takes changes from a peer's watch if none is missing before them.
+    void applyPeerChanges(std::uint64_t after, const std::vector<StoreItem> &items);
+    /// Returns whether this router has to watch the store itself.
+    bool mustWatch() const;
     void put(const StoreItem &item);
     void remove(const std::string &key, std::uint64_t revision);
     void dropMissing(const std::string &prefix, const StorePage &page);
--- a/src/gateway/peerreport.cpp
+++ b/src/gateway/peerreport.cpp
@@ -28,9 +28,16 @@
     archive(outcomes.served, outcomes.failed, outcomes.broken);
 }
 
+template<typename Archive>
+void serialize(Archive &archive, StoreItem &item)
+{
+    archive(item.key, item.value, item.revision, item.removed);
+}
+
 template<typename Archive>
 void serialize(Archive &archive, PeerReport &report)
 {
+    archive(report.watching, report.changesAfter, report.changes);
     archive(report.router, report.incarnation, report.sequence, report.storeRevision, report.work, report.outcomes,
             report.crashes);
 }
--- a/src/gateway/pieces_test.cpp
+++ b/src/gateway/pieces_test.cpp
@@ -1,10 +1,14 @@
+#include "awaiting.h"
 #include "eventcutter.h"
+#include "fleetsync.h"
 #include "memberrecord.h"
 #include "peerreport.h"
 #include "routerstate.h"
 
 #include "cyclamencross/gateway/headerlist.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
 
@@ -144,3 +148,76 @@
         CHECK(count <= 14);
     }
 }
+
+TEST_CASE("Three routers of each group watch the store for the others")
+{
+    boost::asio::io_context context;
+    int watchers = 0;
+    for (int self = 0; self < 40; ++self) {
+        RouterSettings settings;
+        settings.name = numbered("r", self);
+        RouterState state(context.get_executor(), settings, 1);
+        CHECK(state.isChosenWatcher());
+        for (int i = 0; i < 40; ++i) {
+            const std::string name = numbered("r", i);
+            state.members.put(name, RouterMember{name, 1, "z", "10.0.0.1:1", "10.0.0.1:2"}, 1);
+        }
+        state.regroup();
+        watchers += state.isChosenWatcher() ? 1 : 0;
+    }
+    CHECK(watchers == 9);
+}
+
+TEST_CASE("A peer counts as a watcher only while it says so")
+{
+    // Guards against a group that learns no changes because its watchers are cut off from the store.
+    boost::asio::io_context context;
+    RouterSettings settings;
+    settings.name = "r0";
+    RouterState state(context.get_executor(), settings, 1);
+    const TimePoint now = Clock::now();
+    PeerReport report;
+    report.router = "r1";
+    report.sequence = 1;
+    state.addReport(report, now);
+    CHECK_FALSE(state.hearsWatcher(now));
+    report.sequence = 2;
+    report.watching = true;
+    state.addReport(report, now);
+    CHECK(state.hearsWatcher(now));
+    CHECK_FALSE(state.hearsWatcher(now + std::chrono::seconds(2)));
+}
+
+TEST_CASE("Changes from a peer apply only if none is missing before them")
+{
+    // Guards against a configuration that a router never gets because a datagram was lost.
+    boost::asio::io_context context;
+    RouterSettings settings;
+    settings.name = "r0";
+    RouterState state(context.get_executor(), settings, 1);
+    StateStore store;
+    store.list = [](std::string /*prefix*/) -> StoreCall<StorePage> { co_return StorePage{{}, 10}; };
+    store.watch = [](std::string /*prefix*/, std::uint64_t /*after*/, Millis /*wait*/) -> StoreCall<StorePage> {
+        co_await sleepFor(Millis(100000));
+        co_return StorePage{};
+    };
+    FleetCodec codec;
+    codec.configKey = "op/config";
+    codec.backendPrefix = "servers/";
+    codec.decodeConfig = [](std::string_view /*value*/) { return InvalidSetting{}; };
+    codec.decodeBackend = [](const std::string &id, std::string_view /*value*/) {
+        return BackendServer{id, "s", "10.0.0.1:1", "z", false, EngineStage::None, 1, 0};
+    };
+    FleetSync sync(state, store, codec);
+    boost::asio::co_spawn(context, sync.follow(""), boost::asio::detached);
+    context.run_for(Millis(50));
+    state.onPeerChanges(0, {StoreItem{"servers/a", "x", 11, false}});
+    CHECK(state.backends.find("a") != nullptr);
+    state.onPeerChanges(12, {StoreItem{"servers/b", "x", 13, false}});
+    CHECK(state.backends.find("b") == nullptr);
+    state.onPeerChanges(11, {StoreItem{"servers/a", "", 12, true}, StoreItem{"servers/c", "x", 13, false}});
+    CHECK(state.backends.find("a") == nullptr);
+    CHECK(state.backends.find("c") != nullptr);
+    state.onPeerChanges(0, {StoreItem{"servers/a", "x", 11, false}});
+    CHECK(state.backends.find("a") == nullptr);
+}
--- a/src/gateway/routerstate.cpp
+++ b/src/gateway/routerstate.cpp
@@ -87,6 +87,31 @@
     return candidate;
 }
 
+bool RouterState::isChosenWatcher() const
+{
+    return this->chosenWatcher;
+}
+
+bool RouterState::hearsWatcher(TimePoint now) const
+{
+    return now - this->watcherHeard <= WatcherLifetime;
+}
+
+void RouterState::passOnChanges(std::uint64_t after, const std::vector<StoreItem> &items)
+{
+    if (this->changes.empty()) {
+        this->changesAfter = after;
+    }
+    this->changes.insert(this->changes.end(), items.begin(), items.end());
+    std::size_t size = 0;
+    for (const StoreItem &item : this->changes) {
+        size += item.key.size() + item.value.size();
+    }
+    if (size > MaxChangesBytes) {
+        this->changes.clear();
+    }
+}
+
 const std::vector<RouterMember> &RouterState::groupPeers() const
 {
     return this->peersOfGroup;
@@ -107,6 +132,10 @@
             this->peersOfGroup.push_back(member);
         }
     });
+    const std::uint64_t ownOrder = hash64(this->settings.name);
+    const auto before = std::count_if(this->peersOfGroup.begin(), this->peersOfGroup.end(),
+                                      [ownOrder](const RouterMember &peer) { return hash64(peer.name) < ownOrder; });
+    this->chosenWatcher = std::size_t(before) < WatchersPerGroup;
     std::map<std::pair<std::string, EngineStage>, std::vector<std::string>> kinds;
     this->backends.forEach([&kinds](const std::string &id, const BackendServer &server) {
         kinds[{server.service, server.stage}].push_back(id);
@@ -160,8 +189,9 @@
 std::optional<PeerReport> RouterState::takeReport(TimePoint now)
 {
     std::erase_if(this->recentCrashes, [now](const auto &item) { return now - item.first > CrashRetellTime; });
-    const bool changed = this->work.own() != this->toldWork || !this->untold.empty() || !this->recentCrashes.empty();
-    const bool due = now - this->lastReport >= (this->work.own().empty() ? IdleReportPeriod : ReportPeriod);
+    const bool changed = this->work.own() != this->toldWork || !this->untold.empty() || !this->recentCrashes.empty()
+        || !this->changes.empty();
+    const bool due = now - this->lastReport >= ReportPeriod;
     if (!changed && !due) {
         return std::nullopt;
     }
@@ -170,6 +200,9 @@
     report.incarnation = this->incarnation;
     report.sequence = ++this->reportSequence;
     report.storeRevision = this->storeRevision;
+    report.watching = this->watching;
+    report.changesAfter = this->changesAfter;
+    report.changes = std::exchange(this->changes, {});
     report.work = this->work.own();
     report.outcomes = std::exchange(this->untold, {});
     for (const auto &[time, crash] : this->recentCrashes) {
@@ -190,6 +223,12 @@
     }
     last = PeerSequence{report.incarnation, report.sequence};
     this->peersStoreRevision = std::max(this->peersStoreRevision, report.storeRevision);
+    if (report.watching) {
+        this->watcherHeard = now;
+    }
+    if (!report.changes.empty() && this->onPeerChanges) {
+        this->onPeerChanges(report.changesAfter, report.changes);
+    }
     this->work.setPeer(report.router, report.work, now);
     for (const auto &[backend, outcomes] : report.outcomes) {
         const auto addAll = [&](CallOutcome outcome, std::uint32_t count) {
--- a/src/gateway/routerstate.h
+++ b/src/gateway/routerstate.h
@@ -16,6 +16,7 @@
 #include "cyclamencross/route/workbook.h"
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <random>
@@ -46,6 +47,12 @@
                                                   const std::set<std::string> &excluded, TimePoint now);
     /// Returns the other routers of this router's group.
     const std::vector<RouterMember> &groupPeers() const;
+    /// Returns whether this router is one of the few of its group that watch the store for the others.
+    bool isChosenWatcher() const;
+    /// Returns whether a peer that watches the store was heard a moment ago.
+    bool hearsWatcher(TimePoint now) const;
+    /// Adds changes that this router's watch has brought, to be passed on to its peers.
+    void passOnChanges(std::uint64_t after, const std::vector<StoreItem> &items);
     /// Returns whether @p server is still registered as it was and takes new work.
     bool isUsable(const BackendServer &server) const;
     /// Adds the outcome of a call, for this router's choices and for its peers.
@@ -82,6 +89,9 @@
     Metrics metrics;
     bool backendsKnown = false;
     std::uint64_t storeRevision = 0; ///< Newest change of the store that this router has seen.
+    bool watching = false; ///< This router watches the store, and the store answers.
+    /// Called with changes that a peer's watch has brought and the revision after which they begin.
+    std::function<void(std::uint64_t after, const std::vector<StoreItem> &items)> onPeerChanges;
     std::uint64_t peersStoreRevision = 0; ///< Newest change that a peer has seen.
     bool stopping = false;
     int activeRequests = 0;
@@ -89,8 +99,12 @@
 private:
     /// How often a router tells its work although nothing has changed; a third of what peers keep it.
     static constexpr Millis ReportPeriod{500};
-    /// How often a router without work tells that it lives and which changes of the store it has seen.
-    static constexpr Millis IdleReportPeriod{1000};
+    /// Routers of a group that watch the store. One may be cut off from the store and another be stopped.
+    static constexpr std::size_t WatchersPerGroup = 3;
+    /// A watching peer counts as heard for this long: two of its reports may be lost.
+    static constexpr Millis WatcherLifetime{1200};
+    /// Changes beyond this size are not passed on; the peers see the newer revision and read the store themselves.
+    static constexpr std::size_t MaxChangesBytes = 30000;
     /// How long crashes are told again, as datagrams may be lost.
     static constexpr Millis CrashRetellTime{400};
     /// Backend servers of other groups that are looked at.
@@ -110,6 +124,10 @@
     std::map<std::string, PeerReport::Outcomes> untold;
     std::vector<std::pair<TimePoint, CrashReport>> recentCrashes;
     std::vector<RouterMember> peersOfGroup;
+    bool chosenWatcher = true;
+    TimePoint watcherHeard;
+    std::uint64_t changesAfter = 0;
+    std::vector<StoreItem> changes;
     std::set<std::string> backendsOutside; ///< Ids of those that belong to other groups.
     std::set<std::string> backendsShared; ///< Ids of those that all groups use.
     std::size_t groups = 1;
--- a/src/gateway/streamrun.cpp
+++ b/src/gateway/streamrun.cpp
@@ -49,8 +49,9 @@
 constexpr Millis HoldTime{1500};
 constexpr Millis HoldTimeout{300};
 
-// Watches the pauses of a stream that can go on elsewhere. An engine that is silent and accepts no connection any more is
-// gone, and its link is closed; one that only pauses is left alone, since its silence alone is no reason to give it up.
+// Watches the pauses of a stream that can go on elsewhere. An engine that is silent and accepts no connection any more
+// is gone, and its link is closed; one that only pauses is left alone, since its silence alone is no reason to give it
+// up.
 boost::asio::awaitable<void> watchProgress(RouterState &state, std::shared_ptr<HttpLink> link,
                                            std::shared_ptr<StreamProgress> progress, Millis stall)
 {
