--- a/Makefile
+++ b/Makefile
@@ -2,10 +2,10 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: help deps build unit test demo bench format format-check lint clean
+.PHONY: help deps build unit test soak demo bench format format-check lint clean
 
 help:
-	@echo "make build | test | demo | bench | format | format-check | lint | clean"
+	@echo "make build | test | soak SEED=N MINUTES=N | demo | bench | format | format-check | lint | clean"
 
 deps:
 	@sh .ci/install-deps
@@ -22,6 +22,12 @@
 test: unit
 	python3 testsuite/runtest.py --build $(BUILD)
 
+SEED ?= 1
+MINUTES ?= 0.3
+
+soak: build
+	python3 testsuite/soak/soak.py --binary $(BUILD)/src/cyclamencross --seed $(SEED) --minutes $(MINUTES)
+
 demo: build
 	python3 testsuite/demo.py --build $(BUILD)
 
--- a/src/cyclamencross/exitcode.h
+++ b/src/cyclamencross/exitcode.h
@@ -3,7 +3,7 @@
 namespace Cyclamen
 {
 
-/// Exit codes of every subcommand. Scripts rely on them; see docs/operators.md.
+/// Exit codes of every subcommand. Scripts rely on them; see docs/OPERATIONS.md.
 enum ExitCode : int {
     ExitOk = 0,
     ExitFailed = 1, ///< The command was understood but failed, or its outcome is not known.
--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -1,5 +1,5 @@
 #!/usr/bin/env python3
-"""Randomized soak: real routers under faults from outside. Usage: soak.py --binary PATH --seed N [--seconds S]
+"""Randomized soak: real routers under faults from outside. Usage: soak.py --binary PATH --seed N [--minutes M]
 
 Prints one line per seed and exits with 1 if a promise was broken; the log folder is kept then.
 """
@@ -202,7 +202,7 @@
         await self.fleet.start()
         await self.fleet.call_store("/standin/put", {"key": "op/config", "value": json.dumps(config(1))}, tries=20)
         await asyncio.sleep(1.5)
-        end = time.time() + self.options.seconds
+        end = time.time() + self.options.minutes * 60
         callers = [Caller(self.fleet, self.promises, self.options.seed * 1000 + number) for number in range(12)]
         work = [asyncio.ensure_future(caller.run()) for caller in callers]
         await asyncio.sleep(3.0)
@@ -230,7 +230,7 @@
     parser = argparse.ArgumentParser()
     parser.add_argument("--binary", required=True)
     parser.add_argument("--seed", type=int, required=True)
-    parser.add_argument("--seconds", type=float, default=20)
+    parser.add_argument("--minutes", type=float, default=0.3)
     parser.add_argument("--routers", type=int, default=4)
     options = parser.parse_args()
     options.binary = os.path.abspath(options.binary)
