Count shared engines for all groups; groups of at most 24 routers

Ruled out: the engines' own reports, which were right. Change: the load of shared engines counts for all groups, and up to 24 routers form one group. A placement is logged once its room is taken. Test: 'The load of engines that several groups share counts for all groups'.

--- a/src/gateway/pieces_test.cpp
+++ b/src/gateway/pieces_test.cpp
@@ -138,14 +138,12 @@
         }
         shared += int(state.candidates("small", EngineStage::None, {}, "z", Clock::now()).size());
         CHECK(state.sampleOutside("big", EngineStage::Decode, {}, Clock::now()).size() == 3);
-        CHECK(state.groupPeers().size() >= 12);
-        CHECK(state.groupPeers().size() <= 13);
+        CHECK(state.groupPeers().size() == 19);
     }
     CHECK(shared == 40);
     CHECK(owners.size() == 30);
     for (const auto &[id, count] : owners) {
-        CHECK(count >= 13);
-        CHECK(count <= 14);
+        CHECK(count == 20);
     }
 }
 
@@ -165,7 +163,7 @@
         state.regroup();
         watchers += state.isChosenWatcher() ? 1 : 0;
     }
-    CHECK(watchers == 9);
+    CHECK(watchers == 6);
 }
 
 TEST_CASE("A peer counts as a watcher only while it says so")
@@ -221,3 +219,23 @@
     state.onPeerChanges(0, {StoreItem{"servers/a", "x", 11, false}});
     CHECK(state.backends.find("a") == nullptr);
 }
+
+TEST_CASE("The load of engines that several groups share counts for all groups")
+{
+    // Guards against engines that look half empty to each of two groups and refuse one reservation after the other
+    // (ikiyaga-dew, day scale-1: some hundred refused reservations a second).
+    boost::asio::io_context context;
+    RouterSettings settings;
+    settings.name = "r0";
+    RouterState state(context.get_executor(), settings, 1);
+    for (int i = 0; i < 40; ++i) {
+        const std::string name = numbered("r", i);
+        state.members.put(name, RouterMember{name, 1, "z", "10.0.0.1:1", "10.0.0.1:2"}, 1);
+    }
+    state.backends.put("e", BackendServer{"e", "s", "10.0.1.1:1", "z", false, EngineStage::Decode, 4, 0}, 1);
+    state.regroup();
+    state.work.add("e", BackendWork{1, 10, 100});
+    const auto candidates = state.candidates("s", EngineStage::Decode, {}, "z", Clock::now());
+    REQUIRE(candidates.size() == 1);
+    CHECK(candidates.front().work == BackendWork{2, 20, 200});
+}
--- a/src/gateway/routerstate.cpp
+++ b/src/gateway/routerstate.cpp
@@ -77,6 +77,7 @@
         // The other groups place as much there as this one, unseen.
         candidate.work.requests *= std::int64_t(this->groups);
         candidate.work.promptTokens *= std::int64_t(this->groups);
+        candidate.work.memoryTokens *= std::int64_t(this->groups);
     }
     candidate.avoided = this->health.isAvoided(server.id, now);
     candidate.failureRate = this->health.failureRate(server.id, now);
--- a/src/gateway/streamrun.cpp
+++ b/src/gateway/streamrun.cpp
@@ -141,6 +141,7 @@
         if (this->chooseDecode()) {
             const bool taken = co_await this->takeHold();
             if (taken) {
+                this->logDecode();
                 co_return true;
             }
             continue;
@@ -161,6 +162,20 @@
     co_return false;
 }
 
+void StreamRun::logDecode() const
+{
+    LogLine("placement")
+        .add("request", this->request.id)
+        .add("stage", "decode")
+        .add("candidates", std::int64_t(this->choices))
+        .add("backend", this->chosen.server.id)
+        .add("in_flight", this->chosen.work.requests)
+        .add("memory_tokens", this->chosen.work.memoryTokens)
+        .add("failure_rate", this->chosen.failureRate)
+        .add("avoided", this->chosen.avoided)
+        .write();
+}
+
 boost::asio::awaitable<bool> StreamRun::takeHold()
 {
     const ServiceRule *rule = this->table->service(this->service);
@@ -242,16 +257,8 @@
     const PlacementCandidate &chosen = candidates[*choice];
     this->engine = chosen.server;
     this->reservation = std::make_unique<WorkReservation>(this->state, chosen.server.id, this->decodeWork());
-    LogLine("placement")
-        .add("request", this->request.id)
-        .add("stage", "decode")
-        .add("candidates", std::int64_t(candidates.size()))
-        .add("backend", chosen.server.id)
-        .add("in_flight", chosen.work.requests)
-        .add("memory_tokens", chosen.work.memoryTokens)
-        .add("failure_rate", chosen.failureRate)
-        .add("avoided", chosen.avoided)
-        .write();
+    this->chosen = chosen;
+    this->choices = candidates.size();
     return true;
 }
 
--- a/src/gateway/streamrun.h
+++ b/src/gateway/streamrun.h
@@ -6,6 +6,7 @@
 #include "workreservation.h"
 
 #include "cyclamencross/gateway/readprompt.h"
+#include "cyclamencross/route/placementcandidate.h"
 
 #include <memory>
 #include <optional>
@@ -39,6 +40,7 @@
     /// Takes room for the request at the chosen engine.
     /// @return whether the engine has room or takes no reservations.
     boost::asio::awaitable<bool> takeHold();
+    void logDecode() const;
     /// Gives room that was not used back.
     void dropHold();
     void callAndForget(const std::string &address, const std::string &call);
@@ -55,6 +57,8 @@
     BackendWork decodeWork() const;
 
     std::optional<BackendServer> engine; ///< Generates the events.
+    PlacementCandidate chosen; ///< What was known of `engine` when it was chosen.
+    std::size_t choices = 0; ///< Engines it was chosen from.
     std::unique_ptr<WorkReservation> reservation;
     std::string hold; ///< Room taken at `engine` and not yet used.
     std::optional<BackendServer> reader; ///< Read the prompt.
--- a/src/include/cyclamencross/route/subset.h
+++ b/src/include/cyclamencross/route/subset.h
@@ -16,7 +16,7 @@
 public:
     /// Largest group: small enough that a host of a tenth of a core follows its peers, large enough that the load of
     /// the groups is even.
-    static constexpr std::size_t MaxGroupSize = 16;
+    static constexpr std::size_t MaxGroupSize = 24;
     /// Backend servers of one kind that each group must have at least; fewer are shared by all groups.
     static constexpr std::size_t MinBackendsPerGroup = 4;
 
--- a/src/route/route_test.cpp
+++ b/src/route/route_test.cpp
@@ -221,7 +221,7 @@
         names.push_back("router-" + std::to_string(i));
     }
     const std::size_t groups = Subset::groupCount(names.size());
-    CHECK(groups == 8);
+    CHECK(groups == 6);
     const auto before = Subset::divide(names, groups);
     std::map<std::size_t, int> sizes;
     for (const auto &[name, group] : before) {
@@ -229,8 +229,8 @@
     }
     CHECK(sizes.size() == groups);
     for (const auto &[group, size] : sizes) {
-        CHECK(size >= 15);
-        CHECK(size <= 16);
+        CHECK(size >= 20);
+        CHECK(size <= 21);
     }
     names.push_back("router-new");
     const auto after = Subset::divide(names, groups);
