--- a/src/cyclamencross/routercommand.cpp
+++ b/src/cyclamencross/routercommand.cpp
@@ -1,8 +1,7 @@
 #include "commandoptions.h"
 #include "commands.h"
-#include "exitcode.h"
+#include "supervised.h"
 
-#include "cyclamencross/base/failures.h"
 #include "cyclamencross/base/logline.h"
 #include "cyclamencross/gateway/routerprocess.h"
 
@@ -11,9 +10,6 @@
 
 #include <cstdlib>
 
-#include <boost/leaf/handle_errors.hpp>
-#include <boost/leaf/pred.hpp>
-
 namespace Cyclamen
 {
 
@@ -41,33 +37,15 @@
     if (const auto code = options.parse(count, arguments)) {
         return *code;
     }
-    return boost::leaf::try_handle_all(
-        [&]() -> boost::leaf::result<int> {
-            const char *named = std::getenv("CYCLAMENCROSS_SETTINGS");
-            const std::string given = options.value("settings");
-            const std::string path = given.empty() && named != nullptr ? named : given;
-            BOOST_LEAF_AUTO(settings, loadRouterSettings(path));
-            setUpLogging(settings.name);
-            logToStandardOutput();
-            return runRouter(settings, path, makeHooks());
-        },
-        [](const InvalidSetting &fault) {
-            LogLine("invalid-setting")
-                .add("file", fault.file)
-                .add("line", fault.line)
-                .add("key", fault.key)
-                .add("expected", fault.expected)
-                .error();
-            return int(ExitUsage);
-        },
-        [](boost::leaf::catch_<std::exception> fault) {
-            LogLine("router-failed").add("detail", fault.matched.what()).error();
-            return int(ExitFailed);
-        },
-        [] {
-            LogLine("router-failed").error();
-            return int(ExitFailed);
-        });
+    return runSupervised([&]() -> boost::leaf::result<int> {
+        const char *named = std::getenv("CYCLAMENCROSS_SETTINGS");
+        const std::string given = options.value("settings");
+        const std::string path = given.empty() && named != nullptr ? named : given;
+        BOOST_LEAF_AUTO(settings, loadRouterSettings(path));
+        setUpLogging(settings.name);
+        logToStandardOutput();
+        return runRouter(settings, path, makeHooks());
+    });
 }
 
 }
--- a/src/emu/keyvalueapi.cpp
+++ b/src/emu/keyvalueapi.cpp
@@ -106,9 +106,10 @@
 nlohmann::json KeyValueApi::rangeResult(const nlohmann::json &request) const
 {
     const auto found = this->store.range(fromBase64(textMember(request, "key")).value_or(""),
-                                         decodeBase64(member(request, "range_end", "rangeEnd").is_string()
-                                                          ? member(request, "range_end", "rangeEnd").get<std::string>()
-                                                          : std::string()));
+                                         fromBase64(member(request, "range_end", "rangeEnd").is_string()
+                                                        ? member(request, "range_end", "rangeEnd").get<std::string>()
+                                                        : std::string())
+                                             .value_or(""));
     const auto limit = static_cast<std::size_t>(numberMember(request, "limit", 0));
     nlohmann::json out = {{"header", this->header()}};
     for (const StoredKey &stored : found) {
--- a/src/gateway/httpsession.cpp
+++ b/src/gateway/httpsession.cpp
@@ -30,6 +30,8 @@
 
 // Bytes of pipelined requests that are read ahead while a request is handled, to notice that the caller closes.
 constexpr std::size_t MaxReadAhead = 64U << 10U;
+// Bytes asked for by one read: a page, which most requests fit in.
+constexpr std::size_t ReadBytes = 4096;
 // How long a refused caller's remaining bytes are read before the close, which would otherwise reset the answer.
 constexpr Millis LingerTime{1000};
 
@@ -175,9 +177,8 @@
     }
     session.stream.expires_after(session.limits().idleTimeout);
     boost::system::error_code error;
-    constexpr std::size_t FirstRead = 4096;
     const std::size_t count =
-        co_await session.stream.async_read_some(session.buffer.prepare(FirstRead), withError(error));
+        co_await session.stream.async_read_some(session.buffer.prepare(ReadBytes), withError(error));
     session.buffer.commit(count);
     session.busy = !error;
     session.gone = session.gone || (error && error != boost::beast::error::timeout);
@@ -312,7 +313,7 @@
     while (!error) {
         session.buffer.clear();
         const std::size_t count =
-            co_await session.stream.async_read_some(session.buffer.prepare(4096), withError(error));
+            co_await session.stream.async_read_some(session.buffer.prepare(ReadBytes), withError(error));
         if (count == 0) {
             break;
         }
@@ -345,7 +346,7 @@
                 }
                 its.stream.socket().non_blocking(true, readError);
                 const std::size_t count =
-                    its.stream.socket().read_some(its.buffer.prepare(std::min<std::size_t>(room, 4096)), readError);
+                    its.stream.socket().read_some(its.buffer.prepare(std::min(room, ReadBytes)), readError);
                 its.buffer.commit(count);
                 if (readError && readError != boost::asio::error::would_block) {
                     self->markGone();
--- a/src/gateway/router.cpp
+++ b/src/gateway/router.cpp
@@ -28,7 +28,6 @@
 constexpr double SessionMemoryShare = 0.4;
 constexpr Millis HousekeepingPeriod{100};
 constexpr Millis StopPollPeriod{50};
-constexpr Millis WithdrawTimeout{1000};
 
 std::uint64_t newIncarnation()
 {
--- a/src/gateway/routerstate.cpp
+++ b/src/gateway/routerstate.cpp
@@ -231,7 +231,9 @@
         this->onPeerChanges(report.changesAfter, report.changes);
     }
     this->work.setPeer(report.router, report.work, now);
-    for (const auto &[backend, outcomes] : report.outcomes) {
+    for (const auto &item : report.outcomes) {
+        const std::string &backend = item.first;
+        const PeerReport::Outcomes &outcomes = item.second;
         const auto addAll = [&](CallOutcome outcome, std::uint32_t count) {
             for (std::uint32_t i = 0; i < std::min(count, MaxPeerOutcomes); ++i) {
                 this->health.add(backend, outcome, now, PeerOutcomeWeight);
--- a/src/route/backendhealth.cpp
+++ b/src/route/backendhealth.cpp
@@ -6,6 +6,14 @@
 namespace Cyclamen
 {
 
+namespace
+{
+
+// Weight of the newest sample in the average pace; about the last five prompts count.
+constexpr double NewestWeight = 0.2;
+
+}
+
 void BackendHealth::add(const std::string &backend, CallOutcome outcome, TimePoint now, double weight)
 {
     const double faded = this->failureRate(backend, now);
@@ -34,7 +42,6 @@
 
 void BackendHealth::addPrefillPace(const std::string &backend, double millisPerToken)
 {
-    constexpr double NewestWeight = 0.2;
     const auto blend = [millisPerToken](double average) {
         return average == 0 ? millisPerToken : average + NewestWeight * (millisPerToken - average);
     };
