--- a/src/gateway/fleetsync.h
+++ b/src/gateway/fleetsync.h
@@ -46,8 +46,8 @@
     /// and pass changes on to their peers; the calls to the store then grow with the number of groups. A router that
     /// hears no such peer watches itself.
     boost::asio::awaitable<void> follow(std::string prefix);
-    /// Reads everything anew when the watch may be deaf: peers have seen changes that it has not brought, or the store
-    /// was lost and another call has found it again.
+    /// Reads everything anew when the watch may have missed changes: peers have seen changes that it has not brought,
+    /// or the store was lost and another call has found it again.
     boost::asio::awaitable<void> catchUp(std::string prefix);
     /// Keeps this router registered until withdraw().
     boost::asio::awaitable<void> keepRegistered();
