Remove dead code; keep the unknown prefill pace in one place

Found on reading the whole change: LinkPool::drop, FleetCodec::configPrefix and one include were used by nothing, and the pace assumed before any prompt was read stood in two files. Behaviour is unchanged.

--- a/src/gateway/httplink.cpp
+++ b/src/gateway/httplink.cpp
@@ -2,7 +2,6 @@
 
 #include "awaiting.h"
 
-#include "cyclamencross/base/ipport.h"
 #include "cyclamencross/base/number.h"
 
 #include <optional>
--- a/src/gateway/linkpool.cpp
+++ b/src/gateway/linkpool.cpp
@@ -66,16 +66,4 @@
     std::erase_if(this->idle, [](const auto &item) { return item.second.empty(); });
 }
 
-void LinkPool::drop(const std::string &key)
-{
-    const auto it = this->idle.find(key);
-    if (it == this->idle.end()) {
-        return;
-    }
-    for (const IdleLink &idleLink : it->second) {
-        idleLink.link->close();
-    }
-    this->idle.erase(it);
-}
-
 }
--- a/src/gateway/linkpool.h
+++ b/src/gateway/linkpool.h
@@ -37,8 +37,6 @@
     void giveBack(const std::string &key, const std::shared_ptr<HttpLink> &link);
     /// Closes the connections that were idle too long.
     void expire(TimePoint now);
-    /// Closes all idle connections to @p key.
-    void drop(const std::string &key);
 
 private:
     struct IdleLink
--- a/src/gateway/streamrun.cpp
+++ b/src/gateway/streamrun.cpp
@@ -25,8 +25,6 @@
 constexpr double PrefillPatience = 4;
 constexpr Millis LeastPrefillPatience{400};
 constexpr Millis MostPrefillPatience{1500};
-// Pace assumed before any prompt was read, in milliseconds for each token.
-constexpr double UnknownPace = 0.02;
 // Decode engines read prompts at half the speed of prefill engines, and other requests' tokens come in between.
 constexpr double DirectReadFactor = 2.5;
 // Share of the target for the first event above which the wait for a prefill engine is too long.
@@ -272,7 +270,7 @@
         co_return;
     }
     const PlacementCandidate &chosen = candidates[*choice];
-    const double pace = chosen.prefillPace > 0 ? chosen.prefillPace : UnknownPace;
+    const double pace = chosen.expectedPace();
     const double ahead = double(chosen.work.promptTokens);
     const Millis expected{std::int64_t((ahead + tokens) * pace)};
     const Millis direct{std::int64_t(tokens * pace * DirectReadFactor)};
--- a/src/include/cyclamencross/gateway/fleetcodec.h
+++ b/src/include/cyclamencross/gateway/fleetcodec.h
@@ -15,7 +15,6 @@
 /// Names the keys of the store that others write, and decodes their values.
 struct FleetCodec
 {
-    std::string configPrefix; ///< Prefix under which the operator writes.
     std::string configKey; ///< Key of the newest configuration.
     std::string backendPrefix; ///< Prefix under which backend servers register, followed by their id.
     std::function<std::variant<RouteTable, InvalidSetting>(std::string_view value)> decodeConfig;
--- a/src/route/placement.cpp
+++ b/src/route/placement.cpp
@@ -17,8 +17,6 @@
 constexpr double FailureLoad = 4;
 // Spread of equal candidates, so that routers with the same view do not choose the same one.
 constexpr double TieSpread = 0.02;
-// Pace assumed for engines before any prompt was read, in milliseconds for each token.
-constexpr double UnknownPace = 0.02;
 
 template<typename Cost>
 std::optional<std::size_t> cheapest(const std::vector<PlacementCandidate> &candidates, const Cost &cost)
@@ -59,9 +57,8 @@
                                          const std::function<double()> &random)
 {
     return cheapest(candidates, [&](const PlacementCandidate &candidate) {
-        const double pace = candidate.prefillPace > 0 ? candidate.prefillPace : UnknownPace;
         const double prompts = (double(candidate.work.promptTokens) + tokens) / std::max(1.0, tokens);
-        return prompts * pace / UnknownPace + commonCost(candidate, random);
+        return prompts * candidate.expectedPace() / PlacementCandidate::UnknownPace + commonCost(candidate, random);
     });
 }
 
