Tell peers what a whole read of the store has changed; count a list up to its revision

A list now counts up to its own revision, a watcher passes on the difference that a whole read has shown, and a read made by the watch loop serves the return of the store too.

Ruled out: lost datagrams (the same routers read again every 0.4 s with the same revisions).

--- a/src/gateway/fleetsync.cpp
+++ b/src/gateway/fleetsync.cpp
@@ -7,6 +7,8 @@
 #include "cyclamencross/base/logline.h"
 
 #include <algorithm>
+#include <iterator>
+#include <set>
 #include <utility>
 
 namespace Cyclamen
@@ -45,9 +47,7 @@
     , store(std::move(store))
     , codec(std::move(codec))
 {
-    this->state.onPeerChanges = [this](std::uint64_t after, const std::vector<StoreItem> &items) {
-        this->applyPeerChanges(after, items);
-    };
+    this->state.onPeerChanges = [this](const StoreChanges &changes) { this->applyPeerChanges(changes); };
 }
 
 std::string FleetSync::memberPrefix()
@@ -81,7 +81,7 @@
             const std::uint64_t before = this->state.storeRevision;
             this->applyAll(page->items, page->revision);
             if (!page->items.empty()) {
-                this->state.passOnChanges(before, page->items);
+                this->state.passOnChanges(StoreChanges{before, this->state.storeRevision, false, page->items});
                 co_await sleepFor(GatherPause);
             }
             continue;
@@ -141,18 +141,17 @@
     }
 }
 
-void FleetSync::applyPeerChanges(std::uint64_t after, const std::vector<StoreItem> &items)
+void FleetSync::applyPeerChanges(const StoreChanges &changes)
 {
-    std::uint64_t newest = 0;
-    for (const StoreItem &item : items) {
-        newest = std::max(newest, item.revision);
-    }
     // Changes before these may be missing; the peer's newer revision then leads to a read of the store.
-    if (!this->position || this->state.storeRevision < after || this->state.storeRevision >= newest) {
+    const std::uint64_t known = this->state.storeRevision;
+    if (!this->position || known < changes.after || known >= changes.upTo
+        || (changes.difference && known != changes.after)) {
         return;
     }
-    this->applyAll(items, newest);
-    this->state.metrics.count("cyclamencross_peer_changes_total", {}, double(items.size()));
+    this->applyAll(changes.items, changes.upTo);
+    this->state.storeRevision = std::max(this->state.storeRevision, changes.upTo);
+    this->state.metrics.count("cyclamencross_peer_changes_total", {}, double(changes.items.size()));
 }
 
 bool FleetSync::mustWatch() const
@@ -168,130 +167,161 @@
         co_return std::nullopt;
     }
     this->noteAnswer();
+    this->contact.reread = false;
     const StorePage &page = std::get<StorePage>(result);
-    this->applyAll(page.items, page.revision);
-    this->dropMissing(prefix, page);
+    StoreChanges changes;
+    changes.after = this->state.storeRevision;
+    changes.upTo = page.revision;
+    changes.difference = true;
+    const auto applyNew = [&](const std::vector<StoreItem> &items) {
+        std::copy_if(items.begin(), items.end(), std::back_inserter(changes.items),
+                     [this](const StoreItem &item) { return this->apply(item); });
+    };
+    applyNew(page.items);
+    applyNew(this->missing(prefix, page));
+    // The last changes may be removals or replaced ones, of which a list shows no trace.
+    this->state.storeRevision = std::max(this->state.storeRevision, page.revision);
     this->state.regroup();
+    if (changes.after > 0 && changes.upTo > changes.after && this->state.isChosenWatcher()) {
+        this->state.passOnChanges(changes);
+    }
     if (this->codec.backendPrefix.starts_with(prefix)) {
         this->state.backendsKnown = true;
     }
     co_return page.revision;
 }
 
-void FleetSync::dropMissing(const std::string &prefix, const StorePage &page)
+std::vector<StoreItem> FleetSync::missing(const std::string &prefix, const StorePage &page) const
 {
-    std::map<std::string, bool> present;
+    std::set<std::string> present;
     for (const StoreItem &item : page.items) {
-        present[item.key] = true;
+        present.insert(item.key);
     }
-    const auto dropFrom = [&](const std::string &itsPrefix, const std::map<std::string, std::uint64_t> &known) {
+    std::vector<StoreItem> result;
+    const auto find = [&](const std::string &itsPrefix, const std::map<std::string, std::uint64_t> &known) {
         if (!itsPrefix.starts_with(prefix)) {
             return;
         }
         for (const auto &[key, revision] : known) {
             // What the watch brought after the list was begun is not in it.
             if (!present.contains(itsPrefix + key) && revision <= page.revision) {
-                this->remove(itsPrefix + key, page.revision);
+                result.push_back(StoreItem{itsPrefix + key, "", page.revision, true});
             }
         }
     };
-    dropFrom(this->codec.backendPrefix, this->state.backends.revisions());
-    dropFrom(memberPrefix(), this->state.members.revisions());
+    find(this->codec.backendPrefix, this->state.backends.revisions());
+    find(memberPrefix(), this->state.members.revisions());
+    return result;
 }
 
-void FleetSync::apply(const StoreItem &item)
+bool FleetSync::apply(const StoreItem &item)
 {
     this->state.storeRevision = std::max(this->state.storeRevision, item.revision);
     if (item.removed) {
-        this->remove(item.key, item.revision);
-    } else {
-        this->put(item);
+        return this->remove(item.key, item.revision);
     }
+    if (item.key == this->codec.configKey) {
+        return this->putConfig(item);
+    }
+    if (item.key.starts_with(this->codec.backendPrefix)) {
+        return this->putBackend(item);
+    }
+    return item.key.starts_with(memberPrefix()) && this->putMember(item);
 }
 
-void FleetSync::put(const StoreItem &item)
+bool FleetSync::putConfig(const StoreItem &item)
 {
-    if (item.key == this->codec.configKey) {
-        auto decoded = this->codec.decodeConfig(item.value);
-        if (const auto *fault = std::get_if<InvalidSetting>(&decoded)) {
-            LogLine("config-rejected")
-                .add("field", fault->key)
-                .add("expected", fault->expected)
-                .add("revision", item.revision)
-                .error();
-            return;
-        }
-        auto &table = std::get<RouteTable>(decoded);
-        if (this->state.table && table.version() <= this->state.table->version()) {
-            return;
-        }
-        LogLine("config-applied")
-            .add("version", table.version())
-            .add("before", this->state.table ? this->state.table->version() : 0)
-            .add("routes", std::uint64_t(table.routeCount()))
+    auto decoded = this->codec.decodeConfig(item.value);
+    if (const auto *fault = std::get_if<InvalidSetting>(&decoded)) {
+        LogLine("config-rejected")
+            .add("field", fault->key)
+            .add("expected", fault->expected)
+            .add("revision", item.revision)
+            .error();
+        return false;
+    }
+    auto &table = std::get<RouteTable>(decoded);
+    if (this->state.table && table.version() <= this->state.table->version()) {
+        return false;
+    }
+    LogLine("config-applied")
+        .add("version", table.version())
+        .add("before", this->state.table ? this->state.table->version() : 0)
+        .add("routes", std::uint64_t(table.routeCount()))
+        .add("revision", item.revision)
+        .write();
+    this->state.table = std::make_shared<const RouteTable>(std::move(table));
+    this->state.metrics.set("cyclamencross_config_version", double(this->state.table->version()));
+    return true;
+}
+
+bool FleetSync::putBackend(const StoreItem &item)
+{
+    const std::string id = item.key.substr(this->codec.backendPrefix.size());
+    auto decoded = this->codec.decodeBackend(id, item.value);
+    if (const auto *fault = std::get_if<InvalidSetting>(&decoded)) {
+        LogLine("backend-entry-rejected")
+            .add("backend", id)
+            .add("field", fault->key)
+            .add("expected", fault->expected)
+            .warn();
+        return this->remove(item.key, item.revision);
+    }
+    const auto &server = std::get<BackendServer>(decoded);
+    const bool changed = this->state.backends.put(id, server, item.revision);
+    if (changed) {
+        LogLine("backend-changed")
+            .add("backend", id)
+            .add("service", server.service)
+            .add("address", server.address)
+            .add("draining", server.draining)
+            .add("stage", int(server.stage))
             .add("revision", item.revision)
             .write();
-        this->state.table = std::make_shared<const RouteTable>(std::move(table));
-        this->state.metrics.set("cyclamencross_config_version", double(this->state.table->version()));
-        return;
     }
-    if (item.key.starts_with(this->codec.backendPrefix)) {
-        const std::string id = item.key.substr(this->codec.backendPrefix.size());
-        auto decoded = this->codec.decodeBackend(id, item.value);
-        if (const auto *fault = std::get_if<InvalidSetting>(&decoded)) {
-            LogLine("backend-entry-rejected")
-                .add("backend", id)
-                .add("field", fault->key)
-                .add("expected", fault->expected)
-                .warn();
-            this->remove(item.key, item.revision);
-            return;
-        }
-        const auto &server = std::get<BackendServer>(decoded);
-        if (this->state.backends.put(id, server, item.revision)) {
-            LogLine("backend-changed")
-                .add("backend", id)
-                .add("service", server.service)
-                .add("address", server.address)
-                .add("draining", server.draining)
-                .add("stage", int(server.stage))
-                .add("revision", item.revision)
-                .write();
-        }
-        return;
+    return changed;
+}
+
+bool FleetSync::putMember(const StoreItem &item)
+{
+    const std::string name = item.key.substr(memberPrefix().size());
+    const auto member = decodeMember(name, item.value);
+    if (!member) {
+        LogLine("router-entry-rejected").add("router", name).warn();
+        return false;
     }
-    if (item.key.starts_with(memberPrefix())) {
-        const std::string name = item.key.substr(memberPrefix().size());
-        const auto member = decodeMember(name, item.value);
-        if (!member) {
-            LogLine("router-entry-rejected").add("router", name).warn();
-            return;
-        }
-        if (this->state.members.put(name, *member, item.revision)) {
-            LogLine("router-changed").add("router", name).add("revision", item.revision).write();
-        }
+    const bool changed = this->state.members.put(name, *member, item.revision);
+    if (changed) {
+        LogLine("router-changed").add("router", name).add("revision", item.revision).write();
     }
+    return changed;
 }
 
-void FleetSync::remove(const std::string &key, std::uint64_t revision)
+bool FleetSync::remove(const std::string &key, std::uint64_t revision)
 {
+    const auto hold = this->holdUntil();
     if (key.starts_with(this->codec.backendPrefix)) {
         const std::string id = key.substr(this->codec.backendPrefix.size());
-        const auto hold = this->holdUntil();
-        if (this->state.backends.find(id) != nullptr) {
+        const bool known = this->state.backends.find(id) != nullptr;
+        if (known) {
             LogLine("backend-removed").add("backend", id).add("held", hold.has_value()).write();
         }
         this->state.backends.remove(id, revision, hold);
-    } else if (key.starts_with(memberPrefix())) {
-        const std::string name = key.substr(memberPrefix().size());
-        if (this->state.members.find(name) != nullptr) {
-            LogLine("router-removed").add("router", name).write();
-        }
-        this->state.members.remove(name, revision, this->holdUntil());
-        if (name == this->state.settings.name) {
-            this->registered = false;
-        }
+        return known;
+    }
+    if (!key.starts_with(memberPrefix())) {
+        return false;
+    }
+    const std::string name = key.substr(memberPrefix().size());
+    const bool known = this->state.members.find(name) != nullptr;
+    if (known) {
+        LogLine("router-removed").add("router", name).write();
+    }
+    this->state.members.remove(name, revision, hold);
+    if (name == this->state.settings.name) {
+        this->registered = false;
     }
+    return known;
 }
 
 boost::asio::awaitable<void> FleetSync::keepRegistered()
--- a/src/gateway/fleetsync.h
+++ b/src/gateway/fleetsync.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include <boost/asio/awaitable.hpp>
 
@@ -14,6 +15,7 @@
 {
 
 class RouterState;
+struct StoreChanges;
 
 /// Keeps the configuration, the backend servers and the routers of RouterState in step with the store, and registers
 /// this router there.
@@ -69,15 +71,19 @@
 
     boost::asio::awaitable<std::optional<std::uint64_t>> load(std::string prefix);
     boost::asio::awaitable<bool> registerOnce();
-    void apply(const StoreItem &item);
+    /// Applies one item. @return whether anything that is known has changed.
+    bool apply(const StoreItem &item);
     void applyAll(const std::vector<StoreItem> &items, std::uint64_t revision);
-    /// Takes changes from a peer's watch if none is missing before them.
-    void applyPeerChanges(std::uint64_t after, const std::vector<StoreItem> &items);
+    /// Takes changes from a peer if none is missing before them.
+    void applyPeerChanges(const StoreChanges &changes);
     /// Returns whether this router has to watch the store itself.
     bool mustWatch() const;
-    void put(const StoreItem &item);
-    void remove(const std::string &key, std::uint64_t revision);
-    void dropMissing(const std::string &prefix, const StorePage &page);
+    bool putConfig(const StoreItem &item);
+    bool putBackend(const StoreItem &item);
+    bool putMember(const StoreItem &item);
+    bool remove(const std::string &key, std::uint64_t revision);
+    /// Returns the removal of each known entry that is not in a whole list.
+    std::vector<StoreItem> missing(const std::string &prefix, const StorePage &page) const;
     void noteAnswer();
     void noteFailure(const std::string &call, const StoreFailure &failure);
     std::optional<TimePoint> holdUntil() const;
--- a/src/gateway/peerreport.cpp
+++ b/src/gateway/peerreport.cpp
@@ -34,10 +34,16 @@
     archive(item.key, item.value, item.revision, item.removed);
 }
 
+template<typename Archive>
+void serialize(Archive &archive, StoreChanges &changes)
+{
+    archive(changes.after, changes.upTo, changes.difference, changes.items);
+}
+
 template<typename Archive>
 void serialize(Archive &archive, PeerReport &report)
 {
-    archive(report.watching, report.changesAfter, report.changes);
+    archive(report.watching, report.changes);
     archive(report.router, report.incarnation, report.sequence, report.storeRevision, report.work, report.outcomes,
             report.crashes);
 }
--- a/src/gateway/peerreport.h
+++ b/src/gateway/peerreport.h
@@ -1,7 +1,8 @@
 #pragma once
 
+#include "storechanges.h"
+
 #include "cyclamencross/base/crashreport.h"
-#include "cyclamencross/gateway/storeitem.h"
 #include "cyclamencross/route/backendwork.h"
 
 #include <cstdint>
@@ -30,8 +31,7 @@
     std::uint64_t sequence = 0; ///< Grows with each message of an incarnation.
     std::uint64_t storeRevision = 0; ///< Newest change of the store that the router has seen.
     bool watching = false; ///< The router watches the store, and the store answers it.
-    std::uint64_t changesAfter = 0; ///< Revision after which `changes` begin.
-    std::vector<StoreItem> changes; ///< What its watch has brought since the message before.
+    StoreChanges changes; ///< What it has read from the store since the message before.
     std::map<std::string, BackendWork> work; ///< By backend server; replaces what was told before.
     std::map<std::string, Outcomes> outcomes; ///< By backend server, since the message before.
     std::vector<CrashReport> crashes; ///< Recent ones, told several times.
--- a/src/gateway/pieces_test.cpp
+++ b/src/gateway/pieces_test.cpp
@@ -186,6 +186,29 @@
     CHECK_FALSE(state.hearsWatcher(now + std::chrono::seconds(2)));
 }
 
+namespace
+{
+
+FleetCodec codecOfPlainEntries()
+{
+    FleetCodec codec;
+    codec.configKey = "op/config";
+    codec.backendPrefix = "servers/";
+    codec.decodeConfig = [](std::string_view /*value*/) { return InvalidSetting{}; };
+    codec.decodeBackend = [](const std::string &id, std::string_view /*value*/) {
+        return BackendServer{id, "s", "10.0.0.1:1", "z", false, EngineStage::None, 1, 0};
+    };
+    return codec;
+}
+
+StoreCall<StorePage> waitingWatch(std::string /*prefix*/, std::uint64_t /*after*/, Millis /*wait*/)
+{
+    co_await sleepFor(Millis(100000));
+    co_return StorePage{};
+}
+
+}
+
 TEST_CASE("Changes from a peer apply only if none is missing before them")
 {
     // Guards against a configuration that a router never gets because a datagram was lost.
@@ -195,29 +218,88 @@
     RouterState state(context.get_executor(), settings, 1);
     StateStore store;
     store.list = [](std::string /*prefix*/) -> StoreCall<StorePage> { co_return StorePage{{}, 10}; };
-    store.watch = [](std::string /*prefix*/, std::uint64_t /*after*/, Millis /*wait*/) -> StoreCall<StorePage> {
-        co_await sleepFor(Millis(100000));
-        co_return StorePage{};
-    };
-    FleetCodec codec;
-    codec.configKey = "op/config";
-    codec.backendPrefix = "servers/";
-    codec.decodeConfig = [](std::string_view /*value*/) { return InvalidSetting{}; };
-    codec.decodeBackend = [](const std::string &id, std::string_view /*value*/) {
-        return BackendServer{id, "s", "10.0.0.1:1", "z", false, EngineStage::None, 1, 0};
-    };
-    FleetSync sync(state, store, codec);
+    store.watch = waitingWatch;
+    FleetSync sync(state, store, codecOfPlainEntries());
     boost::asio::co_spawn(context, sync.follow(""), boost::asio::detached);
     context.run_for(Millis(50));
-    state.onPeerChanges(0, {StoreItem{"servers/a", "x", 11, false}});
+    state.onPeerChanges(StoreChanges{0, 11, false, {StoreItem{"servers/a", "x", 11, false}}});
     CHECK(state.backends.find("a") != nullptr);
-    state.onPeerChanges(12, {StoreItem{"servers/b", "x", 13, false}});
+    state.onPeerChanges(StoreChanges{12, 13, false, {StoreItem{"servers/b", "x", 13, false}}});
     CHECK(state.backends.find("b") == nullptr);
-    state.onPeerChanges(11, {StoreItem{"servers/a", "", 12, true}, StoreItem{"servers/c", "x", 13, false}});
+    const std::vector<StoreItem> two{StoreItem{"servers/a", "", 12, true}, StoreItem{"servers/c", "x", 13, false}};
+    state.onPeerChanges(StoreChanges{11, 13, false, two});
     CHECK(state.backends.find("a") == nullptr);
     CHECK(state.backends.find("c") != nullptr);
-    state.onPeerChanges(0, {StoreItem{"servers/a", "x", 11, false}});
+    state.onPeerChanges(StoreChanges{0, 11, false, {StoreItem{"servers/a", "x", 11, false}}});
     CHECK(state.backends.find("a") == nullptr);
+    // A difference from revision 10 may lack what this router has learned since.
+    state.onPeerChanges(StoreChanges{10, 15, true, {StoreItem{"servers/d", "x", 14, false}}});
+    CHECK(state.backends.find("d") == nullptr);
+    state.onPeerChanges(StoreChanges{13, 15, true, {StoreItem{"servers/d", "x", 14, false}}});
+    CHECK(state.backends.find("d") != nullptr);
+    CHECK(state.storeRevision == 15);
+}
+
+TEST_CASE("A list tells all changes up to its revision, also those that left no item")
+{
+    // Guards against a router that reads the store again and again because the newest change was a removal
+    // (obrzil-grown, day scale-1: eleven routers read everything twice a second for the rest of the day).
+    boost::asio::io_context context;
+    RouterSettings settings;
+    settings.name = "r0";
+    RouterState state(context.get_executor(), settings, 1);
+    int lists = 0;
+    StateStore store;
+    store.list = [&lists](std::string /*prefix*/) -> StoreCall<StorePage> {
+        ++lists;
+        co_return StorePage{{StoreItem{"servers/a", "x", 5, false}}, 10};
+    };
+    store.watch = waitingWatch;
+    store.cancelWatch = [] {};
+    FleetSync sync(state, store, codecOfPlainEntries());
+    boost::asio::co_spawn(context, sync.follow(""), boost::asio::detached);
+    boost::asio::co_spawn(context, sync.catchUp(""), boost::asio::detached);
+    PeerReport report;
+    report.router = "r1";
+    report.sequence = 1;
+    report.storeRevision = 10;
+    state.addReport(report, Clock::now());
+    context.run_for(FleetSync::CatchUpAfter + Millis(300));
+    CHECK(lists == 1);
+    CHECK(state.storeRevision == 10);
+}
+
+TEST_CASE("A watcher that had to read everything tells its peers the difference")
+{
+    // Guards against whole reads by every router of a group after the watches of its watchers were cut.
+    boost::asio::io_context context;
+    RouterSettings settings;
+    settings.name = "r0";
+    RouterState state(context.get_executor(), settings, 1);
+    int lists = 0;
+    StateStore store;
+    const StoreItem added{"servers/b", "x", 18, false};
+    store.list = [&lists, added](std::string /*prefix*/) -> StoreCall<StorePage> {
+        const StoreItem first{"servers/a", "x", 5, false};
+        StorePage page{{first, StoreItem{"servers/k", "x", 4, false}}, 10};
+        if (++lists > 1) {
+            page = StorePage{{StoreItem{"servers/k", "x", 4, false}, added}, 20};
+        }
+        co_return page;
+    };
+    store.watch = [&lists](std::string prefix, std::uint64_t after, Millis wait) -> StoreCall<StorePage> {
+        if (lists == 1) {
+            co_return StoreFailure{StoreFailure::Kind::HistoryGone, ""};
+        }
+        co_return co_await waitingWatch(prefix, after, wait);
+    };
+    FleetSync sync(state, store, codecOfPlainEntries());
+    boost::asio::co_spawn(context, sync.follow(""), boost::asio::detached);
+    context.run_for(Millis(100));
+    REQUIRE(lists == 2);
+    const auto report = state.takeReport(Clock::now());
+    REQUIRE(report);
+    CHECK(report->changes == StoreChanges{10, 20, true, {added, StoreItem{"servers/a", "", 20, true}}});
 }
 
 TEST_CASE("The load of engines that several groups share counts for all groups")
--- a/src/gateway/routerstate.cpp
+++ b/src/gateway/routerstate.cpp
@@ -98,18 +98,20 @@
     return now - this->watcherHeard <= WatcherLifetime;
 }
 
-void RouterState::passOnChanges(std::uint64_t after, const std::vector<StoreItem> &items)
+void RouterState::passOnChanges(const StoreChanges &more)
 {
-    if (this->changes.empty()) {
-        this->changesAfter = after;
+    if (this->changes.upTo == 0) {
+        this->changes.after = more.after;
     }
-    this->changes.insert(this->changes.end(), items.begin(), items.end());
+    this->changes.upTo = std::max(this->changes.upTo, more.upTo);
+    this->changes.difference = this->changes.difference || more.difference;
+    this->changes.items.insert(this->changes.items.end(), more.items.begin(), more.items.end());
     std::size_t size = 0;
-    for (const StoreItem &item : this->changes) {
+    for (const StoreItem &item : this->changes.items) {
         size += item.key.size() + item.value.size();
     }
     if (size > MaxChangesBytes) {
-        this->changes.clear();
+        this->changes = StoreChanges();
     }
 }
 
@@ -191,7 +193,7 @@
 {
     std::erase_if(this->recentCrashes, [now](const auto &item) { return now - item.first > CrashRetellTime; });
     const bool changed = this->work.own() != this->toldWork || !this->untold.empty() || !this->recentCrashes.empty()
-        || !this->changes.empty();
+        || this->changes.upTo != 0;
     const bool due = now - this->lastReport >= ReportPeriod;
     if (!changed && !due) {
         return std::nullopt;
@@ -202,7 +204,6 @@
     report.sequence = ++this->reportSequence;
     report.storeRevision = this->storeRevision;
     report.watching = this->watching;
-    report.changesAfter = this->changesAfter;
     report.changes = std::exchange(this->changes, {});
     report.work = this->work.own();
     report.outcomes = std::exchange(this->untold, {});
@@ -227,8 +228,8 @@
     if (report.watching) {
         this->watcherHeard = now;
     }
-    if (!report.changes.empty() && this->onPeerChanges) {
-        this->onPeerChanges(report.changesAfter, report.changes);
+    if (report.changes.upTo != 0 && this->onPeerChanges) {
+        this->onPeerChanges(report.changes);
     }
     this->work.setPeer(report.router, report.work, now);
     for (const auto &item : report.outcomes) {
--- a/src/gateway/routerstate.h
+++ b/src/gateway/routerstate.h
@@ -51,8 +51,8 @@
     bool isChosenWatcher() const;
     /// Returns whether a peer that watches the store was heard a moment ago.
     bool hearsWatcher(TimePoint now) const;
-    /// Adds changes that this router's watch has brought, to be passed on to its peers.
-    void passOnChanges(std::uint64_t after, const std::vector<StoreItem> &items);
+    /// Adds changes that this router has read from the store, to be passed on to its peers.
+    void passOnChanges(const StoreChanges &more);
     /// Returns whether @p server is still registered as it was and takes new work.
     bool isUsable(const BackendServer &server) const;
     /// Adds the outcome of a call, for this router's choices and for its peers.
@@ -90,8 +90,8 @@
     bool backendsKnown = false;
     std::uint64_t storeRevision = 0; ///< Newest change of the store that this router has seen.
     bool watching = false; ///< This router watches the store, and the store answers.
-    /// Called with changes that a peer's watch has brought and the revision after which they begin.
-    std::function<void(std::uint64_t after, const std::vector<StoreItem> &items)> onPeerChanges;
+    /// Called with changes that a peer has read from the store.
+    std::function<void(const StoreChanges &changes)> onPeerChanges;
     std::uint64_t peersStoreRevision = 0; ///< Newest change that a peer has seen.
     bool stopping = false;
     int activeRequests = 0;
@@ -126,8 +126,7 @@
     std::vector<RouterMember> peersOfGroup;
     bool chosenWatcher = true;
     TimePoint watcherHeard;
-    std::uint64_t changesAfter = 0;
-    std::vector<StoreItem> changes;
+    StoreChanges changes; ///< To be passed on with the next report.
     std::set<std::string> backendsOutside; ///< Ids of those that belong to other groups.
     std::set<std::string> backendsShared; ///< Ids of those that all groups use.
     std::size_t groups = 1;
