Callers that come back after a refusal count as late; standby watchers gather longer

CallerPatience tells them by the time they still allow against the longest of their route (callers of a route spread over 15%, those that were refused lack 2.7 s or more).

Each change of the store woke three watchers of each group; two of them now gather changes for 0.9 s while the first one tells them.

The log of a stream tells its first part and its longest pause.

--- a/src/gateway/fleetsync.cpp
+++ b/src/gateway/fleetsync.cpp
@@ -87,7 +87,7 @@
             this->applyAll(page->items, page->revision);
             if (!page->items.empty()) {
                 this->state.passOnChanges(StoreChanges{before, this->state.storeRevision, false, page->items});
-                co_await sleepFor(GatherPause);
+                co_await sleepFor(this->state.isFirstWatcher() ? GatherPause : StandbyGatherPause);
             }
             continue;
         }
--- a/src/gateway/fleetsync.h
+++ b/src/gateway/fleetsync.h
@@ -28,6 +28,9 @@
     static constexpr Millis WatchWait{8000};
     /// Pause after changes, in which further ones gather: each wake-up of all routers is one call of each.
     static constexpr Millis GatherPause{150};
+    /// The same of a watcher that stands by for the first one of its group, whose reports bring the changes meanwhile.
+    /// Well below the time in which changes must be known, in case the first one is lost.
+    static constexpr Millis StandbyGatherPause{900};
     /// Changes that peers have seen this long ago are asked for, whatever the watch does.
     static constexpr Millis CatchUpAfter{400};
     /// How long an entry that lapsed during an outage of the store is kept: living servers are back within two seconds.
--- a/src/gateway/pieces_test.cpp
+++ b/src/gateway/pieces_test.cpp
@@ -151,6 +151,7 @@
 {
     boost::asio::io_context context;
     int watchers = 0;
+    int first = 0;
     for (int self = 0; self < 40; ++self) {
         RouterSettings settings;
         settings.name = numbered("r", self);
@@ -162,8 +163,10 @@
         }
         state.regroup();
         watchers += state.isChosenWatcher() ? 1 : 0;
+        first += state.isFirstWatcher() ? 1 : 0;
     }
     CHECK(watchers == 6);
+    CHECK(first == 2);
 }
 
 TEST_CASE("A peer counts as a watcher only while it says so")
--- a/src/gateway/requestrun.cpp
+++ b/src/gateway/requestrun.cpp
@@ -222,6 +222,8 @@
         .add("arrivals", this->arrivals)
         .add("unreachable", this->unreachable)
         .add("may_have_run", this->mayHaveRun)
+        .add("first_ms", this->firstPart ? this->firstPart->count() : std::int64_t(-1))
+        .add("longest_pause_ms", std::int64_t(this->longestPause.count()))
         .add("allowed_ms", this->request.timeLeft ? this->request.timeLeft->count() : std::int64_t(-1))
         .add("ms", std::int64_t(seconds * 1000))
         .write();
--- a/src/gateway/requestrun.h
+++ b/src/gateway/requestrun.h
@@ -86,6 +86,8 @@
     bool retryAllowed = false; ///< A retry was taken from the budget and not yet sent.
     BackendAnswer answer; ///< Head of the current answer.
     std::string outcome; ///< For the log.
+    std::optional<Millis> firstPart; ///< From the arrival to the first part of the answer passed on; for the log.
+    Millis longestPause{0}; ///< Between two parts passed on; for the log.
 
 private:
     std::uint64_t fingerprint() const;
--- a/src/gateway/routerstate.cpp
+++ b/src/gateway/routerstate.cpp
@@ -90,7 +90,12 @@
 
 bool RouterState::isChosenWatcher() const
 {
-    return this->chosenWatcher;
+    return this->watcherRank < WatchersPerGroup;
+}
+
+bool RouterState::isFirstWatcher() const
+{
+    return this->watcherRank == 0;
 }
 
 bool RouterState::hearsWatcher(TimePoint now) const
@@ -138,7 +143,7 @@
     const std::uint64_t ownOrder = hash64(this->settings.name);
     const auto before = std::count_if(this->peersOfGroup.begin(), this->peersOfGroup.end(),
                                       [ownOrder](const RouterMember &peer) { return hash64(peer.name) < ownOrder; });
-    this->chosenWatcher = std::size_t(before) < WatchersPerGroup;
+    this->watcherRank = std::size_t(before);
     std::map<std::pair<std::string, EngineStage>, std::vector<std::string>> kinds;
     this->backends.forEach([&kinds](const std::string &id, const BackendServer &server) {
         kinds[{server.service, server.stage}].push_back(id);
--- a/src/gateway/routerstate.h
+++ b/src/gateway/routerstate.h
@@ -8,6 +8,7 @@
 #include "cyclamencross/gateway/routersettings.h"
 #include "cyclamencross/route/backendhealth.h"
 #include "cyclamencross/route/backendserver.h"
+#include "cyclamencross/route/callerpatience.h"
 #include "cyclamencross/route/placementcandidate.h"
 #include "cyclamencross/route/retryallowance.h"
 #include "cyclamencross/route/roster.h"
@@ -49,6 +50,8 @@
     const std::vector<RouterMember> &groupPeers() const;
     /// Returns whether this router is one of the few of its group that watch the store for the others.
     bool isChosenWatcher() const;
+    /// Returns whether this router is the first of those; the others only stand by for it.
+    bool isFirstWatcher() const;
     /// Returns whether a peer that watches the store was heard a moment ago.
     bool hearsWatcher(TimePoint now) const;
     /// Adds changes that this router has read from the store, to be passed on to its peers.
@@ -86,6 +89,7 @@
     WorkBook waiting;
     BackendHealth health;
     RetryAllowance retries;
+    CallerPatience patience;
     CrashLedger crashes;
     LinkPool links;
     Metrics metrics;
@@ -127,7 +131,7 @@
     std::map<std::string, PeerReport::Outcomes> untold;
     std::vector<std::pair<TimePoint, CrashReport>> recentCrashes;
     std::vector<RouterMember> peersOfGroup;
-    bool chosenWatcher = true;
+    std::size_t watcherRank = 0; ///< Place of this router among those of its group that may watch.
     TimePoint watcherHeard;
     StoreChanges changes; ///< To be passed on with the next report.
     std::set<std::string> backendsOutside; ///< Ids of those that belong to other groups.
--- a/src/gateway/streamrun.cpp
+++ b/src/gateway/streamrun.cpp
@@ -92,6 +92,9 @@
 {
     this->failure = "no-engine";
     this->lastEvent = this->request.lastEventId;
+    const Millis timeout = this->route.timeout;
+    this->usedBefore = this->state.patience.usedBefore(this->route.name, this->request.timeLeft.value_or(timeout),
+                                                       timeout, Clock::now());
     const bool reserved = co_await this->reserveDecode();
     if (reserved) {
         co_await this->prefill();
@@ -160,6 +163,7 @@
     LogLine("no-room")
         .add("request", this->request.id)
         .add("waited_ms", std::int64_t(toSeconds(Clock::now() - begun) * 1000))
+        .add("used_before_ms", std::int64_t(this->usedBefore.count()))
         .write();
     co_return false;
 }
@@ -171,8 +175,11 @@
         return RoomWait(Clock::now(), longest, longest);
     }
     const Millis target = this->route.targetLatency;
-    return RoomWait(this->request.received, std::chrono::duration_cast<Millis>(target * OnTimeShare),
-                    std::min(target * LateFactor, this->route.timeout / 4));
+    const Millis longest = std::min(target * LateFactor, this->route.timeout / 4);
+    // A caller that was refused for want of room has waited that long before; its target has passed.
+    const bool cameBack = this->usedBefore >= longest;
+    const Millis onTimeFor = cameBack ? Millis(0) : std::chrono::duration_cast<Millis>(target * OnTimeShare);
+    return RoomWait(this->request.received, onTimeFor, longest);
 }
 
 void StreamRun::logDecode() const
@@ -482,12 +489,24 @@
         whole += event.text;
     }
     if (!whole.empty()) {
-        this->progress->last = Clock::now();
+        this->notePart();
         co_await this->session.sendPart(std::move(whole));
     }
     co_return !this->cutter.isOverlong();
 }
 
+void StreamRun::notePart()
+{
+    const TimePoint now = Clock::now();
+    if (!this->firstPart) {
+        this->firstPart = std::chrono::duration_cast<Millis>(now - this->request.received);
+    } else {
+        this->longestPause = std::max(this->longestPause, std::chrono::duration_cast<Millis>(now - this->lastPart));
+    }
+    this->lastPart = now;
+    this->progress->last = now;
+}
+
 bool StreamRun::mayUseAnother() const
 {
     return this->sends < this->route.maxAttempts;
--- a/src/gateway/streamrun.h
+++ b/src/gateway/streamrun.h
@@ -53,6 +53,8 @@
     /// Passes on events until the stream ends.
     boost::asio::awaitable<Step> relay();
     boost::asio::awaitable<bool> passOnEvents(const std::string &bytes);
+    /// Notes that events are passed on now.
+    void notePart();
     /// Returns whether another engine may be sent the request after the calls so far.
     bool mayUseAnother() const;
     /// Frees the memory of the prompt where it was not taken over.
@@ -68,8 +70,10 @@
     std::optional<ReadPrompt> memory; ///< Not yet taken over.
     std::shared_ptr<StreamProgress> progress; ///< Of the current call.
     EventCutter cutter;
+    TimePoint lastPart; ///< When events were passed on last.
     std::optional<std::int64_t> lastEvent;
     std::string failure;
+    Millis usedBefore{0}; ///< Time that the caller had spent before this attempt, by estimate.
 };
 
 }
--- /dev/null
+++ b/src/route/callerpatience.cpp
@@ -0,0 +1,22 @@
+#include "cyclamencross/route/callerpatience.h"
+
+#include <algorithm>
+
+namespace Cyclamen
+{
+
+Millis CallerPatience::usedBefore(const std::string &route, Millis allowed, Millis timeout, TimePoint now)
+{
+    Record &record = this->records[route];
+    if (now >= record.periodEnd) {
+        const bool recent = now - record.periodEnd < Period;
+        record.longestBefore = recent ? record.longest : Millis(0);
+        record.longest = Millis(0);
+        record.periodEnd = now + Period;
+    }
+    const Millis counted = std::min(allowed, timeout);
+    record.longest = std::max(record.longest, counted);
+    return std::max(record.longest, record.longestBefore) - counted;
+}
+
+}
--- a/src/route/route_test.cpp
+++ b/src/route/route_test.cpp
@@ -1,4 +1,5 @@
 #include "cyclamencross/route/backendhealth.h"
+#include "cyclamencross/route/callerpatience.h"
 #include "cyclamencross/route/placement.h"
 #include "cyclamencross/route/placementcandidate.h"
 #include "cyclamencross/route/retryallowance.h"
@@ -345,3 +346,19 @@
     book.expire(Start + WorkBook::PeerLifetime + Millis(1));
     CHECK(book.total("a") == BackendWork{1, 0, 5});
 }
+
+TEST_CASE("A caller that comes back is told from new ones by the time it still allows")
+{
+    // Guards against refused callers that take room from new ones: theirs is late whatever happens now.
+    const Millis timeout(14000);
+    CallerPatience patience;
+    CHECK(patience.usedBefore("r", Millis(12100), timeout, Start) == Millis(0));
+    CHECK(patience.usedBefore("r", Millis(20000), timeout, Start) == Millis(0));
+    CHECK(patience.usedBefore("r", Millis(10000), timeout, Start) == Millis(4000));
+    CHECK(patience.usedBefore("other", Millis(1500), timeout, Start) == Millis(0));
+    // Callers of the route have less time now; the old figure is forgotten.
+    const TimePoint later = Start + CallerPatience::Period;
+    CHECK(patience.usedBefore("r", Millis(3000), timeout, later) == Millis(11000));
+    CHECK(patience.usedBefore("r", Millis(2900), timeout, later + CallerPatience::Period) == Millis(100));
+    CHECK(patience.usedBefore("r", Millis(1000), timeout, later + CallerPatience::Period * 5) == Millis(0));
+}
