Plain calls wait by the load that shared backend servers tell, and are refused without room

Answers tell the running and waiting calls; routers pass these on in their reports for 0.4 s, a mere estimate no longer counts as full, and a call that finds no room in two fifths of its time is refused.

--- a/src/gateway/peerreport.cpp
+++ b/src/gateway/peerreport.cpp
@@ -45,7 +45,7 @@
 {
     archive(report.watching, report.changes);
     archive(report.router, report.incarnation, report.sequence, report.storeRevision, report.work, report.waiting,
-            report.outcomes, report.crashes);
+            report.callsThere, report.outcomes, report.crashes);
 }
 
 std::string encodePeerReport(const PeerReport &report)
--- a/src/gateway/peerreport.h
+++ b/src/gateway/peerreport.h
@@ -34,6 +34,7 @@
     StoreChanges changes; ///< What it has read from the store since the message before.
     std::map<std::string, BackendWork> work; ///< By backend server; replaces what was told before.
     std::map<std::string, BackendWork> waiting; ///< Requests that wait for room and can be on time, by service.
+    std::map<std::string, std::int64_t> callsThere; ///< Calls at backend servers by their own newest answers.
     std::map<std::string, Outcomes> outcomes; ///< By backend server, since the message before.
     std::vector<CrashReport> crashes; ///< Recent ones, told several times.
 
--- a/src/gateway/pieces_test.cpp
+++ b/src/gateway/pieces_test.cpp
@@ -323,4 +323,37 @@
     const auto candidates = state.candidates("s", EngineStage::Decode, {}, "z", Clock::now());
     REQUIRE(candidates.size() == 1);
     CHECK(candidates.front().work == BackendWork{2, 20, 200});
+    CHECK_FALSE(candidates.front().callsThere);
+}
+
+TEST_CASE("What a shared backend server tells of its load is passed on and counts for a short time")
+{
+    boost::asio::io_context context;
+    const TimePoint now = Clock::now();
+    const auto makeState = [&context](const std::string &name) {
+        RouterSettings settings;
+        settings.name = name;
+        auto state = std::make_unique<RouterState>(context.get_executor(), settings, 1);
+        for (int i = 0; i < 40; ++i) {
+            const std::string member = numbered("r", i);
+            state->members.put(member, RouterMember{member, 1, "z", "10.0.0.1:1", "10.0.0.1:2"}, 1);
+        }
+        state->backends.put("p", BackendServer{"p", "s", "10.0.1.1:1", "z", false, EngineStage::None, 4, 0}, 1);
+        state->regroup();
+        return state;
+    };
+    const auto first = makeState("r0");
+    const auto second = makeState("r1");
+    first->noteCallsThere("p", 9, now);
+    const auto report = first->takeReport(now);
+    REQUIRE(report);
+    PeerReport decoded;
+    REQUIRE(decodePeerReport(encodePeerReport(*report), decoded));
+    CHECK(decoded == *report);
+    second->addReport(decoded, now);
+    const auto calls = [&second](TimePoint at) {
+        return second->candidates("s", EngineStage::None, {}, "z", at).front().callsThere;
+    };
+    CHECK(calls(now) == std::optional<std::int64_t>(9));
+    CHECK(calls(now + Millis(500)) == std::nullopt);
 }
--- a/src/gateway/plainrun.cpp
+++ b/src/gateway/plainrun.cpp
@@ -25,8 +25,7 @@
 // Part of the target up to which a request that finds room can still be on time; the rest is for the call and the calls
 // that wait at the backend server before it.
 constexpr double OnTimeShare = 0.4;
-// Part of the time left that a request waits for room at the most. It is then sent all the same, as the known load may
-// be wrong; a backend server that is really full refuses it.
+// Part of the time left that a request waits for room at the most. The rest is left to the caller's next attempt.
 constexpr double LongestWaitShare = 0.4;
 
 }
@@ -35,7 +34,11 @@
 {
     this->failure = "no-backend";
     while (!this->isOver() && this->unreachable < MaxUnreachable) {
-        co_await this->waitForRoom();
+        const bool room = co_await this->waitForRoom();
+        if (!room) {
+            this->failure = "no-room";
+            break;
+        }
         const auto candidates = this->candidates();
         const auto choice = Placement::choosePlain(candidates, std::numeric_limits<double>::infinity(),
                                                    [this] { return this->state.random(); });
@@ -52,6 +55,7 @@
             .add("candidates", std::int64_t(candidates.size()))
             .add("backend", chosen.server.id)
             .add("in_flight", chosen.work.requests)
+            .add("told_calls", chosen.callsThere.value_or(-1))
             .add("failure_rate", chosen.failureRate)
             .add("avoided", chosen.avoided)
             .write();
@@ -72,13 +76,14 @@
                                   Clock::now());
 }
 
-boost::asio::awaitable<void> PlainRun::waitForRoom()
+boost::asio::awaitable<bool> PlainRun::waitForRoom()
 {
     const TimePoint begun = Clock::now();
     const Millis target = this->route.targetLatency;
     const auto longest = std::chrono::duration_cast<Millis>((this->deadline - begun) * LongestWaitShare);
     const RoomWait wait(this->request.received, std::chrono::duration_cast<Millis>(target * OnTimeShare), longest);
     std::unique_ptr<WorkReservation> waiting;
+    bool found = false;
     while (!this->isOver()) {
         const TimePoint now = Clock::now();
         const bool othersOnTime = this->state.waiting.total(this->service).requests > (waiting ? 1 : 0);
@@ -86,7 +91,8 @@
         const auto candidates = this->candidates();
         const bool room = candidates.empty()
             || Placement::choosePlain(candidates, 1 + Placement::PlainQueueShare, [] { return 0.0; }).has_value();
-        if (turn == RoomWait::Turn::End || (turn == RoomWait::Turn::Look && room)) {
+        found = turn == RoomWait::Turn::Look && room;
+        if (found || turn == RoomWait::Turn::End) {
             break;
         }
         if (!wait.isOnTime(now)) {
@@ -98,8 +104,13 @@
     }
     const auto waited = std::chrono::duration_cast<Millis>(Clock::now() - begun);
     if (waited >= RoomWait::OnTimePause) {
-        LogLine("waited-for-room").add("request", this->request.id).add("ms", std::int64_t(waited.count())).write();
+        LogLine("waited-for-room")
+            .add("request", this->request.id)
+            .add("ms", std::int64_t(waited.count()))
+            .add("found", found)
+            .write();
     }
+    co_return found;
 }
 
 boost::asio::awaitable<PlainRun::Step> PlainRun::attempt(BackendServer server)
@@ -120,7 +131,7 @@
     const bool another = this->route.mayRepeat() && this->sends < this->route.maxAttempts;
     const auto patience = std::chrono::duration_cast<Clock::duration>((this->deadline - Clock::now()) * FirstCallShare);
     const TimePoint until = another ? Clock::now() + patience : this->deadline;
-    LinkStatus status = co_await this->readOwnHead(until);
+    LinkStatus status = co_await this->readOwnHead(server.id, until);
     if (status == LinkStatus::Ok) {
         status = co_await this->link->readRest(until);
     }
--- a/src/gateway/plainrun.h
+++ b/src/gateway/plainrun.h
@@ -24,8 +24,10 @@
     };
 
     std::vector<PlacementCandidate> candidates() const;
-    /// Waits while all backend servers have long queues, as long as that serves the caller.
-    boost::asio::awaitable<void> waitForRoom();
+    /// Waits while all backend servers have long queues, as long as that serves the caller. Sending late requests all
+    /// the same would keep the queues long, and every request of the burst would be late.
+    /// @return whether there is room.
+    boost::asio::awaitable<bool> waitForRoom();
     boost::asio::awaitable<Step> attempt(BackendServer server);
     /// Decides what follows a call that brought no success.
     Step afterFailure() const;
--- a/src/gateway/requestrun.cpp
+++ b/src/gateway/requestrun.cpp
@@ -112,7 +112,7 @@
     this->link->startExchange(message + "\r\n" + this->request.body, this->request.method == "HEAD");
 }
 
-boost::asio::awaitable<LinkStatus> RequestRun::readOwnHead(TimePoint until)
+boost::asio::awaitable<LinkStatus> RequestRun::readOwnHead(std::string backend, TimePoint until)
 {
     for (int passedOver = 0; passedOver <= MaxStrayAnswers; ++passedOver) {
         LinkStatus status = co_await this->link->readHead(until);
@@ -123,6 +123,9 @@
         this->answer = this->wire.decodeAnswer(code, this->link->headers());
         const bool nameless = this->answer.requestId.empty() && code >= 300;
         if (nameless || this->answer.requestId == this->request.id) {
+            if (this->answer.callsThere) {
+                this->state.noteCallsThere(backend, *this->answer.callsThere, Clock::now());
+            }
             co_return LinkStatus::Ok;
         }
         this->state.metrics.count("cyclamencross_stray_answers_total");
--- a/src/gateway/requestrun.h
+++ b/src/gateway/requestrun.h
@@ -51,8 +51,9 @@
     void giveBack(const BackendServer &server);
     /// Sends the request over the current link.
     void send(const BackendServer &server, BackendCall call);
-    /// Reads the head of the answer to this request into `answer`; late answers to other requests are passed over.
-    boost::asio::awaitable<LinkStatus> readOwnHead(TimePoint until);
+    /// Reads the head of the answer of @p backend to this request into `answer`; late answers to other requests are
+    /// passed over.
+    boost::asio::awaitable<LinkStatus> readOwnHead(std::string backend, TimePoint until);
     /// Returns whether one more call to the service is allowed by the budget of retries; the first always is. A retry
     /// that was allowed stays so until it is sent.
     bool mayArrive();
--- a/src/gateway/routerstate.cpp
+++ b/src/gateway/routerstate.cpp
@@ -78,6 +78,11 @@
         candidate.work.requests *= std::int64_t(this->groups);
         candidate.work.promptTokens *= std::int64_t(this->groups);
         candidate.work.memoryTokens *= std::int64_t(this->groups);
+        const auto told = this->callsThere.find(server.id);
+        if (told != this->callsThere.end() && now - told->second.second <= ToldLoadLifetime) {
+            candidate.callsThere = told->second.first;
+        }
+        candidate.estimated = !candidate.callsThere;
     }
     candidate.avoided = this->health.isAvoided(server.id, now);
     candidate.failureRate = this->health.failureRate(server.id, now);
@@ -150,6 +155,7 @@
     });
     this->backendsOutside.clear();
     this->backendsShared.clear();
+    std::erase_if(this->callsThere, [this](const auto &item) { return this->backends.find(item.first) == nullptr; });
     for (const auto &[kind, ids] : kinds) {
         if (this->groups == 1) {
             continue;
@@ -181,6 +187,14 @@
     outcomes.broken += outcome == CallOutcome::Broken || outcome == CallOutcome::Unreachable ? 1 : 0;
 }
 
+void RouterState::noteCallsThere(const std::string &backend, std::int64_t calls, TimePoint now)
+{
+    if (this->backendsShared.contains(backend)) {
+        this->callsThere[backend] = {calls, now};
+        this->untoldCalls[backend] = calls;
+    }
+}
+
 void RouterState::noteFull(const std::string &backend, TimePoint now)
 {
     std::erase_if(this->fullUntil, [now](const auto &item) { return item.second <= now; });
@@ -212,6 +226,7 @@
     report.changes = std::exchange(this->changes, {});
     report.work = this->work.own();
     report.waiting = this->waiting.own();
+    report.callsThere = std::exchange(this->untoldCalls, {});
     report.outcomes = std::exchange(this->untold, {});
     for (const auto &[time, crash] : this->recentCrashes) {
         report.crashes.push_back(crash);
@@ -240,6 +255,11 @@
     }
     this->work.setPeer(report.router, report.work, now);
     this->waiting.setPeer(report.router, report.waiting, now);
+    for (const auto &[backend, calls] : report.callsThere) {
+        if (this->backendsShared.contains(backend)) {
+            this->callsThere[backend] = {calls, now};
+        }
+    }
     for (const auto &item : report.outcomes) {
         const std::string &backend = item.first;
         const PeerReport::Outcomes &outcomes = item.second;
--- a/src/gateway/routerstate.h
+++ b/src/gateway/routerstate.h
@@ -60,6 +60,8 @@
     bool isUsable(const BackendServer &server) const;
     /// Adds the outcome of a call, for this router's choices and for its peers.
     void noteOutcome(const std::string &backend, CallOutcome outcome, TimePoint now);
+    /// Notes how many calls were at a backend server when it answered, for this router and for its peers.
+    void noteCallsThere(const std::string &backend, std::int64_t calls, TimePoint now);
     /// Notes that an engine has no room; it is passed over for a short time.
     void noteFull(const std::string &backend, TimePoint now);
     /// Adds a crash of a backend server under a request, for this router and for its peers.
@@ -124,7 +126,12 @@
     /// How long an engine that refused a reservation is passed over: some steps of its work.
     static constexpr Millis FullTime{60};
 
+    /// How long the load that a backend server has told counts: some periods of the peers' reports.
+    static constexpr Millis ToldLoadLifetime{400};
+
     std::mt19937_64 generator;
+    std::map<std::string, std::pair<std::int64_t, TimePoint>> callsThere;
+    std::map<std::string, std::int64_t> untoldCalls;
     std::map<std::string, TimePoint> fullUntil;
     std::map<std::string, BackendWork> toldWork;
     std::map<std::string, BackendWork> toldWaiting;
--- a/src/gateway/streamrun.cpp
+++ b/src/gateway/streamrun.cpp
@@ -323,7 +323,7 @@
     const Millis patience = std::clamp(Millis(std::int64_t(double(expected.count()) * PrefillPatience)),
                                        LeastPrefillPatience, MostPrefillPatience);
     const TimePoint until = std::min(this->deadline, begun + patience);
-    LinkStatus status = co_await this->readOwnHead(until);
+    LinkStatus status = co_await this->readOwnHead(server.id, until);
     if (status == LinkStatus::Ok) {
         status = co_await this->link->readRest(until);
     }
@@ -396,7 +396,7 @@
 boost::asio::awaitable<StreamRun::Step> StreamRun::readAnswer(BackendServer server)
 {
     const TimePoint until = this->deadline;
-    const LinkStatus status = co_await this->readOwnHead(until);
+    const LinkStatus status = co_await this->readOwnHead(server.id, until);
     if (status != LinkStatus::Ok) {
         this->mayHaveRun = true;
         this->failure = status == LinkStatus::TimedOut ? "timeout" : "broken";
--- a/src/include/cyclamencross/gateway/backendanswer.h
+++ b/src/include/cyclamencross/gateway/backendanswer.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstdint>
+#include <optional>
 #include <string>
 
 namespace Cyclamen
@@ -12,6 +14,8 @@
     bool wrongBackend = false; ///< Another backend server has the address now.
     bool signedAnswer = false; ///< The answer carries the backend server's signature.
     bool encoded = false; ///< The body is encoded, which no backend server does.
+    /// Calls that ran and waited at the backend server when it answered, if it tells.
+    std::optional<std::int64_t> callsThere;
     std::string requestId; ///< Request that is answered; empty if not told.
 
     bool operator==(const BackendAnswer &) const = default;
--- a/src/include/cyclamencross/route/placement.h
+++ b/src/include/cyclamencross/route/placement.h
@@ -20,7 +20,8 @@
 constexpr double PlainQueueShare = 1;
 
 /// Chooses the backend server of a plain service with the lowest load for each slot.
-/// @param mostLoad calls for each slot from which a backend server counts as full and is left out.
+/// @param mostLoad calls for each slot from which a backend server counts as full and is left out. What the
+/// backend server itself has told goes before what the routers have placed.
 /// @param random returns a number from 0 to 1; breaks ties, so that routers with the same view spread.
 /// @return the index into @p candidates, or nothing if there is none.
 std::optional<std::size_t> choosePlain(const std::vector<PlacementCandidate> &candidates, double mostLoad,
--- a/src/include/cyclamencross/route/placementcandidate.h
+++ b/src/include/cyclamencross/route/placementcandidate.h
@@ -3,6 +3,9 @@
 #include "cyclamencross/route/backendserver.h"
 #include "cyclamencross/route/backendwork.h"
 
+#include <cstdint>
+#include <optional>
+
 namespace Cyclamen
 {
 
@@ -11,6 +14,9 @@
 {
     BackendServer server;
     BackendWork work; ///< Placed by all routers.
+    /// Calls there by its own answer a moment ago; nothing if not known or if `work` is as good.
+    std::optional<std::int64_t> callsThere;
+    bool estimated = false; ///< `work` is extrapolated from one of several groups of routers.
     bool full = false; ///< Refused a reservation of room a moment ago.
     bool avoided = false; ///< To be used only if no other can serve.
     double failureRate = 0; ///< From 0 to 1.
--- a/src/route/placement.cpp
+++ b/src/route/placement.cpp
@@ -49,8 +49,12 @@
                                        const std::function<double()> &random)
 {
     return cheapest(candidates, [&random, mostLoad](const PlacementCandidate &candidate) {
-        const double load = double(candidate.work.requests) / std::max(1, candidate.server.slots);
-        return load >= mostLoad ? std::numeric_limits<double>::infinity() : load + commonCost(candidate, random);
+        const int slots = std::max(1, candidate.server.slots);
+        const double load = double(candidate.work.requests) / slots;
+        // A mere estimate tells where there is less, but not that there is no room.
+        const double known = candidate.estimated ? 0 : load;
+        const double fill = candidate.callsThere ? double(*candidate.callsThere) / slots : known;
+        return fill >= mostLoad ? std::numeric_limits<double>::infinity() : load + commonCost(candidate, random);
     });
 }
 
--- a/src/route/route_test.cpp
+++ b/src/route/route_test.cpp
@@ -332,6 +332,15 @@
     CHECK(Placement::choosePlain(candidates, AnyLoad, noRandom) == std::optional<std::size_t>(0));
     candidates[1].work.requests = 7;
     CHECK(Placement::choosePlain(candidates, 2, noRandom) == std::optional<std::size_t>(1));
+    // What a backend server has told itself goes before an estimate from the calls of one group of routers.
+    candidates[0].callsThere = 7;
+    candidates[1].callsThere = 8;
+    CHECK(Placement::choosePlain(candidates, 2, noRandom) == std::optional<std::size_t>(0));
+    // Guards against refusals by a load that was extrapolated from one group of routers.
+    candidates[0].callsThere = std::nullopt;
+    candidates[0].work.requests = 100;
+    candidates[0].estimated = true;
+    CHECK(Placement::choosePlain(candidates, 2, noRandom) == std::optional<std::size_t>(0));
 }
 
 TEST_CASE("The work of a peer is replaced and expires as a whole")
