--- a/src/cyclamencross/commands.h
+++ b/src/cyclamencross/commands.h
@@ -13,6 +13,7 @@
 int configExplainCommand(int count, const char *const *arguments);
 int statusCommand(int count, const char *const *arguments);
 int drainCommand(int count, const char *const *arguments);
+int explainCommand(int count, const char *const *arguments);
 int crashesCommand(int count, const char *const *arguments);
 int versionCommand(int count, const char *const *arguments);
 
--- a/src/cyclamencross/main.cpp
+++ b/src/cyclamencross/main.cpp
@@ -33,6 +33,7 @@
     Command{"", "status", "print what an entry knows of the fleet", statusCommand},
     Command{"", "drain", "stop an entry gracefully", drainCommand},
     Command{"", "crashes", "list or lift crash containment", crashesCommand},
+    Command{"", "explain", "print what the logs tell of one request", explainCommand},
     Command{"", "version", "print the version", versionCommand},
 };
 
--- a/src/gateway/routerstate.cpp
+++ b/src/gateway/routerstate.cpp
@@ -37,12 +37,16 @@
                                                         TimePoint now) const
 {
     std::vector<PlacementCandidate> result;
-    this->backends.forEach([&](const std::string &id, const BackendServer &server) {
-        if (server.service == service && !server.draining && server.stage == stage && !excluded.contains(id)
-            && !this->backendsOutside.contains(id)) {
-            result.push_back(this->describe(server, zone, now));
+    const auto kind = this->kinds.find({service, stage});
+    if (kind == this->kinds.end()) {
+        return result;
+    }
+    for (const std::string &id : kind->second.own) {
+        const BackendServer *server = this->backends.find(id);
+        if (server != nullptr && !server->draining && !excluded.contains(id)) {
+            result.push_back(this->describe(*server, zone, now));
         }
-    });
+    }
     return result;
 }
 
@@ -50,11 +54,14 @@
                                                            const std::set<std::string> &excluded, TimePoint now)
 {
     std::vector<PlacementCandidate> result;
+    const auto kind = this->kinds.find({service, stage});
+    if (kind == this->kinds.end()) {
+        return result;
+    }
     std::size_t seen = 0;
-    for (const std::string &id : this->backendsOutside) {
+    for (const std::string &id : kind->second.outside) {
         const BackendServer *server = this->backends.find(id);
-        if (server == nullptr || server->service != service || server->draining || server->stage != stage
-            || excluded.contains(id)) {
+        if (server == nullptr || server->draining || excluded.contains(id)) {
             continue;
         }
         // Each of the candidates met so far is in the sample with the same probability.
@@ -149,27 +156,26 @@
     const auto before = std::count_if(this->peersOfGroup.begin(), this->peersOfGroup.end(),
                                       [ownOrder](const RouterMember &peer) { return hash64(peer.name) < ownOrder; });
     this->watcherRank = std::size_t(before);
-    std::map<std::pair<std::string, EngineStage>, std::vector<std::string>> kinds;
-    this->backends.forEach([&kinds](const std::string &id, const BackendServer &server) {
-        kinds[{server.service, server.stage}].push_back(id);
-    });
-    this->backendsOutside.clear();
+    this->kinds.clear();
     this->backendsShared.clear();
-    std::erase_if(this->callsThere, [this](const auto &item) { return this->backends.find(item.first) == nullptr; });
-    for (const auto &[kind, ids] : kinds) {
-        if (this->groups == 1) {
-            continue;
-        }
-        if (ids.size() < this->groups * Subset::MinBackendsPerGroup) {
-            this->backendsShared.insert(ids.begin(), ids.end());
+    std::map<Kind, std::vector<std::string>> byKind;
+    this->backends.forEach([&byKind](const std::string &id, const BackendServer &server) {
+        byKind[{server.service, server.stage}].push_back(id);
+    });
+    for (auto &[kind, ids] : byKind) {
+        Members &members = this->kinds[kind];
+        if (this->groups == 1 || ids.size() < this->groups * Subset::MinBackendsPerGroup) {
+            if (this->groups > 1) {
+                this->backendsShared.insert(ids.begin(), ids.end());
+            }
+            members.own = std::move(ids);
             continue;
         }
         for (const auto &[id, group] : Subset::divide(ids, this->groups)) {
-            if (group != ownGroup) {
-                this->backendsOutside.insert(id);
-            }
+            (group == ownGroup ? members.own : members.outside).push_back(id);
         }
     }
+    std::erase_if(this->callsThere, [this](const auto &item) { return !this->backendsShared.contains(item.first); });
 }
 
 bool RouterState::isUsable(const BackendServer &server) const
--- a/src/gateway/routerstate.h
+++ b/src/gateway/routerstate.h
@@ -118,6 +118,13 @@
     /// Backend servers of other groups that are looked at.
     static constexpr std::size_t OutsideSample = 3;
 
+    using Kind = std::pair<std::string, EngineStage>;
+    /// Ids of the backend servers of one service and stage, so that a choice looks at those of its group only.
+    struct Members
+    {
+        std::vector<std::string> own; ///< Used by this router's group, alone or with all others.
+        std::vector<std::string> outside; ///< Those of other groups.
+    };
     struct PeerSequence
     {
         std::uint64_t incarnation = 0;
@@ -141,7 +148,7 @@
     std::size_t watcherRank = 0; ///< Place of this router among those of its group that may watch.
     TimePoint watcherHeard;
     StoreChanges changes; ///< To be passed on with the next report.
-    std::set<std::string> backendsOutside; ///< Ids of those that belong to other groups.
+    std::map<Kind, Members> kinds;
     std::set<std::string> backendsShared; ///< Ids of those that all groups use.
     std::size_t groups = 1;
 
