--- a/src/gateway/fleetsync.h
+++ b/src/gateway/fleetsync.h
@@ -32,7 +32,7 @@
     /// Well below the time in which changes must be known, in case the first one is lost.
     static constexpr Millis StandbyGatherPause{900};
     /// Changes that peers have seen this long ago are asked for, whatever the watch does.
-    static constexpr Millis CatchUpAfter{400};
+    static constexpr Millis CatchUpAfter{800};
     /// How long an entry that lapsed during an outage of the store is kept: living servers are back within two seconds.
     static constexpr Millis LapseHold{2000};
     /// Lifetime of this router's registration; three renewals may be lost.
--- a/src/gateway/streamrun.cpp
+++ b/src/gateway/streamrun.cpp
@@ -21,6 +21,9 @@
 
 // Decode engines that one request is offered to at the most, whatever the route allows.
 constexpr int MaxDecodeCalls = 6;
+// Engines that can't be reached before a stream is given up. Half of a group's engines may be lost at once, and a
+// request that was not sent costs nothing but the time to connect; the wait for room ends first where that takes long.
+constexpr int MaxUnreachableEngines = 12;
 // A prefill call is given up after this many times its expected duration; the decode engine then reads the prompt.
 constexpr double PrefillPatience = 4;
 constexpr Millis LeastPrefillPatience{400};
@@ -99,8 +102,9 @@
     if (reserved) {
         co_await this->prefill();
     }
-    for (int calls = 0; calls < MaxDecodeCalls && this->engine && !this->isOver(); ++calls) {
-        if (this->unreachable >= MaxUnreachable) {
+    int calls = 0;
+    while (calls < MaxDecodeCalls && this->engine && !this->isOver()) {
+        if (this->unreachable >= MaxUnreachableEngines) {
             break;
         }
         if (!this->mayArrive()) {
@@ -109,6 +113,7 @@
         }
         const bool withMemory = this->memory.has_value();
         const Step step = co_await this->decode();
+        calls += step == Step::Unreachable ? 0 : 1;
         if (step == Step::Done) {
             co_return;
         }
@@ -149,7 +154,7 @@
             continue;
         }
         const TimePoint now = Clock::now();
-        if (turn == RoomWait::Turn::End || this->unreachable >= MaxUnreachable) {
+        if (turn == RoomWait::Turn::End || this->unreachable >= MaxUnreachableEngines) {
             this->failure = "no-room";
             break;
         }
