Close gaps between passed-on changes; look for room a last time when a wait ends

Found in reading: changes of a list merged with earlier ones claimed revisions between them that neither held; an item on a later page of a list counted the changes before it as known; a route without targets would have got no look for room at all; a plain call with no backend server waited for nothing. The first two have tests.

--- a/src/gateway/fleetsync.cpp
+++ b/src/gateway/fleetsync.cpp
@@ -203,8 +203,9 @@
     };
     applyNew(page.items);
     applyNew(this->missing(prefix, page));
-    // The last changes may be removals or replaced ones, of which a list shows no trace.
-    this->state.storeRevision = std::max(this->state.storeRevision, page.revision);
+    // The last changes may be removals or replaced ones, of which a list shows no trace. Later pages may hold newer
+    // items, but not each change up to them.
+    this->state.storeRevision = std::max(changes.after, page.revision);
     this->state.regroup();
     if (changes.after > 0 && changes.upTo > changes.after && this->state.isChosenWatcher()) {
         this->state.passOnChanges(changes);
--- a/src/gateway/pieces_test.cpp
+++ b/src/gateway/pieces_test.cpp
@@ -273,6 +273,24 @@
     CHECK(state.storeRevision == 10);
 }
 
+TEST_CASE("An item that is newer than its list does not hide changes before it")
+{
+    // Guards against a change that falls between two pages of a list and is then taken as known.
+    boost::asio::io_context context;
+    RouterState state(context.get_executor(), RouterSettings(), 1);
+    StateStore store;
+    store.list = [](std::string /*prefix*/) -> StoreCall<StorePage> {
+        co_return StorePage{{StoreItem{"servers/z", "x", 13, false}}, 10};
+    };
+    store.watch = waitingWatch;
+    FleetSync sync(state, store, codecOfPlainEntries());
+    boost::asio::co_spawn(context, sync.follow(""), boost::asio::detached);
+    context.run_for(Millis(50));
+    const std::vector<StoreItem> both{StoreItem{"servers/a", "x", 12, false}, StoreItem{"servers/z", "x", 13, false}};
+    state.onPeerChanges(StoreChanges{10, 13, false, both});
+    CHECK(state.backends.find("a") != nullptr);
+}
+
 TEST_CASE("A watcher that had to read everything tells its peers the difference")
 {
     // Guards against whole reads by every router of a group after the watches of its watchers were cut.
@@ -306,6 +324,22 @@
     CHECK(report->changes == StoreChanges{10, 20, true, {added, StoreItem{"servers/a", "", 20, true}}});
 }
 
+TEST_CASE("Changes that are passed on together have no gap between them")
+{
+    // Guards against peers that count changes as known which neither of two messages held.
+    boost::asio::io_context context;
+    RouterState state(context.get_executor(), RouterSettings(), 1);
+    const StoreItem first{"servers/a", "x", 12, false};
+    const StoreItem second{"servers/b", "x", 14, false};
+    const StoreItem third{"servers/c", "x", 31, false};
+    state.passOnChanges(StoreChanges{10, 12, false, {first}});
+    state.passOnChanges(StoreChanges{12, 14, false, {second}});
+    CHECK(state.takeReport(Clock::now())->changes == StoreChanges{10, 14, false, {first, second}});
+    state.passOnChanges(StoreChanges{10, 12, false, {first}});
+    state.passOnChanges(StoreChanges{30, 31, true, {third}});
+    CHECK(state.takeReport(Clock::now())->changes == StoreChanges{30, 31, true, {third}});
+}
+
 TEST_CASE("The load of engines that several groups share counts for all groups")
 {
     // Guards against engines that look half empty to each of two groups and refuse one reservation after the other
--- a/src/gateway/plainrun.cpp
+++ b/src/gateway/plainrun.cpp
@@ -89,9 +89,11 @@
         const bool othersOnTime = this->state.waiting->total(this->service).requests > (waiting ? 1 : 0);
         const RoomWait::Turn turn = wait.turn(now, othersOnTime);
         const auto candidates = this->candidates();
-        const bool room = candidates.empty()
-            || Placement::choosePlain(candidates, 1 + Placement::PlainQueueShare, [] { return 0.0; }).has_value();
-        found = turn == RoomWait::Turn::Look && room;
+        if (candidates.empty()) {
+            co_return true; // There is nothing to wait for.
+        }
+        const auto room = Placement::choosePlain(candidates, 1 + Placement::PlainQueueShare, [] { return 0.0; });
+        found = turn != RoomWait::Turn::Yield && room;
         if (found || turn == RoomWait::Turn::End) {
             break;
         }
--- a/src/gateway/routerstate.cpp
+++ b/src/gateway/routerstate.cpp
@@ -117,7 +117,9 @@
 
 void RouterState::passOnChanges(const StoreChanges &more)
 {
-    if (this->changes.upTo == 0) {
+    if (this->changes.upTo == 0 || this->changes.upTo < more.after) {
+        // What lies between was learned from a peer and is not in these changes.
+        this->changes = StoreChanges();
         this->changes.after = more.after;
     }
     this->changes.upTo = std::max(this->changes.upTo, more.upTo);
--- a/src/gateway/streamrun.cpp
+++ b/src/gateway/streamrun.cpp
@@ -145,7 +145,7 @@
     while (!this->isOver()) {
         const bool othersOnTime = this->state.waiting->total(this->service).requests > (waiting ? 1 : 0);
         const RoomWait::Turn turn = wait.turn(Clock::now(), othersOnTime);
-        if (turn == RoomWait::Turn::Look && this->chooseDecode()) {
+        if (turn != RoomWait::Turn::Yield && this->chooseDecode()) {
             const bool taken = co_await this->takeHold();
             if (taken) {
                 this->logDecode();
--- a/src/include/cyclamencross/route/roomwait.h
+++ b/src/include/cyclamencross/route/roomwait.h
@@ -15,7 +15,7 @@
     enum class Turn {
         Look, ///< Look for room.
         Yield, ///< Leave the room to requests that can still be on time.
-        End, ///< Waiting longer serves nobody.
+        End, ///< Look for room a last time; waiting longer serves nobody.
     };
 
     /// Pauses between two looks for room, of requests that can still be on time and of late ones. The longer one gives
