Stand-in servers of the tests wait until they run

The engine's load was read all through the 85 s but for four times, so its server was alive after the test had stopped it; a program of ten lines that stops before the listener starts hangs in the same way. Ruled out: a lost grant (no call was pending).

--- a/src/fleet/fleetservice_test.cpp
+++ b/src/fleet/fleetservice_test.cpp
@@ -37,6 +37,10 @@
     {
         this->port = this->server.bind_to_any_port("127.0.0.1");
         this->thread = std::thread([this] { this->server.listen_after_bind(); });
+        // A stop before the server runs has no effect, and the destructor would wait for its thread for ever.
+        while (!this->server.is_running()) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        }
     }
     ~TestServer()
     {
--- a/src/net/controlbytes_test.cpp
+++ b/src/net/controlbytes_test.cpp
@@ -52,6 +52,9 @@
     });
     const int port = server.bind_to_any_port("127.0.0.1");
     std::thread listener([&] { server.listen_after_bind(); });
+    while (!server.is_running()) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
     const auto reply = callPeer("127.0.0.1:" + std::to_string(port),
                                 HttpRequest{"POST", "/peer/call", {}, std::string(20, 'x')}, Key, Millis(10000));
     server.stop();
--- a/src/net/net_test.cpp
+++ b/src/net/net_test.cpp
@@ -191,6 +191,9 @@
     });
     const int port = server.bind_to_any_port("127.0.0.1");
     std::thread thread([&server] { server.listen_after_bind(); });
+    while (!server.is_running()) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
     const auto reply = callPeer("127.0.0.1:" + std::to_string(port),
                                 HttpRequest{"POST", "/peer/call?key=a%20b&c=d", {}, "body"}, Key, Millis(5000));
     REQUIRE(reply);
