Tests share their servers, exchanges and routers

One TestServer for the five tests that ran cpp-httplib by hand, each with its own wait for the start; one exchange and runFor() in FakePlatform; one fixture for routers that follow a store. pieces_test.cpp is divided by what is tested (fleetsync_test, routerstate_test). The soak takes its ports from the harness, below the range of outgoing connections.

--- a/src/fleet/fleetservice_test.cpp
+++ b/src/fleet/fleetservice_test.cpp
@@ -1,6 +1,8 @@
 #include "fakekeyvalue.h"
 #include "keyvaluewatch.h"
 
+#include "../testserver.h"
+
 #include "cyclamencross/base/controlsystem.h"
 #include "cyclamencross/base/metrics.h"
 #include "cyclamencross/fleet/fleetservice.h"
@@ -30,32 +32,6 @@
     return false;
 }
 
-// An HTTP server on loopback that runs until it goes out of scope.
-struct TestServer
-{
-    void start()
-    {
-        this->port = this->server.bind_to_any_port("127.0.0.1");
-        this->thread = std::thread([this] { this->server.listen_after_bind(); });
-        // A stop before the server runs has no effect, and the destructor would wait for its thread for ever.
-        while (!this->server.is_running()) {
-            std::this_thread::sleep_for(std::chrono::milliseconds(1));
-        }
-    }
-    ~TestServer()
-    {
-        this->server.stop();
-        this->thread.join();
-    }
-    std::string address() const
-    {
-        return "127.0.0.1:" + std::to_string(this->port);
-    }
-    httplib::Server server;
-    int port = 0;
-    std::thread thread;
-};
-
 // The platform's host list and key-value service, without a watch.
 struct Platform
 {
--- /dev/null
+++ b/src/gateway/fleetsync_test.cpp
@@ -0,0 +1,144 @@
+#include "awaiting.h"
+#include "fleetsync.h"
+#include "peerreport.h"
+#include "routerstate.h"
+
+#include <memory>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+
+using namespace Cyclamen;
+
+namespace
+{
+
+FleetCodec codecOfPlainEntries()
+{
+    FleetCodec codec;
+    codec.configKey = "op/config";
+    codec.backendPrefix = "servers/";
+    codec.decodeConfig = [](std::string_view /*value*/) { return InvalidSetting{}; };
+    codec.decodeBackend = [](const std::string &id, std::string_view /*value*/) {
+        return BackendServer{id, "s", "10.0.0.1:1", "z", false, EngineStage::None, 1, 0};
+    };
+    return codec;
+}
+
+StoreCall<StorePage> waitingWatch(std::string /*prefix*/, std::uint64_t /*after*/, Millis /*wait*/)
+{
+    co_await sleepFor(Millis(100000));
+    co_return StorePage{};
+}
+
+// A router that follows a store, of which a test sets the answers.
+struct FollowingRouter
+{
+    FollowingRouter()
+    {
+        this->store.watch = waitingWatch;
+        this->store.cancelWatch = [] {};
+    }
+
+    void follow(Millis duration, bool catchUp = false)
+    {
+        this->sync = std::make_unique<FleetSync>(this->state, this->store, codecOfPlainEntries());
+        boost::asio::co_spawn(this->context, this->sync->follow(""), boost::asio::detached);
+        if (catchUp) {
+            boost::asio::co_spawn(this->context, this->sync->catchUp(""), boost::asio::detached);
+        }
+        this->context.run_for(duration);
+    }
+
+    std::unique_ptr<FleetSync> sync;
+    boost::asio::io_context context;
+    RouterState state{context.get_executor(), RouterSettings(), 1};
+    StateStore store;
+};
+}
+
+TEST_CASE("Changes from a peer apply only if none is missing before them")
+{
+    // Guards against a configuration that a router never gets because a datagram was lost.
+    FollowingRouter router;
+    router.store.list = [](std::string /*prefix*/) -> StoreCall<StorePage> { co_return StorePage{{}, 10}; };
+    router.follow(Millis(50));
+    router.state.onPeerChanges(StoreChanges{0, 11, false, {StoreItem{"servers/a", "x", 11, false}}});
+    CHECK(router.state.backends.find("a") != nullptr);
+    router.state.onPeerChanges(StoreChanges{12, 13, false, {StoreItem{"servers/b", "x", 13, false}}});
+    CHECK(router.state.backends.find("b") == nullptr);
+    const std::vector<StoreItem> two{StoreItem{"servers/a", "", 12, true}, StoreItem{"servers/c", "x", 13, false}};
+    router.state.onPeerChanges(StoreChanges{11, 13, false, two});
+    CHECK(router.state.backends.find("a") == nullptr);
+    CHECK(router.state.backends.find("c") != nullptr);
+    router.state.onPeerChanges(StoreChanges{0, 11, false, {StoreItem{"servers/a", "x", 11, false}}});
+    CHECK(router.state.backends.find("a") == nullptr);
+    // A difference from revision 10 may lack what this router has learned since.
+    router.state.onPeerChanges(StoreChanges{10, 15, true, {StoreItem{"servers/d", "x", 14, false}}});
+    CHECK(router.state.backends.find("d") == nullptr);
+    router.state.onPeerChanges(StoreChanges{13, 15, true, {StoreItem{"servers/d", "x", 14, false}}});
+    CHECK(router.state.backends.find("d") != nullptr);
+    CHECK(router.state.storeRevision == 15);
+}
+
+TEST_CASE("A list tells all changes up to its revision, also those that left no item")
+{
+    // Guards against a router that reads the store again and again because the newest change was a removal
+    // (obrzil-grown, day scale-1: eleven routers read everything twice a second for the rest of the day).
+    FollowingRouter router;
+    int lists = 0;
+    router.store.list = [&lists](std::string /*prefix*/) -> StoreCall<StorePage> {
+        ++lists;
+        co_return StorePage{{StoreItem{"servers/a", "x", 5, false}}, 10};
+    };
+    PeerReport report;
+    report.router = "r1";
+    report.sequence = 1;
+    report.storeRevision = 10;
+    router.state.addReport(report, Clock::now());
+    router.follow(FleetSync::CatchUpAfter + Millis(300), true);
+    CHECK(lists == 1);
+    CHECK(router.state.storeRevision == 10);
+}
+
+TEST_CASE("An item that is newer than its list does not hide changes before it")
+{
+    // Guards against a change that falls between two pages of a list and is then taken as known.
+    FollowingRouter router;
+    router.store.list = [](std::string /*prefix*/) -> StoreCall<StorePage> {
+        co_return StorePage{{StoreItem{"servers/z", "x", 13, false}}, 10};
+    };
+    router.follow(Millis(50));
+    const std::vector<StoreItem> both{StoreItem{"servers/a", "x", 12, false}, StoreItem{"servers/z", "x", 13, false}};
+    router.state.onPeerChanges(StoreChanges{10, 13, false, both});
+    CHECK(router.state.backends.find("a") != nullptr);
+}
+
+TEST_CASE("A watcher that had to read everything tells its peers the difference")
+{
+    // Guards against whole reads by every router of a group after the watches of its watchers were cut.
+    FollowingRouter router;
+    int lists = 0;
+    const StoreItem added{"servers/b", "x", 18, false};
+    router.store.list = [&lists, added](std::string /*prefix*/) -> StoreCall<StorePage> {
+        const StoreItem first{"servers/a", "x", 5, false};
+        StorePage page{{first, StoreItem{"servers/k", "x", 4, false}}, 10};
+        if (++lists > 1) {
+            page = StorePage{{StoreItem{"servers/k", "x", 4, false}, added}, 20};
+        }
+        co_return page;
+    };
+    router.store.watch = [&lists](std::string prefix, std::uint64_t after, Millis wait) -> StoreCall<StorePage> {
+        if (lists == 1) {
+            co_return StoreFailure{StoreFailure::Kind::HistoryGone, ""};
+        }
+        co_return co_await waitingWatch(prefix, after, wait);
+    };
+    router.follow(Millis(100));
+    REQUIRE(lists == 2);
+    const auto report = router.state.takeReport(Clock::now());
+    REQUIRE(report);
+    CHECK(report->changes == StoreChanges{10, 20, true, {added, StoreItem{"servers/a", "", 20, true}}});
+}
--- a/src/grant/grantservice_test.cpp
+++ b/src/grant/grantservice_test.cpp
@@ -1,5 +1,7 @@
 #include "cyclamencross/grant/grantservice.h"
 
+#include "../testserver.h"
+
 #include "cyclamencross/base/controlsystem.h"
 #include "cyclamencross/base/hash.h"
 #include "cyclamencross/base/metrics.h"
@@ -14,7 +16,6 @@
 #include <vector>
 
 #include <catch2/catch.hpp>
-#include <httplib.h>
 #include <nlohmann/json.hpp>
 
 using namespace Cyclamen;
@@ -36,11 +37,11 @@
 public:
     explicit FakeEngine(std::uint32_t slots)
     {
-        this->server.Get("/v1/load", [this, slots](const httplib::Request &, httplib::Response &reply) {
+        this->http.server.Get("/v1/load", [this, slots](const httplib::Request &, httplib::Response &reply) {
             const std::scoped_lock lock(this->mutex);
             reply.set_content(nlohmann::json{{"slots", slots}, {"held", this->held.size()}}.dump(), "application/json");
         });
-        this->server.Get("/v1/requests", [this](const httplib::Request &, httplib::Response &reply) {
+        this->http.server.Get("/v1/requests", [this](const httplib::Request &, httplib::Response &reply) {
             const std::scoped_lock lock(this->mutex);
             nlohmann::json list = nlohmann::json::array();
             for (const std::string &id : this->held) {
@@ -48,23 +49,14 @@
             }
             reply.set_content(nlohmann::json{{"requests", list}}.dump(), "application/json");
         });
-        this->server.Post("/v1/cancel", [this](const httplib::Request &request, httplib::Response &reply) {
+        this->http.server.Post("/v1/cancel", [this](const httplib::Request &request, httplib::Response &reply) {
             const std::scoped_lock lock(this->mutex);
             const bool known =
                 this->held.erase(nlohmann::json::parse(request.body).at("request_id").get<std::string>()) > 0;
             reply.set_content(nlohmann::json{{"cancelled", known}}.dump(), "application/json");
         });
-        this->address = "127.0.0.1:" + std::to_string(this->server.bind_to_any_port("127.0.0.1"));
-        this->thread = std::thread([this] { this->server.listen_after_bind(); });
-        // A stop before the server runs has no effect, and the destructor would wait for its thread for ever.
-        while (!this->server.is_running()) {
-            std::this_thread::sleep_for(std::chrono::milliseconds(1));
-        }
-    }
-    ~FakeEngine()
-    {
-        this->server.stop();
-        this->thread.join();
+        this->http.start();
+        this->address = this->http.address();
     }
     void hold(const std::string &id)
     {
@@ -80,10 +72,9 @@
     std::string address;
 
 private:
-    httplib::Server server;
     std::mutex mutex;
     std::set<std::string> held;
-    std::thread thread;
+    TestServer http; ///< Last, so that it stops before what its handlers use goes.
 };
 
 // Entries that exchange datagrams through function calls; those to a silenced entry are lost.
--- a/src/net/controlbytes_test.cpp
+++ b/src/net/controlbytes_test.cpp
@@ -1,13 +1,13 @@
+#include "../testserver.h"
+
 #include "cyclamencross/base/metrics.h"
 #include "cyclamencross/base/processmetrics.h"
 #include "cyclamencross/net/datagramport.h"
 #include "cyclamencross/net/peerhttp.h"
 
 #include <future>
-#include <thread>
 
 #include <catch2/catch.hpp>
-#include <httplib.h>
 
 using namespace Cyclamen;
 
@@ -46,19 +46,14 @@
     CHECK(datagram > 100);
     CHECK(controlBytes("received") - received == datagram);
 
-    httplib::Server server;
-    server.Post("/peer/call", [](const httplib::Request &, httplib::Response &response) {
+    TestServer server;
+    server.server.Post("/peer/call", [](const httplib::Request &, httplib::Response &response) {
         response.set_content(std::string(30, 'y'), "text/plain");
     });
-    const int port = server.bind_to_any_port("127.0.0.1");
-    std::thread listener([&] { server.listen_after_bind(); });
-    while (!server.is_running()) {
-        std::this_thread::sleep_for(std::chrono::milliseconds(1));
-    }
-    const auto reply = callPeer("127.0.0.1:" + std::to_string(port),
-                                HttpRequest{"POST", "/peer/call", {}, std::string(20, 'x')}, Key, Millis(10000));
+    server.start();
+    const auto reply =
+        callPeer(server.address(), HttpRequest{"POST", "/peer/call", {}, std::string(20, 'x')}, Key, Millis(10000));
     server.stop();
-    listener.join();
     REQUIRE(reply);
     CHECK(controlBytes("sent") - sent == datagram + 20);
     CHECK(controlBytes("received") - received == datagram + 30);
--- a/src/net/net_test.cpp
+++ b/src/net/net_test.cpp
@@ -1,6 +1,8 @@
 #include "envelope.h"
 #include "replayguard.h"
 
+#include "../testserver.h"
+
 #include "cyclamencross/base/failures.h"
 #include "cyclamencross/base/metrics.h"
 #include "cyclamencross/net/datagramport.h"
@@ -13,7 +15,6 @@
 #include <arpa/inet.h>
 #include <boost/leaf/handle_errors.hpp>
 #include <catch2/catch.hpp>
-#include <httplib.h>
 #include <rapidcheck.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -181,24 +182,18 @@
 // Guards against a target that is re-encoded after signing, which the receiver would refuse.
 TEST_CASE("a signed call arrives authentic")
 {
-    httplib::Server server;
+    TestServer server;
     bool authentic = false;
-    server.Post(".*", [&](const httplib::Request &request, httplib::Response &response) {
+    server.server.Post(".*", [&](const httplib::Request &request, httplib::Response &response) {
         HttpRequest received{request.method, request.target, {}, request.body};
         received.headers["Peer-Signature"] = request.get_header_value("Peer-Signature");
         authentic = isAuthentic(received, Key, unixSeconds());
         response.set_content("fine", "text/plain");
     });
-    const int port = server.bind_to_any_port("127.0.0.1");
-    std::thread thread([&server] { server.listen_after_bind(); });
-    while (!server.is_running()) {
-        std::this_thread::sleep_for(std::chrono::milliseconds(1));
-    }
-    const auto reply = callPeer("127.0.0.1:" + std::to_string(port),
-                                HttpRequest{"POST", "/peer/call?key=a%20b&c=d", {}, "body"}, Key, Millis(5000));
+    server.start();
+    const auto reply =
+        callPeer(server.address(), HttpRequest{"POST", "/peer/call?key=a%20b&c=d", {}, "body"}, Key, Millis(5000));
     REQUIRE(reply);
     CHECK(reply->body == "fine");
     CHECK(authentic);
-    server.stop();
-    thread.join();
 }
--- a/src/proxy/fakeengine_test.h
+++ b/src/proxy/fakeengine_test.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "../testserver.h"
+
 #include <atomic>
 #include <chrono>
 #include <functional>
@@ -30,12 +32,8 @@
             }
             handler(request, response);
         };
-        this->server.Get("/.*", any).Post("/.*", any).Put("/.*", any);
-        this->port = this->server.bind_to_any_port("127.0.0.1");
-        this->thread = std::thread([this] { this->server.listen_after_bind(); });
-        while (!this->server.is_running()) {
-            std::this_thread::sleep_for(std::chrono::milliseconds(1));
-        }
+        this->http.server.Get("/.*", any).Post("/.*", any).Put("/.*", any);
+        this->http.start();
     }
 
     ~FakeBackend()
@@ -46,15 +44,12 @@
     void stop()
     {
         this->stopping = true;
-        this->server.stop();
-        if (this->thread.joinable()) {
-            this->thread.join();
-        }
+        this->http.stop();
     }
 
     std::string address() const
     {
-        return "127.0.0.1:" + std::to_string(this->port);
+        return this->http.address();
     }
 
     /// Replaces the answer at @p path.
@@ -118,7 +113,6 @@
 
     std::atomic<bool> cut{false}; ///< A hanging stream was closed by the peer.
     std::atomic<bool> stopping{false};
-    int port = 0;
 
 private:
     static Handler usual(const std::string &path)
@@ -151,6 +145,5 @@
     mutable std::mutex mutex;
     std::vector<httplib::Request> seen;
     std::map<std::string, Handler> handlers;
-    httplib::Server server;
-    std::thread thread;
+    Cyclamen::TestServer http;
 };
--- a/testsuite/soak/fleet.py
+++ b/testsuite/soak/fleet.py
@@ -3,7 +3,6 @@
 import json
 import os
 import signal
-import socket
 import sys
 import time
 
@@ -11,6 +10,8 @@
 import wirehttp
 
 HERE = os.path.dirname(os.path.abspath(__file__))
+sys.path.append(os.path.dirname(HERE))
+from harness import free_ports  # noqa: E402
 ROUTER_SETTINGS = """[router]
 name = {name}
 zone = z1
@@ -35,17 +36,6 @@
 """
 
 
-def free_ports(count):
-    """Returns ports that are free now."""
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind(("127.0.0.1", 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
-    return ports
-
-
 class Process:
     """One process that the soak has started. Only its own id is ever signalled."""
 
