Router: place streams by a forecast of the KV cache over time

Decode engines were filled by the sum of the final sizes, so a fifth of their KV cache stayed unused while callers waited and were refused; and the callers' estimates of the output scatter by a factor of 1.6, so engines still ran out of memory and preempted streams.

Change: KvCacheForecast holds the expected tokens at nine times from now; it is a sum over requests, so routers report it for each engine as they did the sum. A stream updates its part as it runs. OutputEstimator combines the caller's estimate with the usual output of the route, weighted by their scatter, and learns tokens per event and pace from completed streams of the whole group. The expected peak may take 0.9 of an engine's KV cache. A reservation at the engine covers the prompt and a quarter of the output. A caller that is refused for lack of capacity is told to return after a fifth to a third of its remaining time (RetryAfter): before, it came back in the middle of the same burst and was refused for good. request-end logs prompt, limit, estimate and events.

--- a/src/gateway/capacitywaiter.cpp
+++ b/src/gateway/capacitywaiter.cpp
@@ -25,7 +25,8 @@
     if (!this->wait.isOnTime(now)) {
         this->reservation = nullptr;
     } else if (!this->reservation) {
-        this->reservation = std::make_unique<WorkReservation>(this->state.waiting, this->service, BackendWork{1, 0, 0});
+        this->reservation =
+            std::make_unique<WorkReservation>(this->state.waiting, this->service, BackendWork{1, 0, {}});
     }
     co_await sleepFor(this->wait.retryDelay(now, this->state.random()));
 }
--- a/src/gateway/peerreport.cpp
+++ b/src/gateway/peerreport.cpp
@@ -3,6 +3,7 @@
 #include <sstream>
 
 #include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/array.hpp>
 #include <cereal/types/map.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
@@ -13,7 +14,15 @@
 template<typename Archive>
 void serialize(Archive &archive, BackendWork &work)
 {
-    archive(work.requests, work.promptTokens, work.kvCacheTokens);
+    KvCacheForecast::Tokens tokens = work.kvCache.tokens();
+    archive(work.requests, work.promptTokens, tokens);
+    work.kvCache = KvCacheForecast(tokens);
+}
+
+template<typename Archive>
+void serialize(Archive &archive, StreamSample &sample)
+{
+    archive(sample.route, sample.service, sample.expectedTokens, sample.events, sample.millisPerEvent);
 }
 
 template<typename Archive>
@@ -45,7 +54,7 @@
 {
     archive(report.watching, report.changes);
     archive(report.router, report.incarnation, report.sequence, report.storeRevision, report.work, report.waiting,
-            report.reportedCalls, report.outcomes, report.crashes);
+            report.reportedCalls, report.outcomes, report.streams, report.crashes);
 }
 
 std::string encodePeerReport(const PeerReport &report)
--- a/src/gateway/peerreport.h
+++ b/src/gateway/peerreport.h
@@ -4,6 +4,7 @@
 
 #include "cyclamencross/base/crashreport.h"
 #include "cyclamencross/route/backendwork.h"
+#include "cyclamencross/route/streamsample.h"
 
 #include <cstdint>
 #include <map>
@@ -39,6 +40,7 @@
     /// Number of calls that backend servers reported in their latest responses.
     std::map<std::string, std::int64_t> reportedCalls;
     std::map<std::string, Outcomes> outcomes; ///< By backend server, since the last report.
+    std::vector<StreamSample> streams; ///< Streams completed since the last report.
     std::vector<CrashReport> crashes; ///< Recent crashes, repeated in several reports.
 
     bool operator==(const PeerReport &) const = default;
--- a/src/gateway/pieces_test.cpp
+++ b/src/gateway/pieces_test.cpp
@@ -59,7 +59,7 @@
     report.incarnation = 3;
     report.sequence = 4;
     report.storeRevision = 9;
-    report.work["e"] = BackendWork{1, 2, 3};
+    report.work["e"] = BackendWork{1, 2, KvCacheForecast::constant(3)};
     report.outcomes["e"] = PeerReport::Outcomes{1, 2, 3};
     report.crashes.push_back(CrashReport{1, "e", "r1", 2});
     const std::string bytes = encodePeerReport(report);
--- a/src/gateway/plainrequesthandler.cpp
+++ b/src/gateway/plainrequesthandler.cpp
@@ -105,7 +105,7 @@
 
 boost::asio::awaitable<PlainRequestHandler::AttemptResult> PlainRequestHandler::attempt(BackendServer server)
 {
-    const WorkReservation reservation(this->state.work, server.id, BackendWork{1, 0, 0});
+    const WorkReservation reservation(this->state.work, server.id, BackendWork{1, 0, {}});
     const bool open = co_await this->openConnection(server, !this->route.mayRepeat());
     if (!open) {
         this->failure = "unreachable";
--- a/src/gateway/requesthandler.cpp
+++ b/src/gateway/requesthandler.cpp
@@ -7,6 +7,7 @@
 #include "cyclamencross/base/hash.h"
 #include "cyclamencross/base/logline.h"
 #include "cyclamencross/gateway/httpclientconnection.h"
+#include "cyclamencross/route/retryafter.h"
 
 #include <algorithm>
 
@@ -210,7 +211,7 @@
     }
     if (!this->mayHaveExecuted) {
         this->outcome = "refused:" + reason;
-        co_await this->session.reply(503, "", this->codec.refusalHeaders(this->state.retryAfterDelay()), "");
+        co_await this->session.reply(503, "", this->codec.refusalHeaders(this->retryAfterDelay()), "");
         co_return;
     }
     this->outcome = "failed:" + reason;
@@ -218,6 +219,12 @@
     co_await this->session.reply(late ? 504 : 502, "", HeaderList(), "");
 }
 
+Millis RequestHandler::retryAfterDelay()
+{
+    return this->overloaded ? RetryAfter::afterOverload(this->callerTimeLeft(), this->state.random())
+                            : this->state.retryAfterDelay();
+}
+
 boost::asio::awaitable<void> RequestHandler::forwardResponse(std::string body)
 {
     this->outcome = "answered";
@@ -240,6 +247,12 @@
     return std::chrono::duration_cast<Millis>(this->deadline - Clock::now());
 }
 
+Millis RequestHandler::callerTimeLeft() const
+{
+    const Millis allowed = this->request.timeLeft.value_or(this->route.timeout);
+    return allowed - std::chrono::duration_cast<Millis>(Clock::now() - this->request.received);
+}
+
 std::uint64_t RequestHandler::fingerprint() const
 {
     return hash64(this->request.body, hash64(this->request.target));
@@ -265,6 +278,10 @@
         .add("first_ms", this->timeToFirstChunk ? this->timeToFirstChunk->count() : std::int64_t(-1))
         .add("longest_pause_ms", std::int64_t(this->longestChunkGap.count()))
         .add("allowed_ms", this->request.timeLeft ? this->request.timeLeft->count() : std::int64_t(-1))
+        .add("prompt_tokens", this->request.promptTokens)
+        .add("max_output", this->request.maxOutputTokens)
+        .add("expected_output", this->request.expectedOutputTokens)
+        .add("events", this->eventCount)
         .add("ms", std::int64_t(seconds * 1000))
         .write();
 }
--- a/src/gateway/requesthandler.h
+++ b/src/gateway/requesthandler.h
@@ -87,6 +87,10 @@
     /// Returns whether the route allows another attempt.
     bool hasAttemptsLeft() const;
     Millis timeLeft() const;
+    /// Returns how long the caller still waits, which may be longer than the route allows this request to take.
+    Millis callerTimeLeft() const;
+    /// Returns the delay after which the caller should return if the request is refused now.
+    Millis retryAfterDelay();
 
     RouterState &state;
     const BackendCodec &codec;
@@ -102,12 +106,14 @@
     int budgetedCalls = 0; ///< Calls, including the first one, that count against the retry budget.
     int unreachableCount = 0; ///< Backend servers that could not be reached.
     bool mayHaveExecuted = false; ///< A backend server may have executed the request.
+    bool overloaded = false; ///< No backend server had capacity for as long as the request may wait.
     bool retryReserved = false; ///< A retry was taken from the budget and not sent yet.
     BackendResponseHead response; ///< Head of the current response.
     std::string failure; ///< Reason why the last call failed.
     std::string outcome; ///< For the log and the metrics.
     /// From the receipt of the request to the first chunk sent to the caller; for the log.
     std::optional<Millis> timeToFirstChunk;
+    std::int64_t eventCount = 0; ///< Events forwarded to the caller; for the log.
     Millis longestChunkGap{0}; ///< Between two chunks sent to the caller; for the log.
 
 private:
--- a/src/gateway/routerstate.cpp
+++ b/src/gateway/routerstate.cpp
@@ -1,6 +1,7 @@
 #include "routerstate.h"
 
 #include "cyclamencross/base/hash.h"
+#include "cyclamencross/route/retryafter.h"
 #include "cyclamencross/route/subsetting.h"
 
 #include <algorithm>
@@ -15,10 +16,6 @@
 constexpr double PeerOutcomeWeight = 0.5;
 // Maximum number of outcomes of each type that count per report, so that one peer alone does not decide.
 constexpr std::uint32_t MaxPeerOutcomes = 4;
-// Delay before a refused caller retries. The minimum lets a burst of a few hundred milliseconds pass; the random spread
-// is of the same order.
-constexpr std::int64_t MinRetryAfterMillis = 150;
-constexpr std::int64_t RetryAfterSpreadMillis = 350;
 
 }
 
@@ -85,7 +82,7 @@
         // Extrapolates from this group's work, since the work that the other groups place there is not reported.
         candidate.work.requests *= std::int64_t(this->groupCount);
         candidate.work.promptTokens *= std::int64_t(this->groupCount);
-        candidate.work.kvCacheTokens *= std::int64_t(this->groupCount);
+        candidate.work.kvCache *= std::int64_t(this->groupCount);
         const auto reported = this->reportedCalls.find(server.id);
         if (reported != this->reportedCalls.end() && now - reported->second.second <= ReportedLoadLifetime) {
             candidate.reportedCalls = reported->second.first;
@@ -204,6 +201,14 @@
     }
 }
 
+void RouterState::recordStream(const StreamSample &sample)
+{
+    this->outputEstimator.record(sample);
+    if (this->pendingStreams.size() < MaxReportedStreams) {
+        this->pendingStreams.push_back(sample);
+    }
+}
+
 void RouterState::markFull(const std::string &backend, TimePoint now)
 {
     std::erase_if(this->fullUntil, [now](const auto &item) { return item.second <= now; });
@@ -238,6 +243,7 @@
     report.waiting = this->waiting->own();
     report.reportedCalls = std::exchange(this->pendingReportedCalls, {});
     report.outcomes = std::exchange(this->pendingOutcomes, {});
+    report.streams = std::exchange(this->pendingStreams, {});
     for (const auto &[time, crash] : this->recentCrashes) {
         report.crashes.push_back(crash);
     }
@@ -285,6 +291,9 @@
             addOutcomes(CallOutcome::Served, outcomes.served);
         }
     }
+    for (const StreamSample &sample : report.streams) {
+        this->outputEstimator.record(sample);
+    }
     for (const CrashReport &crash : report.crashes) {
         this->crashHistory.add(crash);
     }
@@ -297,7 +306,7 @@
 
 Millis RouterState::retryAfterDelay()
 {
-    return Millis(MinRetryAfterMillis + std::int64_t(this->random() * double(RetryAfterSpreadMillis)));
+    return RetryAfter::afterDisturbance(this->random());
 }
 
 std::size_t RouterState::routerCount() const
--- a/src/gateway/routerstate.h
+++ b/src/gateway/routerstate.h
@@ -11,6 +11,7 @@
 #include "cyclamencross/route/backendworktracker.h"
 #include "cyclamencross/route/callerwaitestimator.h"
 #include "cyclamencross/route/fleetretrybudget.h"
+#include "cyclamencross/route/outputestimator.h"
 #include "cyclamencross/route/placementcandidate.h"
 #include "cyclamencross/route/registrationcache.h"
 #include "cyclamencross/route/routermember.h"
@@ -64,6 +65,8 @@
     /// Records how many calls a shared backend server reported, for this router and its next report to peers. Ignored
     /// for backend servers that only one group uses.
     void recordReportedCalls(const std::string &backend, std::int64_t calls, TimePoint now);
+    /// Records a completed stream for this router's estimates and its next report to peers.
+    void recordStream(const StreamSample &sample);
     /// Records that an engine refused a capacity reservation; it counts as full for FullLifetime.
     void markFull(const std::string &backend, TimePoint now);
     /// Records that a request may have crashed a backend server, for this router and for its next reports to peers.
@@ -99,6 +102,7 @@
     BackendHealth health;
     FleetRetryBudget retryBudget;
     CallerWaitEstimator callerWaitEstimator;
+    OutputEstimator outputEstimator;
     CrashHistory crashHistory;
     ConnectionPool connections;
     Metrics metrics;
@@ -121,6 +125,8 @@
     /// Changes that exceed this size are not sent to peers. The peers notice the newer revision and read the store
     /// themselves.
     static constexpr std::size_t MaxChangesBytes = 30000;
+    /// Completed streams sent with one report; further ones add little to the estimates.
+    static constexpr std::size_t MaxReportedStreams = 16;
     /// How long a crash is repeated in reports, since datagrams may be lost.
     static constexpr Millis CrashRepeatTime{400};
     /// Size of the sample that sampleOtherGroups() returns.
@@ -153,6 +159,7 @@
     std::map<std::string, BackendWork> lastReportedWork;
     std::map<std::string, BackendWork> lastReportedWaiting;
     std::map<std::string, PeerReport::Outcomes> pendingOutcomes; ///< To be sent with the next report.
+    std::vector<StreamSample> pendingStreams; ///< To be sent with the next report.
     std::vector<std::pair<TimePoint, CrashReport>> recentCrashes;
     std::vector<RouterMember> peersOfGroup;
     std::size_t watcherRank = 0; ///< Rank of this router in its group; the first WatchersPerGroup watch the store.
--- a/src/gateway/routerstate_test.cpp
+++ b/src/gateway/routerstate_test.cpp
@@ -46,10 +46,10 @@
     report.router = "r1";
     report.incarnation = 2;
     report.sequence = 5;
-    report.work["e"] = BackendWork{1, 0, 0};
+    report.work["e"] = BackendWork{1, 0, {}};
     state.applyReport(report, Clock::now());
     report.sequence = 4;
-    report.work["e"] = BackendWork{9, 0, 0};
+    report.work["e"] = BackendWork{9, 0, {}};
     state.applyReport(report, Clock::now());
     CHECK(state.work->total("e").requests == 1);
     report.incarnation = 1;
@@ -150,10 +150,10 @@
     addRouters(state);
     state.backends.put("e", BackendServer{"e", "s", "10.0.1.1:1", "z", false, EngineStage::Decode, 4, 0}, 1);
     state.regroup();
-    state.work->add("e", BackendWork{1, 10, 100});
+    state.work->add("e", BackendWork{1, 10, KvCacheForecast::constant(100)});
     const auto candidates = state.candidates("s", EngineStage::Decode, {}, "z", Clock::now());
     REQUIRE(candidates.size() == 1);
-    CHECK(candidates.front().work == BackendWork{2, 20, 200});
+    CHECK(candidates.front().work == BackendWork{2, 20, KvCacheForecast::constant(200)});
     CHECK_FALSE(candidates.front().reportedCalls);
 }
 
@@ -164,7 +164,7 @@
     // the state. Needs an address sanitizer to be detected reliably.
     boost::asio::io_context context;
     auto state = std::make_unique<RouterState>(context.get_executor(), RouterSettings(), 1);
-    const auto reservation = std::make_unique<WorkReservation>(state->work, "e", BackendWork{1, 0, 0});
+    const auto reservation = std::make_unique<WorkReservation>(state->work, "e", BackendWork{1, 0, {}});
     const std::weak_ptr<BackendWorkTracker> tracker = state->work;
     state.reset();
     REQUIRE_FALSE(tracker.expired());
--- a/src/gateway/streamrequesthandler.cpp
+++ b/src/gateway/streamrequesthandler.cpp
@@ -52,6 +52,13 @@
 // Lifetime requested for a capacity reservation: longer than a prefill takes, including the time in its queue.
 constexpr Millis ReservationLifetime{1500};
 constexpr Millis ReservationTimeout{300};
+// Share of the expected output that a capacity reservation covers. The rest is generated after the reservation has
+// expired, when other requests have ended.
+constexpr double ReservedOutputShare = 0.25;
+// A stream that has exceeded its expected output is expected to generate this share of its output again.
+constexpr double MinRemainingShare = 0.15;
+// Shortest time between two updates of a stream's forecast.
+constexpr Millis WorkUpdatePeriod{150};
 
 // Probes the engine of a stream that can be resumed elsewhere whenever it is silent for longer than stallTimeout. If
 // the engine accepts no connection any more, it is gone and the connection is closed. An engine that still accepts
@@ -99,6 +106,8 @@
     const Millis timeout = this->route.timeout;
     this->timeSpentBefore = this->state.callerWaitEstimator.elapsedBefore(
         this->route.name, this->request.timeLeft.value_or(timeout), timeout, Clock::now());
+    this->estimate = this->state.outputEstimator.estimate(
+        this->route.name, this->service, this->request.expectedOutputTokens, this->request.maxOutputTokens);
     const bool reserved = co_await this->reserveDecodeEngine();
     if (reserved) {
         co_await this->prefill();
@@ -155,6 +164,7 @@
         }
         if (action == CapacityWait::Action::TryLast || this->unreachableCount >= MaxUnreachableEngines) {
             this->failure = "no-room";
+            this->overloaded = this->unreachableCount < MaxUnreachableEngines;
             break;
         }
         co_await waiter.pause();
@@ -189,7 +199,9 @@
         .add("candidates", std::int64_t(this->candidateCount))
         .add("backend", this->decodeCandidate.server.id)
         .add("in_flight", this->decodeCandidate.work.requests)
-        .add("memory_tokens", this->decodeCandidate.work.kvCacheTokens)
+        .add("memory_tokens", this->decodeCandidate.work.kvCache.tokens().front())
+        .add("memory_peak", this->decodeCandidate.work.kvCache.peak())
+        .add("expected_output", this->estimate.tokens)
         .add("failure_rate", this->decodeCandidate.failureRate)
         .add("avoided", this->decodeCandidate.avoided)
         .write();
@@ -208,8 +220,7 @@
         this->decodeEngine = std::nullopt;
         co_return false;
     }
-    auto [call, body] =
-        this->codec.reserveCall(this->requestWork().kvCacheTokens, std::min(maxLifetime, ReservationLifetime));
+    auto [call, body] = this->codec.reserveCall(this->reservedTokens(), std::min(maxLifetime, ReservationLifetime));
     const TimePoint until = std::min(this->deadline, Clock::now() + ReservationTimeout);
     std::optional<std::string> json = std::move(body);
     const ConnectionStatus status = co_await this->connection->performRequest(std::move(call), std::move(json), until);
@@ -257,7 +268,7 @@
     const EngineStage stage = capacity > 0 ? EngineStage::Decode : EngineStage::None;
     const TimePoint now = Clock::now();
     const auto choose = [&](const std::vector<PlacementCandidate> &from) {
-        return Placement::chooseDecode(from, double(this->requestWork().kvCacheTokens), capacity,
+        return Placement::chooseDecode(from, this->requestWork().kvCache, capacity * Placement::MaxForecastShare,
                                        [this] { return this->state.random(); });
     };
     auto candidates = this->state.candidates(this->service, stage, this->excluded, this->state.settings.zone, now);
@@ -307,7 +318,7 @@
     }
     const BackendServer server = chosen.server;
     const WorkReservation prefillReservation(this->state.work, server.id,
-                                             BackendWork{1, this->request.promptTokens, 0});
+                                             BackendWork{1, this->request.promptTokens, {}});
     const bool open = co_await this->openConnection(server, false);
     if (!open || this->shouldStop() || !this->state.isUsable(server)) {
         co_return;
@@ -448,6 +459,7 @@
     if (status == ConnectionStatus::Ok && valid && !this->splitter.hasPartialEvent()) {
         co_await this->session.endStream();
         this->recordOutcome(server, CallOutcome::Served);
+        this->recordStream(this->lastChunkTime);
         this->outcome = "streamed";
         this->releaseConnection(server);
         co_return AttemptResult::Done;
@@ -475,6 +487,7 @@
             }
             this->lastEventId = event.id;
         }
+        ++this->eventCount;
         events += event.text;
     }
     if (!events.empty()) {
@@ -489,12 +502,14 @@
     const TimePoint now = Clock::now();
     if (!this->timeToFirstChunk) {
         this->timeToFirstChunk = std::chrono::duration_cast<Millis>(now - this->request.received);
+        this->firstChunkTime = now;
     } else {
         this->longestChunkGap =
             std::max(this->longestChunkGap, std::chrono::duration_cast<Millis>(now - this->lastChunkTime));
     }
     this->lastChunkTime = now;
     this->progress->lastActivity = now;
+    this->updateWork(now);
 }
 
 void StreamRequestHandler::releaseKvCache()
@@ -508,10 +523,35 @@
 
 BackendWork StreamRequestHandler::requestWork() const
 {
-    const std::int64_t output = this->request.expectedOutputTokens > 0 && this->request.maxOutputTokens > 0
-        ? std::min(this->request.expectedOutputTokens, this->request.maxOutputTokens)
-        : this->request.maxOutputTokens;
-    return BackendWork{1, 0, this->request.promptTokens + output};
+    const auto generated = std::int64_t(double(this->eventCount) * this->estimate.tokensPerEvent);
+    const auto moreThanGenerated = std::int64_t(double(generated) * MinRemainingShare);
+    const std::int64_t remaining = std::max(this->estimate.tokens - generated, moreThanGenerated);
+    return BackendWork{
+        1, 0,
+        KvCacheForecast::ofRequest(this->request.promptTokens + generated, remaining, this->estimate.millisPerToken)};
+}
+
+std::int64_t StreamRequestHandler::reservedTokens() const
+{
+    return this->request.promptTokens + std::int64_t(double(this->estimate.tokens) * ReservedOutputShare);
+}
+
+void StreamRequestHandler::updateWork(TimePoint now)
+{
+    if (this->workReservation && now - this->lastWorkUpdate >= WorkUpdatePeriod) {
+        this->lastWorkUpdate = now;
+        this->workReservation->update(this->requestWork());
+    }
+}
+
+void StreamRequestHandler::recordStream(TimePoint now)
+{
+    if (this->eventCount < 2 || this->request.lastEventId) {
+        return; // The number of events says nothing about the pace or the whole output.
+    }
+    const double millis = toSeconds(now - this->firstChunkTime) * 1000;
+    this->state.recordStream(StreamSample{this->route.name, this->service, this->request.expectedOutputTokens,
+                                          this->eventCount, millis / double(this->eventCount - 1)});
 }
 
 }
--- a/src/gateway/streamrequesthandler.h
+++ b/src/gateway/streamrequesthandler.h
@@ -7,6 +7,7 @@
 
 #include "cyclamencross/gateway/prefillresult.h"
 #include "cyclamencross/route/capacitywait.h"
+#include "cyclamencross/route/outputestimate.h"
 #include "cyclamencross/route/placementcandidate.h"
 
 #include <memory>
@@ -67,10 +68,19 @@
     void recordChunk();
     /// Frees the KV cache at the prefill engine if no decode engine was told to fetch it.
     void releaseKvCache();
-    /// Returns the work that the request causes at a decode engine.
+    /// Returns the work that the request still causes at a decode engine, as expected now.
     BackendWork requestWork() const;
+    /// Returns the tokens to reserve at a decode engine before the request is sent there.
+    std::int64_t reservedTokens() const;
+    /// Adjusts the work recorded for the request to its progress, at most once every WorkUpdatePeriod.
+    void updateWork(TimePoint now);
+    /// Records the length and pace of the completed stream.
+    void recordStream(TimePoint now);
 
     std::optional<BackendServer> decodeEngine; ///< Engine that generates the events.
+    OutputEstimate estimate; ///< Expected output.
+    TimePoint firstChunkTime; ///< When the first events were forwarded.
+    TimePoint lastWorkUpdate;
     PlacementCandidate decodeCandidate; ///< State of `decodeEngine` when it was chosen; for the log.
     std::size_t candidateCount = 0; ///< Number of engines it was chosen from; for the log.
     std::unique_ptr<WorkReservation> workReservation; ///< Of the request's work at `decodeEngine`.
--- a/src/gateway/workreservation.cpp
+++ b/src/gateway/workreservation.cpp
@@ -13,6 +13,13 @@
     this->tracker->add(this->key, this->work);
 }
 
+void WorkReservation::update(const BackendWork &newWork)
+{
+    this->tracker->remove(this->key, this->work);
+    this->work = newWork;
+    this->tracker->add(this->key, this->work);
+}
+
 WorkReservation::~WorkReservation()
 {
     this->tracker->remove(this->key, this->work);
--- a/src/include/cyclamencross/route/backendwork.h
+++ b/src/include/cyclamencross/route/backendwork.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "cyclamencross/route/kvcacheforecast.h"
+
 #include <cstdint>
 
 namespace Cyclamen
@@ -10,7 +12,7 @@
 {
     std::int64_t requests = 0;
     std::int64_t promptTokens = 0; ///< Prompt tokens that still have to be processed.
-    std::int64_t kvCacheTokens = 0; ///< Size of the KV cache, in tokens, that the requests need when they end.
+    KvCacheForecast kvCache; ///< Tokens that the requests keep in the KV cache.
 
     BackendWork &operator+=(const BackendWork &other);
     BackendWork &operator-=(const BackendWork &other);
--- a/src/include/cyclamencross/route/placement.h
+++ b/src/include/cyclamencross/route/placement.h
@@ -9,6 +9,7 @@
 namespace Cyclamen
 {
 
+class KvCacheForecast;
 struct PlacementCandidate;
 
 /// Selects the backend server for a request. The functions are pure: load, health and randomness are passed in.
@@ -19,6 +20,10 @@
 /// waits for about the duration of one call; longer queues make all calls of a burst late.
 constexpr double MaxQueuedCallsPerSlot = 1;
 
+/// Share of an engine's KV cache that the expected peak may take. The rest allows for streams that grow longer than
+/// expected, since a stream that no longer fits is preempted and its prompt processed again.
+constexpr double MaxForecastShare = 0.9;
+
 /// Chooses the backend server of a plain service with the lowest load per slot.
 /// @param maxCallsPerSlot number of calls per slot from which a backend server counts as full and is left out. The
 /// number of calls that the backend server itself reported takes precedence over the number that the routers have
@@ -33,14 +38,15 @@
 /// @return the index into @p candidates, or nothing if there are none.
 std::optional<std::size_t> choosePrefill(const std::vector<PlacementCandidate> &candidates, double tokens,
                                          const std::function<double()> &random);
-/// Chooses the decode engine whose KV cache will be least full. Engines without enough free space are left out: a
-/// request that does not fit preempts others or is rejected after its prefill. This matters in bursts that exceed the
-/// capacity of the decode engines.
-/// @param tokens KV cache that the request needs when it ends, in tokens.
-/// @param capacity KV cache of an engine in tokens; 0 if not known.
+/// Chooses the decode engine whose KV cache will be least full at its expected peak. Engines whose expected peak
+/// exceeds the capacity are left out: a request that does not fit preempts others or is rejected after its prefill.
+/// This matters in bursts that exceed the capacity of the decode engines.
+/// @param request KV cache that the request is expected to need over time.
+/// @param capacity KV cache of an engine that may be used, in tokens; 0 if not known.
 /// @return the index into @p candidates, or nothing if no engine has enough space.
-std::optional<std::size_t> chooseDecode(const std::vector<PlacementCandidate> &candidates, double tokens,
-                                        double capacity, const std::function<double()> &random);
+std::optional<std::size_t> chooseDecode(const std::vector<PlacementCandidate> &candidates,
+                                        const KvCacheForecast &request, double capacity,
+                                        const std::function<double()> &random);
 
 }
 
--- /dev/null
+++ b/src/include/cyclamencross/route/retryafter.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "cyclamencross/base/timing.h"
+
+namespace Cyclamen
+{
+
+/// Chooses when a caller whose request was refused should return. All delays have a random part, so that callers who
+/// were refused together do not return together.
+namespace RetryAfter
+{
+
+/// Returns the delay after a refusal that a short disturbance caused, such as a restarting backend server.
+/// @param random number from 0 to 1.
+Millis afterDisturbance(double random);
+/// Returns the delay after a refusal for lack of capacity. The caller is late by then and usually returns only once, so
+/// it should return when the burst has passed, as long as there is time left for a second wait and the answer. This
+/// matters in bursts of several seconds, in which callers that return at once are refused for good.
+/// @param timeLeft time for which the caller still waits.
+/// @param random number from 0 to 1.
+Millis afterOverload(Millis timeLeft, double random);
+
+}
+
+}
--- a/src/route/backendwork.cpp
+++ b/src/route/backendwork.cpp
@@ -7,7 +7,7 @@
 {
     this->requests += other.requests;
     this->promptTokens += other.promptTokens;
-    this->kvCacheTokens += other.kvCacheTokens;
+    this->kvCache += other.kvCache;
     return *this;
 }
 
@@ -15,7 +15,7 @@
 {
     this->requests -= other.requests;
     this->promptTokens -= other.promptTokens;
-    this->kvCacheTokens -= other.kvCacheTokens;
+    this->kvCache -= other.kvCache;
     return *this;
 }
 
--- a/src/route/placement.cpp
+++ b/src/route/placement.cpp
@@ -74,17 +74,19 @@
     });
 }
 
-std::optional<std::size_t> chooseDecode(const std::vector<PlacementCandidate> &candidates, double tokens,
-                                        double capacity, const std::function<double()> &random)
+std::optional<std::size_t> chooseDecode(const std::vector<PlacementCandidate> &candidates,
+                                        const KvCacheForecast &request, double capacity,
+                                        const std::function<double()> &random)
 {
     // A request larger than the whole KV cache of an engine is placed only on an empty engine.
-    const double limit = tokens >= capacity ? tokens : capacity;
+    const double limit = std::max(double(request.peak()), capacity);
     return lowestCostCandidate(candidates, [&](const PlacementCandidate &candidate) {
-        if (capacity > 0 && (candidate.reservationRefused || double(candidate.work.kvCacheTokens) + tokens > limit)) {
+        const auto peak = double(candidate.work.kvCache.peakWith(request));
+        if (capacity > 0 && (candidate.reservationRefused || peak > limit)) {
             return std::numeric_limits<double>::infinity();
         }
-        const double load = capacity > 0 ? (double(candidate.work.kvCacheTokens) + tokens) / capacity
-                                         : double(candidate.work.requests) / std::max(1, candidate.server.slots);
+        const double load =
+            capacity > 0 ? peak / capacity : double(candidate.work.requests) / std::max(1, candidate.server.slots);
         return load + commonCost(candidate, random);
     });
 }
--- /dev/null
+++ b/src/route/retryafter.cpp
@@ -0,0 +1,32 @@
+#include "cyclamencross/route/retryafter.h"
+
+#include <algorithm>
+#include <cstdint>
+
+namespace Cyclamen::RetryAfter
+{
+
+namespace
+{
+
+// The minimum lets a disturbance of a few hundred milliseconds pass; the random spread is of the same order.
+constexpr Millis MinDelay{150};
+constexpr Millis DelaySpread{350};
+// Shares of the time left between which the delay after an overload lies. Callers wait at most a third of it.
+constexpr double MinOverloadShare = 0.2;
+constexpr double MaxOverloadShare = 0.33;
+
+}
+
+Millis afterDisturbance(double random)
+{
+    return MinDelay + Millis(std::int64_t(random * double(DelaySpread.count())));
+}
+
+Millis afterOverload(Millis timeLeft, double random)
+{
+    const double share = MinOverloadShare + random * (MaxOverloadShare - MinOverloadShare);
+    return std::max(MinDelay, Millis(std::int64_t(share * double(timeLeft.count()))));
+}
+
+}
--- /dev/null
+++ b/src/route/retryafter_test.cpp
@@ -0,0 +1,22 @@
+#include "cyclamencross/route/retryafter.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Cyclamen;
+
+TEST_CASE("A caller refused for lack of capacity returns later than after a disturbance, and has time left")
+{
+    // Guards against callers that return in the middle of the burst in which they were refused, and against callers
+    // that ignore the delay because it exceeds a third of the time that they have left.
+    const Millis left{12000};
+    CHECK(RetryAfter::afterOverload(left, 0) > RetryAfter::afterDisturbance(1));
+    CHECK(RetryAfter::afterOverload(left, 1) < left / 3);
+    CHECK(RetryAfter::afterOverload(Millis(100), 1) >= RetryAfter::afterDisturbance(0));
+}
+
+TEST_CASE("Callers that are refused together return spread over time")
+{
+    const Millis left{12000};
+    CHECK(RetryAfter::afterOverload(left, 1) - RetryAfter::afterOverload(left, 0) >= left / 10);
+    CHECK(RetryAfter::afterDisturbance(1) - RetryAfter::afterDisturbance(0) >= Millis(300));
+}
--- a/src/route/route_test.cpp
+++ b/src/route/route_test.cpp
@@ -37,7 +37,7 @@
     PlacementCandidate candidate;
     candidate.server.id = id;
     candidate.server.slots = 4;
-    candidate.work.kvCacheTokens = kvCacheTokens;
+    candidate.work.kvCache = KvCacheForecast::constant(kvCacheTokens);
     return candidate;
 }
 
@@ -160,12 +160,12 @@
 TEST_CASE("The work of a peer that has stopped reporting no longer counts")
 {
     BackendWorkTracker tracker;
-    tracker.add("e", BackendWork{1, 10, 100});
-    tracker.setPeerWork("p", {{"e", BackendWork{2, 20, 200}}}, Start);
-    CHECK(tracker.total("e") == BackendWork{3, 30, 300});
+    tracker.add("e", BackendWork{1, 10, KvCacheForecast::constant(100)});
+    tracker.setPeerWork("p", {{"e", BackendWork{2, 20, KvCacheForecast::constant(200)}}}, Start);
+    CHECK(tracker.total("e") == BackendWork{3, 30, KvCacheForecast::constant(300)});
     tracker.expire(Start + BackendWorkTracker::PeerReportLifetime + Millis(1));
-    CHECK(tracker.total("e") == BackendWork{1, 10, 100});
-    tracker.remove("e", BackendWork{1, 10, 100});
+    CHECK(tracker.total("e") == BackendWork{1, 10, KvCacheForecast::constant(100)});
+    tracker.remove("e", BackendWork{1, 10, KvCacheForecast::constant(100)});
     CHECK(tracker.own().empty());
 }
 
@@ -208,18 +208,20 @@
 {
     // Guards against prefills for an engine that then rejects the request because its KV cache is full.
     const std::vector<PlacementCandidate> candidates{engine("a", 900), engine("b", 950)};
-    CHECK(Placement::chooseDecode(candidates, 100, 1000, zeroRandom) == std::optional<std::size_t>(0));
-    CHECK_FALSE(Placement::chooseDecode(candidates, 101, 1000, zeroRandom).has_value());
+    CHECK(Placement::chooseDecode(candidates, KvCacheForecast::constant(100), 1000, zeroRandom)
+          == std::optional<std::size_t>(0));
+    CHECK_FALSE(Placement::chooseDecode(candidates, KvCacheForecast::constant(101), 1000, zeroRandom).has_value());
     SECTION("A request larger than the KV cache of an engine goes to an empty engine only")
     {
-        CHECK_FALSE(Placement::chooseDecode(candidates, 2000, 1000, zeroRandom).has_value());
-        CHECK(Placement::chooseDecode({engine("c", 0)}, 2000, 1000, zeroRandom).has_value());
+        CHECK_FALSE(Placement::chooseDecode(candidates, KvCacheForecast::constant(2000), 1000, zeroRandom).has_value());
+        CHECK(Placement::chooseDecode({engine("c", 0)}, KvCacheForecast::constant(2000), 1000, zeroRandom).has_value());
     }
     SECTION("An engine that has recently refused a reservation is not chosen")
     {
         std::vector<PlacementCandidate> withRefusal = candidates;
         withRefusal[0].reservationRefused = true;
-        CHECK(Placement::chooseDecode(withRefusal, 50, 1000, zeroRandom) == std::optional<std::size_t>(1));
+        CHECK(Placement::chooseDecode(withRefusal, KvCacheForecast::constant(50), 1000, zeroRandom)
+              == std::optional<std::size_t>(1));
     }
 }
 
@@ -349,14 +351,15 @@
 TEST_CASE("A report of a peer replaces its previous one, and expires as a whole")
 {
     BackendWorkTracker tracker;
-    tracker.setPeerWork("r1", {{"a", BackendWork{1, 10, 100}}, {"b", BackendWork{2, 0, 0}}}, Start);
-    tracker.setPeerWork("r2", {{"a", BackendWork{1, 0, 5}}}, Start + Millis(100));
-    CHECK(tracker.total("a") == BackendWork{2, 10, 105});
-    tracker.setPeerWork("r1", {{"a", BackendWork{3, 0, 0}}}, Start);
-    CHECK(tracker.total("a") == BackendWork{4, 0, 5});
+    tracker.setPeerWork("r1", {{"a", BackendWork{1, 10, KvCacheForecast::constant(100)}}, {"b", BackendWork{2, 0, {}}}},
+                        Start);
+    tracker.setPeerWork("r2", {{"a", BackendWork{1, 0, KvCacheForecast::constant(5)}}}, Start + Millis(100));
+    CHECK(tracker.total("a") == BackendWork{2, 10, KvCacheForecast::constant(105)});
+    tracker.setPeerWork("r1", {{"a", BackendWork{3, 0, {}}}}, Start);
+    CHECK(tracker.total("a") == BackendWork{4, 0, KvCacheForecast::constant(5)});
     CHECK(tracker.total("b") == BackendWork());
     tracker.expire(Start + BackendWorkTracker::PeerReportLifetime + Millis(1));
-    CHECK(tracker.total("a") == BackendWork{1, 0, 5});
+    CHECK(tracker.total("a") == BackendWork{1, 0, KvCacheForecast::constant(5)});
 }
 
 TEST_CASE("A caller that retries after a refusal is recognized by the shorter time that it allows")
