--- a/src/gateway/fleetsync.cpp
+++ b/src/gateway/fleetsync.cpp
@@ -3,6 +3,7 @@
 #include "asioutil.h"
 #include "memberrecord.h"
 #include "routerstate.h"
+#include "stageplancodec.h"
 
 #include "cyclamencross/base/logline.h"
 
@@ -56,6 +57,16 @@
     return "cyclamencross/routers/";
 }
 
+std::string FleetSync::leaderKey()
+{
+    return "cyclamencross/leader";
+}
+
+std::string FleetSync::stagePlanKey()
+{
+    return "cyclamencross/stages";
+}
+
 boost::asio::awaitable<void> FleetSync::follow(std::string prefix)
 {
     int failures = 0;
@@ -237,6 +248,9 @@
     };
     addMissing(this->codec.backendPrefix, this->state.backends.revisions());
     addMissing(memberPrefix(), this->state.members.revisions());
+    if (!this->state.leadership.router.empty()) {
+        addMissing("", {{leaderKey(), this->state.leadership.revision}});
+    }
     return result;
 }
 
@@ -252,6 +266,12 @@
     if (item.key.starts_with(this->codec.backendPrefix)) {
         return this->putBackend(item);
     }
+    if (item.key == leaderKey()) {
+        return this->putLeader(item);
+    }
+    if (item.key == stagePlanKey()) {
+        return this->putStagePlan(item);
+    }
     return item.key.starts_with(memberPrefix()) && this->putMember(item);
 }
 
@@ -323,8 +343,44 @@
     return changed;
 }
 
+bool FleetSync::putLeader(const StoreItem &item)
+{
+    if (item.revision <= this->state.leadership.revision) {
+        return false;
+    }
+    const auto leadership = decodeLeadership(item.value, item.revision);
+    if (!leadership) {
+        LogLine("leader-record-rejected").add("revision", item.revision).warn();
+        return false;
+    }
+    this->state.leadership = *leadership;
+    return true;
+}
+
+bool FleetSync::putStagePlan(const StoreItem &item)
+{
+    if (item.revision <= this->state.stagePlanRevision) {
+        return false;
+    }
+    auto plan = decodeStagePlan(item.value);
+    if (!plan) {
+        LogLine("stage-plan-rejected").add("revision", item.revision).warn();
+        return false;
+    }
+    this->state.stagePlan = std::move(*plan);
+    this->state.stagePlanRevision = item.revision;
+    this->state.stagePlanSince = Clock::now();
+    LogLine("stage-plan").add("engines", std::uint64_t(this->state.stagePlan.stages.size())).write();
+    return true;
+}
+
 bool FleetSync::remove(const std::string &key, std::uint64_t revision)
 {
+    if (key == leaderKey() && revision >= this->state.leadership.revision) {
+        const bool known = !this->state.leadership.router.empty();
+        this->state.leadership = Leadership{"", 0, revision};
+        return known;
+    }
     const auto until = this->keepUntil();
     if (key.starts_with(this->codec.backendPrefix)) {
         const std::string id = key.substr(this->codec.backendPrefix.size());
@@ -373,6 +429,7 @@
         if (!this->registered || this->state.stopping) {
             continue;
         }
+        const Clock::duration renewalStart = bootTime();
         const StoreResult<std::uint64_t> renewed = co_await this->store.renewLease(this->lease);
         if (const auto *failure = std::get_if<StoreFailure>(&renewed)) {
             this->recordFailure("renew", *failure);
@@ -383,6 +440,7 @@
             }
         } else {
             failures = 0;
+            this->leaseConfirmedAt = renewalStart;
             this->recordSuccess();
         }
     }
@@ -391,12 +449,14 @@
 boost::asio::awaitable<bool> FleetSync::registerOnce()
 {
     const Millis lifetime = std::max(LeaseLifetime, this->state.settings.minLeaseLifetime);
+    const Clock::duration start = bootTime();
     const StoreResult<std::uint64_t> granted = co_await this->store.grantLease(lifetime);
     if (const auto *failure = std::get_if<StoreFailure>(&granted)) {
         this->recordFailure("lease", *failure);
         co_return false;
     }
     this->lease = std::get<std::uint64_t>(granted);
+    this->leaseConfirmedAt = start;
     const RouterSettings &settings = this->state.settings;
     const RouterMember member{settings.name, this->state.incarnation, settings.zone, settings.callerAddress,
                               settings.peerAddress};
@@ -414,6 +474,39 @@
     co_return true;
 }
 
+boost::asio::awaitable<void> FleetSync::claimLeadership()
+{
+    if (!this->isLeaseConfirmed()) {
+        co_return;
+    }
+    const Leadership record{this->state.settings.name, this->state.incarnation, 0};
+    const StoreResult<std::uint64_t> written =
+        co_await this->store.writeIf(leaderKey(), encodeLeadership(record), this->lease, leaderKey(), 0);
+    if (const auto *failure = std::get_if<StoreFailure>(&written)) {
+        if (failure->kind != StoreFailure::Kind::Conflict) {
+            this->recordFailure("claim-leadership", *failure);
+        }
+        co_return;
+    }
+    this->recordSuccess();
+}
+
+boost::asio::awaitable<void> FleetSync::writeStagePlan(StagePlan plan)
+{
+    const StoreResult<std::uint64_t> written = co_await this->store.writeIf(
+        stagePlanKey(), encodeStagePlan(plan), 0, leaderKey(), this->state.leadership.revision);
+    if (const auto *failure = std::get_if<StoreFailure>(&written)) {
+        this->recordFailure("write-stage-plan", *failure);
+        co_return;
+    }
+    this->recordSuccess();
+}
+
+bool FleetSync::isLeaseConfirmed() const
+{
+    return this->registered && bootTime() - this->leaseConfirmedAt <= LeaseTrust;
+}
+
 boost::asio::awaitable<void> FleetSync::unregister()
 {
     if (this->lease == 0) {
--- a/src/gateway/fleetsync.h
+++ b/src/gateway/fleetsync.h
@@ -15,6 +15,7 @@
 {
 
 class RouterState;
+struct StagePlan;
 struct StoreChanges;
 
 /// Synchronizes the configuration, the backend servers and the routers in RouterState with the store, and registers
@@ -49,6 +50,9 @@
     /// Interval between reads while other calls fail, so that a store that refuses only writes still delivers a new
     /// configuration in time.
     static constexpr Millis OutageReadInterval{2000};
+    /// Age of the last confirmation up to which the lease counts as certain. The rest of the lifetime is for the work
+    /// that depends on it.
+    static constexpr Millis LeaseTrust{1800};
     /// How long other routers wait, after an outage of the store, for the watchers of the group to read it and report
     /// the changes: a few periods of their reports.
     static constexpr Millis WatcherHeadStart{600};
@@ -66,10 +70,22 @@
     boost::asio::awaitable<void> keepRegistered();
     /// Removes this router's registration.
     boost::asio::awaitable<void> unregister();
+    /// Tries to become the leader: writes the leader's record under the lease of this router's registration unless
+    /// there is one. The result is learned from the store.
+    boost::asio::awaitable<void> claimLeadership();
+    /// Writes the stage plan, provided that this router is still the leader.
+    boost::asio::awaitable<void> writeStagePlan(StagePlan plan);
+    /// Returns whether the lease of this router's registration is certain to be in force for a while: the last renewal
+    /// is recent, also counting the time for which this host was suspended.
+    bool isLeaseConfirmed() const;
     /// Removes kept entries whose grace period is over.
     void expire(TimePoint now);
     /// Returns the prefix under which routers register.
     static std::string memberPrefix();
+    /// Returns the key of the leader's record.
+    static std::string leaderKey();
+    /// Returns the key of the stage plan.
+    static std::string stagePlanKey();
 
 private:
     /// Availability of the store as seen by this router's calls.
@@ -101,6 +117,8 @@
     bool putConfig(const StoreItem &item);
     bool putBackend(const StoreItem &item);
     bool putMember(const StoreItem &item);
+    bool putLeader(const StoreItem &item);
+    bool putStagePlan(const StoreItem &item);
     bool remove(const std::string &key, std::uint64_t revision);
     /// Returns a removal for each known entry under @p prefix that a complete list does not contain.
     std::vector<StoreItem> findRemoved(const std::string &prefix, const StorePage &page) const;
@@ -120,6 +138,7 @@
     std::optional<std::uint64_t> watchRevision;
     StoreContact contact;
     std::uint64_t lease = 0;
+    Clock::duration leaseConfirmedAt{0}; ///< On the boot-time clock: start of the last call that confirmed the lease.
     bool registered = false;
 };
 
--- a/src/gateway/httpclientconnection.cpp
+++ b/src/gateway/httpclientconnection.cpp
@@ -184,8 +184,10 @@
     co_return ConnectionStatus::Ok;
 }
 
-boost::asio::awaitable<ConnectionStatus>
-HttpClientConnection::performRequest(std::string call, std::optional<std::string> json, TimePoint deadline)
+boost::asio::awaitable<ConnectionStatus> HttpClientConnection::performRequest(std::string call,
+                                                                              std::optional<std::string> json,
+                                                                              TimePoint deadline,
+                                                                              HeaderList extraHeaders)
 {
     std::string message = call + " HTTP/1.1\r\nHost: " + this->impl->address + "\r\n";
     if (json) {
@@ -194,7 +196,7 @@
     if (!call.starts_with("GET ")) {
         message += "Content-Length: " + std::to_string(json ? json->size() : 0) + "\r\n";
     }
-    message += "\r\n" + json.value_or("");
+    message += extraHeaders.text() + "\r\n" + json.value_or("");
     this->startRequest(std::move(message), false);
     ConnectionStatus status = co_await this->readHead(deadline);
     if (status == ConnectionStatus::Ok) {
--- /dev/null
+++ b/src/gateway/leadership.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace Cyclamen
+{
+
+/// The router that gives orders to engines, as recorded in the store under the lease of that router.
+struct Leadership
+{
+    std::string router; ///< Empty if there is no leader.
+    std::uint64_t incarnation = 0; ///< Incarnation of the router.
+    /// Store revision of the record. Increases with each new leader, so it is the fencing token of its orders.
+    std::uint64_t revision = 0;
+
+    bool operator==(const Leadership &) const = default;
+};
+
+/// Encodes a leader's record as the value of a store item.
+std::string encodeLeadership(const Leadership &leadership);
+/// Decodes the value of a store item; std::nullopt if it is malformed.
+/// @param revision revision of the item.
+std::optional<Leadership> decodeLeadership(const std::string &text, std::uint64_t revision);
+
+}
--- a/src/gateway/peerreport.cpp
+++ b/src/gateway/peerreport.cpp
@@ -34,7 +34,7 @@
 template<typename Archive>
 void serialize(Archive &archive, PeerReport::Outcomes &outcomes)
 {
-    archive(outcomes.served, outcomes.failed, outcomes.broken);
+    archive(outcomes.served, outcomes.failed, outcomes.broken, outcomes.paceSamples, outcomes.paceSum);
 }
 
 template<typename Archive>
@@ -53,6 +53,7 @@
 void serialize(Archive &archive, PeerReport &report)
 {
     archive(report.watching, report.changes);
+    archive(report.isGroupReport, report.groupWork, report.knowsOtherGroups, report.otherGroupsWork);
     archive(report.router, report.incarnation, report.sequence, report.storeRevision, report.work, report.waiting,
             report.reportedCalls, report.outcomes, report.streams, report.crashes);
 }
--- a/src/gateway/peerreport.h
+++ b/src/gateway/peerreport.h
@@ -18,12 +18,14 @@
 /// The order and types of the serialized fields are part of the protocol between routers.
 struct PeerReport
 {
-    /// Numbers of calls to one backend server by outcome.
+    /// Numbers of calls to one backend server by outcome, and the pace of its streams.
     struct Outcomes
     {
         std::uint32_t served = 0;
         std::uint32_t failed = 0;
         std::uint32_t broken = 0;
+        std::uint32_t paceSamples = 0;
+        double paceSum = 0; ///< Sum of the samples, in milliseconds for each generated token.
 
         bool operator==(const Outcomes &) const = default;
     };
@@ -35,6 +37,13 @@
     bool watching = false; ///< The router watches the store and can reach it.
     StoreChanges changes; ///< Changes read from the store since the last report.
     std::map<std::string, BackendWork> work; ///< By backend server; replaces that of earlier reports.
+    /// Work of the sender's whole group on the backend servers that all groups share. Only sent between the delegates
+    /// of the groups; such a report carries nothing else.
+    std::map<std::string, BackendWork> groupWork;
+    /// Work of all other groups on the shared backend servers. Only sent by the delegate of the receiver's group.
+    std::map<std::string, BackendWork> otherGroupsWork;
+    bool knowsOtherGroups = false; ///< `otherGroupsWork` is known, even if it is empty.
+    bool isGroupReport = false; ///< Sent between delegates.
     /// Requests that wait for capacity and can be on time, by service; replaces that of earlier reports.
     std::map<std::string, BackendWork> waiting;
     /// Number of calls that backend servers reported in their latest responses.
--- a/src/gateway/peersocket.cpp
+++ b/src/gateway/peersocket.cpp
@@ -63,31 +63,38 @@
         co_await sleepFor(ReportPause);
         this->state.work->expire(Clock::now());
         this->state.waiting->expire(Clock::now());
+        if (const auto groupReport = this->state.takeGroupReport(Clock::now())) {
+            this->sendTo(this->state.otherDelegates(), encodePeerReport(*groupReport));
+        }
         const auto report = this->state.takeReport(Clock::now());
         if (!report) {
             continue;
         }
         const std::string bytes = encodePeerReport(*report);
-        const auto sendTo = [&](const RouterMember &member) {
-            const auto endpoint = toUdpEndpoint(member.peerAddress);
-            if (member.name == this->state.settings.name || !endpoint) {
-                return;
-            }
-            boost::system::error_code error;
-            this->socket.send_to(boost::asio::buffer(bytes), *endpoint, 0, error);
-            if (error) {
-                // A later report replaces this one; the metric shows a lasting fault.
-                this->state.metrics.count("cyclamencross_peer_reports_total", {{"result", "not-sent"}});
-            }
-        };
-        if (!report->crashes.empty()) {
-            // The caller may retry the request at any router.
-            this->state.members.forEach(
-                [&](const std::string & /*name*/, const RouterMember &member) { sendTo(member); });
+        if (report->crashes.empty()) {
+            this->sendTo(this->state.groupPeers(), bytes);
             continue;
         }
-        for (const RouterMember &member : this->state.groupPeers()) {
-            sendTo(member);
+        // The caller may retry the request at any router.
+        std::vector<RouterMember> allRouters;
+        this->state.members.forEach(
+            [&](const std::string & /*name*/, const RouterMember &member) { allRouters.push_back(member); });
+        this->sendTo(allRouters, bytes);
+    }
+}
+
+void PeerSocket::sendTo(const std::vector<RouterMember> &routers, const std::string &bytes)
+{
+    for (const RouterMember &member : routers) {
+        const auto endpoint = toUdpEndpoint(member.peerAddress);
+        if (member.name == this->state.settings.name || !endpoint) {
+            continue;
+        }
+        boost::system::error_code error;
+        this->socket.send_to(boost::asio::buffer(bytes), *endpoint, 0, error);
+        if (error) {
+            // A later report replaces this one; the metric shows a lasting fault.
+            this->state.metrics.count("cyclamencross_peer_reports_total", {{"result", "not-sent"}});
         }
     }
 }
--- a/src/gateway/peersocket.h
+++ b/src/gateway/peersocket.h
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <string>
+#include <vector>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/udp.hpp>
@@ -10,6 +11,7 @@
 {
 
 class RouterState;
+struct RouterMember;
 
 /// UDP socket that exchanges reports with the other routers.
 class PeerSocket
@@ -29,6 +31,9 @@
     boost::asio::awaitable<void> send();
 
 private:
+    /// Sends a datagram to each of @p routers except this one.
+    void sendTo(const std::vector<RouterMember> &routers, const std::string &bytes);
+
     static constexpr std::size_t MaxDatagramBytes = 65000;
 
     RouterState &state;
--- a/src/gateway/pieces_test.cpp
+++ b/src/gateway/pieces_test.cpp
@@ -1,6 +1,8 @@
 #include "eventsplitter.h"
+#include "leadership.h"
 #include "memberrecord.h"
 #include "peerreport.h"
+#include "stageplancodec.h"
 
 #include "cyclamencross/gateway/headerlist.h"
 
@@ -52,6 +54,21 @@
                     .has_value());
 }
 
+TEST_CASE("The leader's record and the stage plan round-trip; malformed ones are rejected")
+{
+    const Leadership leadership{"r1", 7, 42};
+    CHECK(decodeLeadership(encodeLeadership(leadership), 42) == leadership);
+    CHECK_FALSE(decodeLeadership("[]", 1).has_value());
+    CHECK_FALSE(decodeLeadership(R"({"router":1,"incarnation":7})", 1).has_value());
+    CHECK_FALSE(decodeLeadership(R"({"router":"r1","incarnation":-7})", 1).has_value());
+    const StagePlan plan{{{"e1", EngineStage::Decode}, {"e2", EngineStage::Prefill}}};
+    CHECK(decodeStagePlan(encodeStagePlan(plan)) == plan);
+    CHECK_FALSE(decodeStagePlan("not json").has_value());
+    CHECK_FALSE(decodeStagePlan(R"({"engines":["e1"]})").has_value());
+    CHECK_FALSE(decodeStagePlan(R"({"engines":{"e1":"other"}})").has_value());
+    CHECK_FALSE(decodeStagePlan(R"({"engines":{"e1":1}})").has_value());
+}
+
 TEST_CASE("A peer report round-trips; truncated ones are rejected")
 {
     PeerReport report;
@@ -60,6 +77,11 @@
     report.sequence = 4;
     report.storeRevision = 9;
     report.work["e"] = BackendWork{1, 2, KvCacheForecast::constant(3)};
+    report.isGroupReport = true;
+    report.groupWork["e"] = BackendWork{1, 0, {}};
+    report.knowsOtherGroups = true;
+    report.otherGroupsWork["e"] = BackendWork{4, 0, {}};
+    report.streams.push_back(StreamSample{"r", "s", 1, 2, 3});
     report.outcomes["e"] = PeerReport::Outcomes{1, 2, 3};
     report.crashes.push_back(CrashReport{1, "e", "r1", 2});
     const std::string bytes = encodePeerReport(report);
--- a/src/gateway/requesthandler.cpp
+++ b/src/gateway/requesthandler.cpp
@@ -79,6 +79,7 @@
 boost::asio::awaitable<bool> RequestHandler::openConnection(const BackendServer &server, bool fresh)
 {
     this->connection = fresh ? nullptr : this->state.connections.takeIdle(server.id + server.address);
+    this->connectionReused = this->connection != nullptr;
     if (!this->connection) {
         const Millis timeout = std::min(ConnectTimeout, std::max(Millis(1), this->timeLeft()));
         this->connection = co_await this->state.connections.open(server.address, timeout);
--- a/src/gateway/requesthandler.h
+++ b/src/gateway/requesthandler.h
@@ -101,6 +101,7 @@
     std::string service;
     TimePoint deadline;
     std::shared_ptr<HttpClientConnection> connection;
+    bool connectionReused = false; ///< `connection` was idle before, so the server may have closed it.
     std::set<std::string> excluded; ///< Ids of the backend servers that must not be chosen again.
     int attempts = 0; ///< Calls that count towards the route's maximum of attempts.
     int budgetedCalls = 0; ///< Calls, including the first one, that count against the retry budget.
--- a/src/gateway/router.cpp
+++ b/src/gateway/router.cpp
@@ -45,6 +45,7 @@
     , state(context.get_executor(), settings, newIncarnation())
     , sync(this->state, this->platform.makeStore(context.get_executor(), settings), this->platform.fleetCodec)
     , peers(this->state)
+    , stages(this->state, this->sync, this->platform.backendCodec)
     , signals(context, SIGTERM, SIGINT, SIGHUP)
 {
 }
@@ -75,6 +76,7 @@
     spawn(this->sync.follow(""));
     spawn(this->sync.catchUp(""));
     spawn(this->sync.keepRegistered());
+    spawn(this->stages.run());
     spawn(this->peers.receive());
     spawn(this->peers.send());
     spawn(this->runHousekeeping());
--- a/src/gateway/router.h
+++ b/src/gateway/router.h
@@ -4,6 +4,7 @@
 #include "httpsession.h"
 #include "peersocket.h"
 #include "routerstate.h"
+#include "stagecontroller.h"
 
 #include "cyclamencross/gateway/routerprocess.h"
 
@@ -74,6 +75,7 @@
     RouterState state;
     FleetSync sync;
     PeerSocket peers;
+    StageController stages;
     boost::asio::signal_set signals;
     std::vector<std::shared_ptr<Acceptor>> acceptors;
     std::set<std::shared_ptr<HttpSession>> sessions;
--- a/src/gateway/routersettings.cpp
+++ b/src/gateway/routersettings.cpp
@@ -96,6 +96,7 @@
         {"bounds.retry_ratio", ratioRule(&RouterSettings::retryRatio)},
         {"bounds.retry_slack", ratioRule(&RouterSettings::retrySlack)},
         {"bounds.retry_window_s", durationRule(&RouterSettings::retryWindow, 1000)},
+        {"bounds.order_pause_ms", durationRule(&RouterSettings::orderPause, 1)},
         {"bounds.answer_ttl_max_s", numberRule(&RouterSettings::maxAddressTtlSeconds, 1, 3600)},
     };
     return Rules;
--- a/src/gateway/routerstate.cpp
+++ b/src/gateway/routerstate.cpp
@@ -1,6 +1,7 @@
 #include "routerstate.h"
 
 #include "cyclamencross/base/hash.h"
+#include "cyclamencross/base/logline.h"
 #include "cyclamencross/route/retryafter.h"
 #include "cyclamencross/route/subsetting.h"
 
@@ -41,7 +42,7 @@
     }
     for (const std::string &id : pool->second.own) {
         const BackendServer *server = this->backends.find(id);
-        if (server != nullptr && !server->draining && !excluded.contains(id)) {
+        if (server != nullptr && this->isEligible(*server) && !excluded.contains(id)) {
             result.push_back(this->makeCandidate(*server, zone, now));
         }
     }
@@ -59,7 +60,7 @@
     std::size_t seen = 0;
     for (const std::string &id : pool->second.otherGroups) {
         const BackendServer *server = this->backends.find(id);
-        if (server == nullptr || server->draining || excluded.contains(id)) {
+        if (server == nullptr || !this->isEligible(*server) || excluded.contains(id)) {
             continue;
         }
         // Reservoir sampling: each eligible backend server is in the sample with the same probability.
@@ -79,18 +80,26 @@
     candidate.server = server;
     candidate.work = this->work->total(server.id);
     if (this->sharedBackends.contains(server.id)) {
-        // Extrapolates from this group's work, since the work that the other groups place there is not reported.
-        candidate.work.requests *= std::int64_t(this->groupCount);
-        candidate.work.promptTokens *= std::int64_t(this->groupCount);
-        candidate.work.kvCache *= std::int64_t(this->groupCount);
+        const bool othersKnown = now - this->otherGroupsWorkTime <= GroupWorkLifetime;
+        if (const auto others = this->otherGroupsWork.find(server.id);
+            othersKnown && others != this->otherGroupsWork.end()) {
+            candidate.work += others->second;
+        } else if (!othersKnown) {
+            // Extrapolates from the work of this group.
+            candidate.work.requests *= std::int64_t(this->groupCount);
+            candidate.work.promptTokens *= std::int64_t(this->groupCount);
+            candidate.work.kvCache *= std::int64_t(this->groupCount);
+        }
+        candidate.isShared = true;
         const auto reported = this->reportedCalls.find(server.id);
         if (reported != this->reportedCalls.end() && now - reported->second.second <= ReportedLoadLifetime) {
             candidate.reportedCalls = reported->second.first;
         }
-        candidate.workIsEstimated = !candidate.reportedCalls;
+        candidate.workIsEstimated = !candidate.reportedCalls && !othersKnown;
     }
     candidate.avoided = this->health.isAvoided(server.id, now);
     candidate.failureRate = this->health.failureRate(server.id, now);
+    candidate.slowness = this->health.slowness(server.id, now);
     candidate.prefillMillisPerToken = this->health.prefillMillisPerToken(server.id);
     const auto full = this->fullUntil.find(server.id);
     candidate.reservationRefused = full != this->fullUntil.end() && now < full->second;
@@ -152,6 +161,20 @@
             this->peersOfGroup.push_back(member);
         }
     });
+    // The delegate of each group is the router with the lowest hash.
+    std::map<std::size_t, std::pair<std::uint64_t, std::string>> lowestByGroup;
+    for (const auto &[name, group] : groupOfRouter) {
+        const std::pair<std::uint64_t, std::string> entry(hash64(name), name);
+        const auto [it, isFirst] = lowestByGroup.try_emplace(group, entry);
+        it->second = std::min(it->second, entry);
+    }
+    this->delegates.clear();
+    for (const auto &[group, entry] : lowestByGroup) {
+        const RouterMember *member = this->members.find(entry.second);
+        if (group != ownGroup && member != nullptr) {
+            this->delegates.push_back(*member);
+        }
+    }
     const std::uint64_t ownHash = hash64(this->settings.name);
     const auto lowerRanked = std::count_if(this->peersOfGroup.begin(), this->peersOfGroup.end(),
                                            [ownHash](const RouterMember &peer) { return hash64(peer.name) < ownHash; });
@@ -179,11 +202,61 @@
 }
 
 bool RouterState::isUsable(const BackendServer &server) const
+{
+    return this->isRegistered(server) && this->isEligible(server);
+}
+
+bool RouterState::isRegistered(const BackendServer &server) const
 {
     const BackendServer *known = this->backends.find(server.id);
     return known != nullptr && !known->draining && known->address == server.address;
 }
 
+bool RouterState::isEligible(const BackendServer &server) const
+{
+    const auto planned = this->stagePlan.stages.find(server.id);
+    return !server.draining && (planned == this->stagePlan.stages.end() || planned->second == server.stage);
+}
+
+std::map<std::string, StageLoad> RouterState::stageLoads() const
+{
+    std::map<std::string, StageLoad> result;
+    for (const auto &[poolKey, pool] : this->pools) {
+        const auto &[service, stage] = poolKey;
+        const ServiceConfig *config = this->table ? this->table->service(service) : nullptr;
+        const auto otherStage =
+            this->pools.find({service, stage == EngineStage::Prefill ? EngineStage::Decode : EngineStage::Prefill});
+        if (stage == EngineStage::None || config == nullptr || !config->engine || otherStage == this->pools.end()) {
+            continue;
+        }
+        BackendWork work;
+        std::size_t eligible = 0;
+        for (const PlacementCandidate &candidate : this->candidates(service, stage, {}, "", Clock::now())) {
+            work += candidate.work;
+            ++eligible;
+        }
+        StageLoad &load = result[service];
+        const std::size_t engines = pool.own.size() + pool.otherGroups.size();
+        const double averageFactor = 1.0 / double(std::max<std::size_t>(1, eligible));
+        if (stage == EngineStage::Prefill) {
+            load.prefillEngines = engines;
+            load.prefillRequests = double(work.requests) * averageFactor * double(engines);
+            // A smaller pool could not be divided among the groups any more.
+            load.minPrefillEngines = pool.otherGroups.empty() ? 1 : this->groupCount * Subsetting::MinBackendsPerGroup;
+        } else {
+            load.decodeEngines = engines;
+            load.decodeUse = double(work.kvCache.peak()) * averageFactor
+                / double(std::max<std::int64_t>(1, config->engine->kvCacheTokens));
+        }
+    }
+    return result;
+}
+
+bool RouterState::isLeader() const
+{
+    return this->leadership.router == this->settings.name && this->leadership.incarnation == this->incarnation;
+}
+
 void RouterState::recordOutcome(const std::string &backend, CallOutcome outcome, TimePoint now)
 {
     this->health.add(backend, outcome, now);
@@ -201,6 +274,26 @@
     }
 }
 
+void RouterState::recordPace(const std::string &backend, double millisPerToken, TimePoint now)
+{
+    this->applyPace(backend, millisPerToken, now, 1);
+    PeerReport::Outcomes &outcomes = this->pendingOutcomes[backend];
+    outcomes.paceSamples += 1;
+    outcomes.paceSum += millisPerToken;
+}
+
+void RouterState::applyPace(const std::string &backend, double millisPerToken, TimePoint now, double weight)
+{
+    if (this->health.addPaceSample(backend, millisPerToken, now, weight)) {
+        LogLine("engine-pace")
+            .add("backend", backend)
+            .add("slowness", this->health.slowness(backend, now))
+            .add("millis_per_token", millisPerToken)
+            .add("from", weight < 1 ? "peer" : "own")
+            .write();
+    }
+}
+
 void RouterState::recordStream(const StreamSample &sample)
 {
     this->outputEstimator.record(sample);
@@ -242,6 +335,10 @@
     report.work = this->work->own();
     report.waiting = this->waiting->own();
     report.reportedCalls = std::exchange(this->pendingReportedCalls, {});
+    if (this->isPrimaryWatcher() && now - this->otherGroupsWorkTime <= GroupWorkLifetime) {
+        report.knowsOtherGroups = true;
+        report.otherGroupsWork = this->otherGroupsWork;
+    }
     report.outcomes = std::exchange(this->pendingOutcomes, {});
     report.streams = std::exchange(this->pendingStreams, {});
     for (const auto &[time, crash] : this->recentCrashes) {
@@ -253,15 +350,82 @@
     return report;
 }
 
-void RouterState::applyReport(const PeerReport &report, TimePoint now)
+std::optional<PeerReport> RouterState::takeGroupReport(TimePoint now)
 {
-    PeerSequence &last = this->peerSequences[report.router];
+    if (!this->isPrimaryWatcher() || this->delegates.empty() || this->sharedBackends.empty()
+        || now - this->lastGroupReport < GroupReportPeriod) {
+        return std::nullopt;
+    }
+    this->lastGroupReport = now;
+    this->sumGroupWork(now);
+    PeerReport report;
+    report.router = this->settings.name;
+    report.incarnation = this->incarnation;
+    report.sequence = ++this->groupReportSequence;
+    report.isGroupReport = true;
+    for (const std::string &id : this->sharedBackends) {
+        const BackendWork total = this->work->total(id);
+        if (total != BackendWork()) {
+            report.groupWork[id] = total;
+        }
+    }
+    return report;
+}
+
+void RouterState::sumGroupWork(TimePoint now)
+{
+    std::erase_if(this->groupWork, [this, now](const auto &item) {
+        const bool isDelegate =
+            std::any_of(this->delegates.begin(), this->delegates.end(),
+                        [&item](const RouterMember &delegate) { return delegate.name == item.first; });
+        return !isDelegate || now - item.second.second > GroupWorkLifetime;
+    });
+    if (this->groupWork.size() < this->delegates.size()) {
+        return; // Without the work of each group, the extrapolation is more accurate.
+    }
+    this->otherGroupsWork.clear();
+    for (const auto &[delegate, work] : this->groupWork) {
+        for (const auto &[id, backendWork] : work.first) {
+            this->otherGroupsWork[id] += backendWork;
+        }
+    }
+    this->otherGroupsWorkTime = now;
+}
+
+const std::vector<RouterMember> &RouterState::otherDelegates() const
+{
+    return this->delegates;
+}
+
+bool RouterState::isNewer(const PeerReport &report, std::map<std::string, PeerSequence> &sequences)
+{
+    PeerSequence &last = sequences[report.router];
     const bool newer = report.incarnation > last.incarnation
         || (report.incarnation == last.incarnation && report.sequence > last.sequence);
-    if (!newer || report.router == this->settings.name) {
+    if (newer) {
+        last = PeerSequence{report.incarnation, report.sequence};
+    }
+    return newer;
+}
+
+void RouterState::applyReport(const PeerReport &report, TimePoint now)
+{
+    if (report.router == this->settings.name) {
+        return;
+    }
+    if (report.isGroupReport) {
+        if (this->isPrimaryWatcher() && isNewer(report, this->groupReportSequences)) {
+            this->groupWork[report.router] = {report.groupWork, now};
+        }
         return;
     }
-    last = PeerSequence{report.incarnation, report.sequence};
+    if (!isNewer(report, this->peerSequences)) {
+        return;
+    }
+    if (report.knowsOtherGroups && !this->isPrimaryWatcher()) {
+        this->otherGroupsWork = report.otherGroupsWork;
+        this->otherGroupsWorkTime = now;
+    }
     this->newestPeerRevision = std::max(this->newestPeerRevision, report.storeRevision);
     if (report.watching) {
         this->lastWatcherReport = now;
@@ -284,6 +448,9 @@
                 this->health.add(backend, outcome, now, PeerOutcomeWeight);
             }
         };
+        if (outcomes.paceSamples > 0) {
+            this->applyPace(backend, outcomes.paceSum / outcomes.paceSamples, now, PeerOutcomeWeight);
+        }
         addOutcomes(CallOutcome::Failed, outcomes.failed);
         addOutcomes(CallOutcome::Broken, outcomes.broken);
         // A peer's success must not end the avoidance of a backend server that this router can't reach.
--- a/src/gateway/routerstate.h
+++ b/src/gateway/routerstate.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "connectionpool.h"
+#include "leadership.h"
 #include "peerreport.h"
 
 #include "cyclamencross/base/metrics.h"
@@ -16,6 +17,8 @@
 #include "cyclamencross/route/registrationcache.h"
 #include "cyclamencross/route/routermember.h"
 #include "cyclamencross/route/routetable.h"
+#include "cyclamencross/route/stageload.h"
+#include "cyclamencross/route/stageplan.h"
 
 #include <cstdint>
 #include <functional>
@@ -58,13 +61,22 @@
     bool hasLiveWatcher(TimePoint now) const;
     /// Adds changes that this router has read from the store to its next report to peers.
     void queueChangesForPeers(const StoreChanges &added);
-    /// Returns whether @p server is still registered at the same address and not draining.
+    /// Returns whether @p server is still registered at the same address, not draining and not changing its stage.
     bool isUsable(const BackendServer &server) const;
+    /// Returns whether @p server is still registered at the same address and not draining, whatever its stage.
+    bool isRegistered(const BackendServer &server) const;
+    /// Returns the load of the engines of each model service that has engines of both stages. Extrapolates from the
+    /// engines of this router's group to all.
+    std::map<std::string, StageLoad> stageLoads() const;
+    /// Returns whether this router is the leader.
+    bool isLeader() const;
     /// Records the outcome of a call for this router's health data and its next report to peers.
     void recordOutcome(const std::string &backend, CallOutcome outcome, TimePoint now);
     /// Records how many calls a shared backend server reported, for this router and its next report to peers. Ignored
     /// for backend servers that only one group uses.
     void recordReportedCalls(const std::string &backend, std::int64_t calls, TimePoint now);
+    /// Records the pace of a running stream for this router's health data and its next report to peers.
+    void recordPace(const std::string &backend, double millisPerToken, TimePoint now);
     /// Records a completed stream for this router's estimates and its next report to peers.
     void recordStream(const StreamSample &sample);
     /// Records that an engine refused a capacity reservation; it counts as full for FullLifetime.
@@ -76,6 +88,11 @@
     /// Returns the next report for peers and clears what it reports only once; std::nullopt if nothing has changed and
     /// the last report is younger than ReportPeriod.
     std::optional<PeerReport> takeReport(TimePoint now);
+    /// Returns the next report to the delegates of the other groups; std::nullopt if this router is not the delegate of
+    /// its group, all groups have their own backend servers, or the last report is younger than GroupReportPeriod.
+    std::optional<PeerReport> takeGroupReport(TimePoint now);
+    /// Returns the delegates of the other groups. The delegate of a group is its primary watcher.
+    const std::vector<RouterMember> &otherDelegates() const;
     /// Applies a peer's report. Reports that are not newer than the last one of the same router are ignored.
     void applyReport(const PeerReport &report, TimePoint now);
     /// Returns a uniformly distributed random number from 0 to 1.
@@ -106,6 +123,10 @@
     CrashHistory crashHistory;
     ConnectionPool connections;
     Metrics metrics;
+    Leadership leadership; ///< As recorded in the store.
+    StagePlan stagePlan; ///< As recorded in the store.
+    std::uint64_t stagePlanRevision = 0;
+    TimePoint stagePlanSince; ///< When this router learned of the plan.
     bool backendsKnown = false; ///< The backend servers were read from the store at least once.
     std::uint64_t storeRevision = 0; ///< Newest store revision that this router has seen.
     bool watching = false; ///< This router watches the store and can reach it.
@@ -118,6 +139,10 @@
 private:
     /// Interval between reports if nothing has changed: a third of the time for which peers keep a report.
     static constexpr Millis ReportPeriod{500};
+    /// Interval between the reports of the delegates: that of the members' reports on which they are based.
+    static constexpr Millis GroupReportPeriod{100};
+    /// How long the reported work of another group counts: a few periods.
+    static constexpr Millis GroupWorkLifetime{1000};
     /// Number of routers in a group that watch the store. One of them may lose the store and another be stopped.
     static constexpr std::size_t WatchersPerGroup = 3;
     /// How long after its last report a watching peer counts as live: two of its reports may be lost.
@@ -162,6 +187,14 @@
     std::vector<StreamSample> pendingStreams; ///< To be sent with the next report.
     std::vector<std::pair<TimePoint, CrashReport>> recentCrashes;
     std::vector<RouterMember> peersOfGroup;
+    std::vector<RouterMember> delegates; ///< Of the other groups.
+    /// Work of the other groups on shared backend servers by delegate, if this router is the delegate of its group.
+    std::map<std::string, std::pair<std::map<std::string, BackendWork>, TimePoint>> groupWork;
+    std::map<std::string, BackendWork> otherGroupsWork; ///< Sum over all other groups.
+    TimePoint otherGroupsWorkTime; ///< When the sum was last updated.
+    TimePoint lastGroupReport;
+    std::uint64_t groupReportSequence = 0;
+    std::map<std::string, PeerSequence> groupReportSequences; ///< Newest group report by delegate.
     std::size_t watcherRank = 0; ///< Rank of this router in its group; the first WatchersPerGroup watch the store.
     TimePoint lastWatcherReport;
     StoreChanges pendingChanges; ///< To be sent with the next report.
@@ -169,6 +202,14 @@
     std::set<std::string> sharedBackends; ///< Ids of the backend servers that all groups use.
     std::size_t groupCount = 1;
 
+    /// Records a pace sample and logs whether the engine has become slow or recovered.
+    void applyPace(const std::string &backend, double millisPerToken, TimePoint now, double weight);
+    /// Recomputes the work of the other groups from the reports of their delegates.
+    void sumGroupWork(TimePoint now);
+    /// Returns whether @p report is newer than the last one of the same router, and remembers it then.
+    static bool isNewer(const PeerReport &report, std::map<std::string, PeerSequence> &sequences);
+    /// Returns whether requests of the server's registered stage may be sent to it.
+    bool isEligible(const BackendServer &server) const;
     PlacementCandidate makeCandidate(const BackendServer &server, const std::string &zone, TimePoint now) const;
     std::map<std::string, PeerSequence> peerSequences;
     std::uint64_t reportSequence = 0;
--- a/src/gateway/routerstate_test.cpp
+++ b/src/gateway/routerstate_test.cpp
@@ -2,8 +2,10 @@
 #include "routerstate.h"
 #include "workreservation.h"
 
+#include <algorithm>
 #include <map>
 #include <memory>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
@@ -197,3 +199,76 @@
     CHECK(calls(now) == std::optional<std::int64_t>(9));
     CHECK(calls(now + Millis(500)) == std::nullopt);
 }
+
+TEST_CASE("Delegates exchange the work of their groups on the engines that all groups share")
+{
+    // Guards against engines that every group fills as if no other group used them, or leaves empty because it
+    // extrapolates its own few requests.
+    boost::asio::io_context context;
+    std::vector<std::unique_ptr<RouterState>> routers;
+    for (int i = 0; i < 40; ++i) {
+        auto state = std::make_unique<RouterState>(context.get_executor(), named(numbered("r", i)), 1);
+        addRouters(*state);
+        state->backends.put("e", BackendServer{"e", "big", "10.0.1.1:1", "z", false, EngineStage::Decode, 4, 0}, 1);
+        state->regroup();
+        routers.push_back(std::move(state));
+    }
+    const auto placed = [](const RouterState &state) {
+        return state.candidates("big", EngineStage::Decode, {}, "z", Clock::now()).front().work.requests;
+    };
+    RouterState &worker = *routers.front();
+    worker.work->add("e", BackendWork{5, 0, {}});
+    const auto inGroupOfWorker = [&worker](const RouterState &state) {
+        return std::any_of(worker.groupPeers().begin(), worker.groupPeers().end(),
+                           [&state](const RouterMember &peer) { return peer.name == state.settings.name; });
+    };
+    // Two rounds: the members report to their delegates, then the delegates to each other and to their members.
+    for (int round = 0; round < 3; ++round) {
+        const TimePoint now = Clock::now() + Millis(600 * round);
+        for (const auto &sender : routers) {
+            const auto groupReport = sender->takeGroupReport(now);
+            const auto report = sender->takeReport(now);
+            for (const auto &receiver : routers) {
+                const auto isAddressed = [&receiver](const std::vector<RouterMember> &list) {
+                    return std::any_of(list.begin(), list.end(), [&receiver](const RouterMember &member) {
+                        return member.name == receiver->settings.name;
+                    });
+                };
+                if (groupReport && isAddressed(sender->otherDelegates())) {
+                    receiver->applyReport(*groupReport, now);
+                }
+                if (report && isAddressed(sender->groupPeers())) {
+                    receiver->applyReport(*report, now);
+                }
+            }
+        }
+    }
+    int delegates = 0;
+    for (const auto &state : routers) {
+        delegates += state->takeGroupReport(Clock::now() + Millis(5000)) ? 1 : 0;
+        CHECK(placed(*state) == 5);
+        CHECK((inGroupOfWorker(*state) || state.get() == &worker || state->work->total("e").requests == 0));
+    }
+    CHECK(delegates == 2);
+}
+
+TEST_CASE("An engine that is to change its stage gets no requests of its old stage")
+{
+    // Guards against requests that an engine rejects while it changes its stage.
+    boost::asio::io_context context;
+    RouterState state(context.get_executor(), named("r0"), 1);
+    const BackendServer server{"e", "big", "10.0.1.1:1", "z", false, EngineStage::Prefill, 4, 0};
+    state.backends.put("e", server, 1);
+    state.regroup();
+    CHECK(state.candidates("big", EngineStage::Prefill, {}, "z", Clock::now()).size() == 1);
+    state.stagePlan.stages["e"] = EngineStage::Decode;
+    CHECK(state.candidates("big", EngineStage::Prefill, {}, "z", Clock::now()).empty());
+    CHECK_FALSE(state.isUsable(server));
+    CHECK(state.isRegistered(server));
+    BackendServer changed = server;
+    changed.stage = EngineStage::Decode;
+    state.backends.put("e", changed, 2);
+    state.regroup();
+    CHECK(state.candidates("big", EngineStage::Decode, {}, "z", Clock::now()).size() == 1);
+    CHECK(state.isUsable(changed));
+}
--- /dev/null
+++ b/src/gateway/stagecontroller.cpp
@@ -0,0 +1,185 @@
+#include "stagecontroller.h"
+
+#include "asioutil.h"
+#include "fleetsync.h"
+#include "routerstate.h"
+
+#include "cyclamencross/base/hash.h"
+#include "cyclamencross/base/logline.h"
+#include "cyclamencross/gateway/httpclientconnection.h"
+
+#include <algorithm>
+#include <set>
+
+namespace Cyclamen
+{
+
+namespace
+{
+
+// Longest pause before a router claims a vacant leadership. The pauses are random, so that usually one router claims.
+constexpr Millis MaxClaimPause{1500};
+constexpr Millis ConnectTimeout{200};
+
+std::string stageName(EngineStage stage)
+{
+    return stage == EngineStage::Prefill ? "prefill" : "decode";
+}
+
+}
+
+StageController::StageController(RouterState &state, FleetSync &sync, const BackendCodec &codec)
+    : state(state)
+    , sync(sync)
+    , codec(codec)
+{
+}
+
+boost::asio::awaitable<void> StageController::run()
+{
+    while (!this->state.stopping) {
+        co_await sleepFor(Period);
+        if (!this->state.isLeader()) {
+            this->leaderSince = std::nullopt;
+            if (this->state.leadership.router.empty() && this->state.isPrimaryWatcher() && this->state.isReady()) {
+                co_await this->claim();
+            }
+            continue;
+        }
+        if (!this->leaderSince) {
+            this->leaderSince = Clock::now();
+            this->balancers.clear();
+            this->lastOrders.clear();
+            LogLine("leader").add("fencing_token", this->state.leadership.revision).write();
+        }
+        if (!this->mayOrder()) {
+            continue;
+        }
+        const bool pending = co_await this->enforcePlan();
+        if (!pending && this->mayOrder()) {
+            co_await this->balance();
+        }
+    }
+}
+
+bool StageController::mayOrder() const
+{
+    const Millis pause = this->state.settings.orderPause + TakeoverMargin;
+    return this->state.isLeader() && !this->state.stopping && this->leaderSince
+        && Clock::now() - *this->leaderSince >= pause && this->sync.isLeaseConfirmed();
+}
+
+boost::asio::awaitable<void> StageController::claim()
+{
+    co_await sleepFor(Millis(std::int64_t(this->state.random() * double(MaxClaimPause.count()))));
+    if (this->state.leadership.router.empty() && !this->state.stopping) {
+        co_await this->sync.claimLeadership();
+    }
+}
+
+boost::asio::awaitable<bool> StageController::enforcePlan()
+{
+    const TimePoint now = Clock::now();
+    bool pending = false;
+    std::vector<std::pair<BackendServer, EngineStage>> due;
+    for (const auto &[id, stage] : this->state.stagePlan.stages) {
+        const BackendServer *server = this->state.backends.find(id);
+        if (server == nullptr || server->draining || server->stage == stage) {
+            continue;
+        }
+        pending = true;
+        const auto last = this->lastOrders.find(id);
+        const bool repeat = last == this->lastOrders.end() || now - last->second >= OrderRepeatTime;
+        if (repeat && now - this->state.stagePlanSince >= PlanHeadStart && int(due.size()) < MaxOrdersPerPeriod) {
+            due.emplace_back(*server, stage);
+        }
+    }
+    for (const auto &[server, stage] : due) {
+        if (!this->mayOrder()) {
+            break;
+        }
+        this->lastOrders[server.id] = Clock::now();
+        co_await this->order(server, stage);
+    }
+    co_return pending;
+}
+
+boost::asio::awaitable<void> StageController::order(BackendServer server, EngineStage stage)
+{
+    const auto connection = co_await this->state.connections.open(server.address, ConnectTimeout);
+    if (connection && this->mayOrder() && this->state.isRegistered(server)) {
+        const TimePoint until = Clock::now() + OrderTimeout;
+        OrderCall order =
+            this->codec.stageOrder(server.id, stage, this->state.settings.name, this->state.leadership.revision);
+        std::string call = std::move(order.call);
+        std::optional<std::string> body = std::move(order.body);
+        const ConnectionStatus status =
+            co_await connection->performRequest(std::move(call), std::move(body), until, std::move(order.headers));
+        LogLine("engine-order")
+            .add("backend", server.id)
+            .add("stage", stageName(stage))
+            .add("fencing_token", this->state.leadership.revision)
+            .add("status", status == ConnectionStatus::Ok ? connection->status() : 0)
+            .write();
+        this->state.metrics.count("cyclamencross_engine_orders_total", {{"stage", stageName(stage)}});
+    }
+    if (connection) {
+        connection->close();
+    }
+}
+
+boost::asio::awaitable<void> StageController::balance()
+{
+    const TimePoint now = Clock::now();
+    StagePlan plan = this->state.stagePlan;
+    std::erase_if(plan.stages, [this](const auto &item) { return this->state.backends.find(item.first) == nullptr; });
+    bool changed = false;
+    for (const auto &[service, load] : this->state.stageLoads()) {
+        StageBalancer &balancer = this->balancers[service];
+        balancer.record(load, now);
+        const int count = balancer.enginesToMove();
+        if (count == 0) {
+            continue;
+        }
+        LogLine("stage-change")
+            .add("service", service)
+            .add("to_decode", std::int64_t(count))
+            .add("prefill_engines", std::int64_t(load.prefillEngines))
+            .add("decode_engines", std::int64_t(load.decodeEngines))
+            .add("prefill_requests", load.prefillRequests)
+            .add("decode_use", load.decodeUse)
+            .write();
+        this->addChanges(plan, service, count > 0 ? EngineStage::Prefill : EngineStage::Decode,
+                         count > 0 ? EngineStage::Decode : EngineStage::Prefill, std::abs(count));
+        balancer.reset();
+        changed = true;
+    }
+    if (changed) {
+        co_await this->sync.writeStagePlan(plan);
+    }
+}
+
+void StageController::addChanges(StagePlan &plan, const std::string &service, EngineStage from, EngineStage target,
+                                 int count) const
+{
+    // Takes an engine of the availability zone that has the most of them left, so that no zone loses a stage.
+    std::map<std::string, std::set<std::pair<std::uint64_t, std::string>>> idsByZone;
+    this->state.backends.forEach([&](const std::string &id, const BackendServer &server) {
+        if (server.service == service && server.stage == from && !server.draining) {
+            idsByZone[server.zone].insert({hash64(id), id});
+        }
+    });
+    for (int i = 0; i < count && !idsByZone.empty(); ++i) {
+        const auto largest = std::max_element(idsByZone.begin(), idsByZone.end(), [](const auto &a, const auto &b) {
+            return a.second.size() < b.second.size();
+        });
+        if (largest->second.empty()) {
+            return;
+        }
+        const auto first = largest->second.begin();
+        plan.stages[first->second] = target;
+        largest->second.erase(first);
+    }
+}
+
+}
--- /dev/null
+++ b/src/gateway/stagecontroller.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "cyclamencross/base/timing.h"
+#include "cyclamencross/gateway/backendcodec.h"
+#include "cyclamencross/route/backendserver.h"
+#include "cyclamencross/route/stagebalancer.h"
+
+#include <map>
+#include <optional>
+#include <string>
+
+#include <boost/asio/awaitable.hpp>
+
+namespace Cyclamen
+{
+
+class FleetSync;
+class RouterState;
+struct StagePlan;
+
+/// Changes the stages of engines to balance prefill and decode capacity. One router does this for the whole fleet: the
+/// leader, whose record in the store is bound to the lease of its registration. It extrapolates the load of its group
+/// to the fleet, writes the changes to the stage plan in the store, and then orders the engines to make them. Used from
+/// one thread.
+class StageController
+{
+public:
+    /// Interval between two looks at the load.
+    static constexpr Millis Period{250};
+    /// Extra time for which a new leader gives no orders, beyond the pause that the settings demand between two
+    /// holders.
+    static constexpr Millis TakeoverMargin{500};
+    /// Time between the write of the plan and the first order: routers know the plan by then.
+    static constexpr Millis PlanHeadStart{800};
+    /// Time after which an order that had no effect is repeated, longer than an engine needs to change its stage.
+    static constexpr Millis OrderRepeatTime{9000};
+    static constexpr Millis OrderTimeout{500};
+    /// Engines that get an order in one period.
+    static constexpr int MaxOrdersPerPeriod = 8;
+
+    StageController(RouterState &state, FleetSync &sync, const BackendCodec &codec);
+
+    /// Claims leadership whenever there is no leader and balances the stages while this router leads, until
+    /// RouterState::stopping is set.
+    boost::asio::awaitable<void> run();
+
+private:
+    boost::asio::awaitable<void> claim();
+    /// Orders engines to follow the stage plan.
+    /// @return whether any engine does not follow it yet.
+    boost::asio::awaitable<bool> enforcePlan();
+    boost::asio::awaitable<void> order(BackendServer server, EngineStage stage);
+    /// Records the load of each model service and extends the plan if engines should change.
+    boost::asio::awaitable<void> balance();
+    /// Adds @p count changes of engines of @p service from stage @p from to stage @p target to the plan.
+    void addChanges(StagePlan &plan, const std::string &service, EngineStage from, EngineStage target, int count) const;
+    /// Returns whether this router is the leader and may give orders now.
+    bool mayOrder() const;
+
+    RouterState &state;
+    FleetSync &sync;
+    const BackendCodec &codec;
+    std::optional<TimePoint> leaderSince;
+    std::map<std::string, StageBalancer> balancers; ///< By service.
+    std::map<std::string, TimePoint> lastOrders; ///< By id of the engine.
+};
+
+}
--- /dev/null
+++ b/src/gateway/stageplancodec.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "cyclamencross/route/stageplan.h"
+
+#include <optional>
+#include <string>
+
+namespace Cyclamen
+{
+
+/// Encodes a plan as the value of a store item.
+std::string encodeStagePlan(const StagePlan &plan);
+/// Decodes the value of a store item; std::nullopt if it is malformed.
+std::optional<StagePlan> decodeStagePlan(const std::string &text);
+
+}
--- a/src/gateway/streamrequesthandler.cpp
+++ b/src/gateway/streamrequesthandler.cpp
@@ -57,6 +57,9 @@
 constexpr double ReservedOutputShare = 0.25;
 // A stream that has exceeded its expected output is expected to generate this share of its output again.
 constexpr double MinRemainingShare = 0.15;
+// Output that the forecast allows for, relative to the expected one. A stream that no longer fits is preempted, and the
+// repeated processing of its prompt delays all other streams of the engine.
+constexpr double OutputMargin = 1.8;
 // Shortest time between two updates of a stream's forecast.
 constexpr Millis WorkUpdatePeriod{150};
 
@@ -150,6 +153,7 @@
 
 boost::asio::awaitable<bool> StreamRequestHandler::reserveDecodeEngine()
 {
+    this->releaseReservation(); // At the engine of an attempt that did not reach it.
     const TimePoint start = Clock::now();
     CapacityWaiter waiter(this->state, this->service, this->capacityWait());
     while (!this->shouldStop()) {
@@ -215,15 +219,24 @@
         co_return true;
     }
     const BackendServer server = *this->decodeEngine;
-    const bool open = co_await this->openConnection(server, false);
+    bool open = co_await this->openConnection(server, false);
     if (!open || this->shouldStop()) {
         this->decodeEngine = std::nullopt;
         co_return false;
     }
-    auto [call, body] = this->codec.reserveCall(this->reservedTokens(), std::min(maxLifetime, ReservationLifetime));
+    const auto request = this->codec.reserveCall(this->reservedTokens(), std::min(maxLifetime, ReservationLifetime));
     const TimePoint until = std::min(this->deadline, Clock::now() + ReservationTimeout);
-    std::optional<std::string> json = std::move(body);
-    const ConnectionStatus status = co_await this->connection->performRequest(std::move(call), std::move(json), until);
+    ConnectionStatus status = co_await this->connection->performRequest(request.first, request.second, until);
+    if (status == ConnectionStatus::Broken && this->connectionReused && !this->shouldStop()) {
+        // An engine may close an idle connection at any moment, which says nothing about the engine.
+        this->connection->close();
+        open = co_await this->openConnection(server, true);
+        if (!open) {
+            this->decodeEngine = std::nullopt;
+            co_return false;
+        }
+        status = co_await this->connection->performRequest(request.first, request.second, until);
+    }
     if (status != ConnectionStatus::Ok) {
         this->connection->close();
         this->recordOutcome(server, CallOutcome::Broken);
@@ -268,7 +281,7 @@
     const EngineStage stage = capacity > 0 ? EngineStage::Decode : EngineStage::None;
     const TimePoint now = Clock::now();
     const auto choose = [&](const std::vector<PlacementCandidate> &from) {
-        return Placement::chooseDecode(from, this->requestWork().kvCache, capacity * Placement::MaxForecastShare,
+        return Placement::chooseDecode(from, this->requestWork().kvCache, capacity,
                                        [this] { return this->state.random(); });
     };
     auto candidates = this->state.candidates(this->service, stage, this->excluded, this->state.settings.zone, now);
@@ -387,6 +400,7 @@
     call.reservationToken = std::exchange(this->reservationToken, std::string());
     this->excluded.insert(server.id);
     ++this->attempts;
+    this->attemptStart = Clock::now();
     this->send(server, call);
     this->progress = std::make_shared<StreamProgress>();
     if (this->route.mayRepeat() && this->hasAttemptsLeft()) {
@@ -480,13 +494,13 @@
 boost::asio::awaitable<bool> StreamRequestHandler::forwardEvents(const std::string &bytes)
 {
     std::string events;
+    bool inOrder = true;
     for (EventSplitter::Event &event : this->splitter.feed(bytes)) {
-        if (event.id) {
-            if (this->lastEventId && *event.id <= *this->lastEventId) {
-                co_return false;
-            }
-            this->lastEventId = event.id;
+        inOrder = !event.id || !this->lastEventId || *event.id > *this->lastEventId;
+        if (!inOrder) {
+            break; // The events before this one are valid and count as received by the caller.
         }
+        this->lastEventId = event.id ? event.id : this->lastEventId;
         ++this->eventCount;
         events += event.text;
     }
@@ -494,7 +508,7 @@
         this->recordChunk();
         co_await this->session.sendChunk(std::move(events));
     }
-    co_return !this->splitter.isOverlong();
+    co_return inOrder && !this->splitter.isOverlong();
 }
 
 void StreamRequestHandler::recordChunk()
@@ -526,9 +540,12 @@
     const auto generated = std::int64_t(double(this->eventCount) * this->estimate.tokensPerEvent);
     const auto moreThanGenerated = std::int64_t(double(generated) * MinRemainingShare);
     const std::int64_t remaining = std::max(this->estimate.tokens - generated, moreThanGenerated);
-    return BackendWork{
-        1, 0,
-        KvCacheForecast::ofRequest(this->request.promptTokens + generated, remaining, this->estimate.millisPerToken)};
+    // A slow engine keeps the request in its KV cache for longer.
+    const double slowness = this->decodeEngine ? this->state.health.slowness(this->decodeEngine->id, Clock::now()) : 1;
+    return BackendWork{1, 0,
+                       KvCacheForecast::ofRequest(this->request.promptTokens + generated,
+                                                  std::int64_t(double(remaining) * OutputMargin),
+                                                  this->estimate.millisPerToken * slowness)};
 }
 
 std::int64_t StreamRequestHandler::reservedTokens() const
@@ -538,10 +555,17 @@
 
 void StreamRequestHandler::updateWork(TimePoint now)
 {
-    if (this->workReservation && now - this->lastWorkUpdate >= WorkUpdatePeriod) {
-        this->lastWorkUpdate = now;
-        this->workReservation->update(this->requestWork());
+    if (!this->workReservation || now - this->lastWorkUpdate < WorkUpdatePeriod) {
+        return;
+    }
+    const double tokens = double(this->eventCount - this->eventsAtUpdate) * this->estimate.tokensPerEvent;
+    if (tokens > 0 && this->lastWorkUpdate >= this->attemptStart) {
+        const double pace = toSeconds(now - this->lastWorkUpdate) * 1000 / tokens;
+        this->state.recordPace(this->decodeEngine->id, pace, now);
     }
+    this->lastWorkUpdate = now;
+    this->eventsAtUpdate = this->eventCount;
+    this->workReservation->update(this->requestWork());
 }
 
 void StreamRequestHandler::recordStream(TimePoint now)
--- a/src/gateway/streamrequesthandler.h
+++ b/src/gateway/streamrequesthandler.h
@@ -81,6 +81,8 @@
     OutputEstimate estimate; ///< Expected output.
     TimePoint firstChunkTime; ///< When the first events were forwarded.
     TimePoint lastWorkUpdate;
+    TimePoint attemptStart; ///< When the request was sent to `decodeEngine`.
+    std::int64_t eventsAtUpdate = 0; ///< Value of `eventCount` at `lastWorkUpdate`.
     PlacementCandidate decodeCandidate; ///< State of `decodeEngine` when it was chosen; for the log.
     std::size_t candidateCount = 0; ///< Number of engines it was chosen from; for the log.
     std::unique_ptr<WorkReservation> workReservation; ///< Of the request's work at `decodeEngine`.
--- a/src/include/cyclamencross/base/timing.h
+++ b/src/include/cyclamencross/base/timing.h
@@ -17,6 +17,9 @@
     return std::chrono::duration<double>(duration).count();
 }
 
+/// Returns the time since the host was started, including the time for which it was suspended; Clock leaves that out.
+Clock::duration bootTime();
+
 /// Returns the wall-clock time in seconds since the Unix epoch.
 std::int64_t unixSeconds();
 
--- a/src/include/cyclamencross/gateway/backendcodec.h
+++ b/src/include/cyclamencross/gateway/backendcodec.h
@@ -2,6 +2,7 @@
 
 #include "cyclamencross/gateway/backendcall.h"
 #include "cyclamencross/gateway/backendresponsehead.h"
+#include "cyclamencross/gateway/ordercall.h"
 #include "cyclamencross/gateway/prefillresult.h"
 #include "cyclamencross/gateway/routerrequest.h"
 
@@ -36,6 +37,12 @@
     std::function<std::optional<std::string>(std::string_view body)> decodeReservation;
     /// Returns the method and target of the call that releases a reservation.
     std::function<std::string(const std::string &token)> releaseReservationCall;
+    /// Returns the order to the engine @p backend to change its stage.
+    /// @param holder name of the router that gives the order.
+    /// @param fencingToken increases with each new holder.
+    std::function<OrderCall(const std::string &backend, EngineStage stage, const std::string &holder,
+                            std::uint64_t fencingToken)>
+        stageOrder;
     /// Returns the headers of a refusal that tell the caller when to retry.
     std::function<HeaderList(Millis retryAfter)> refusalHeaders;
 };
--- a/src/include/cyclamencross/gateway/httpclientconnection.h
+++ b/src/include/cyclamencross/gateway/httpclientconnection.h
@@ -58,8 +58,9 @@
     /// Sends a request that the router itself originates and reads the complete response.
     /// @param call method and target, such as "GET /path".
     /// @param json JSON body, if there is one.
+    /// @param extraHeaders further headers of the request.
     boost::asio::awaitable<ConnectionStatus> performRequest(std::string call, std::optional<std::string> json,
-                                                            TimePoint deadline);
+                                                            TimePoint deadline, HeaderList extraHeaders = {});
 
     /// Starts watching an idle connection, which is closed if the server closes it or sends unexpected bytes.
     void watchIdle();
--- a/src/include/cyclamencross/gateway/routersettings.h
+++ b/src/include/cyclamencross/gateway/routersettings.h
@@ -33,6 +33,7 @@
     double retryRatio = 0.2; ///< Retries that the whole fleet may make per request in a window.
     double retrySlack = 100; ///< Retries that the whole fleet may make in addition, in a window.
     Millis retryWindow{10000}; ///< Sliding window of the retry budget.
+    Millis orderPause{3000}; ///< Shortest time between the orders of two routers to the same engine.
     int maxAddressTtlSeconds = 5; ///< Longest time for which callers may cache an address.
 
     bool operator==(const RouterSettings &) const = default;
--- a/src/include/cyclamencross/gateway/statestore.h
+++ b/src/include/cyclamencross/gateway/statestore.h
@@ -35,6 +35,12 @@
     std::function<StoreAwaitable<std::uint64_t>(std::uint64_t lease)> endLease;
     /// Writes an item unconditionally under @p lease and returns the revision of the write.
     std::function<StoreAwaitable<std::uint64_t>(std::string key, std::string value, std::uint64_t lease)> write;
+    /// Writes an item if the item @p conditionKey has the given revision; a revision of 0 means that it does not exist.
+    /// Fails with StoreFailure::Kind::Conflict otherwise.
+    /// @param lease lease under which the item is written; 0 for none.
+    std::function<StoreAwaitable<std::uint64_t>(std::string key, std::string value, std::uint64_t lease,
+                                                std::string conditionKey, std::uint64_t conditionRevision)>
+        writeIf;
 };
 
 }
--- a/src/include/cyclamencross/route/placement.h
+++ b/src/include/cyclamencross/route/placement.h
@@ -20,9 +20,9 @@
 /// waits for about the duration of one call; longer queues make all calls of a burst late.
 constexpr double MaxQueuedCallsPerSlot = 1;
 
-/// Share of an engine's KV cache that the expected peak may take. The rest allows for streams that grow longer than
-/// expected, since a stream that no longer fits is preempted and its prompt processed again.
-constexpr double MaxForecastShare = 0.9;
+/// Share of the KV cache that the expected peak may take at an engine that several groups of routers share. The rest is
+/// for requests that other groups have placed there but not reported yet.
+constexpr double MaxSharedForecastShare = 0.85;
 
 /// Chooses the backend server of a plain service with the lowest load per slot.
 /// @param maxCallsPerSlot number of calls per slot from which a backend server counts as full and is left out. The
@@ -42,7 +42,7 @@
 /// exceeds the capacity are left out: a request that does not fit preempts others or is rejected after its prefill.
 /// This matters in bursts that exceed the capacity of the decode engines.
 /// @param request KV cache that the request is expected to need over time.
-/// @param capacity KV cache of an engine that may be used, in tokens; 0 if not known.
+/// @param capacity KV cache of an engine in tokens; 0 if not known.
 /// @return the index into @p candidates, or nothing if no engine has enough space.
 std::optional<std::size_t> chooseDecode(const std::vector<PlacementCandidate> &candidates,
                                         const KvCacheForecast &request, double capacity,
--- a/src/include/cyclamencross/route/placementcandidate.h
+++ b/src/include/cyclamencross/route/placementcandidate.h
@@ -18,9 +18,11 @@
     /// `work` is just as accurate.
     std::optional<std::int64_t> reportedCalls;
     bool workIsEstimated = false; ///< `work` is extrapolated from the work of one of several router groups.
+    bool isShared = false; ///< Routers of several groups use it, so `work` is older than that of other candidates.
     bool reservationRefused = false; ///< The backend server recently refused a capacity reservation.
     bool avoided = false; ///< To be used only if no other backend server can serve the request.
     double failureRate = 0; ///< From 0 to 1.
+    double slowness = 1; ///< Time for a generated token relative to the average engine.
     double prefillMillisPerToken = 0; ///< Prefill time in milliseconds per prompt token; 0 if not known.
     /// Prefill time assumed until an engine has processed its first prompt, in milliseconds per prompt token.
     static constexpr double DefaultMillisPerToken = 0.02;
--- a/src/route/backendhealth.cpp
+++ b/src/route/backendhealth.cpp
@@ -11,6 +11,10 @@
 
 // Weight of the newest sample in the moving average of the prefill time, which covers about the last five prompts.
 constexpr double PrefillSampleWeight = 0.2;
+// Weight of the newest sample in the moving average of an engine's pace, and in that of all engines, which must not
+// follow a few slow engines.
+constexpr double PaceSampleWeight = 0.25;
+constexpr double AveragePaceWeight = 0.01;
 
 }
 
@@ -50,6 +54,33 @@
     this->averageMillisPerToken = updatedAverage(this->averageMillisPerToken);
 }
 
+bool BackendHealth::addPaceSample(const std::string &backend, double millisPerToken, TimePoint now, double weight)
+{
+    if (millisPerToken <= 0) {
+        return false;
+    }
+    const auto update = [millisPerToken](double &average, double sampleWeight) {
+        average = average == 0 ? millisPerToken : average + sampleWeight * (millisPerToken - average);
+    };
+    const bool wasSlow = this->slowness(backend, now) >= SlowThreshold;
+    Record &record = this->records[backend];
+    update(record.pace, PaceSampleWeight * weight);
+    record.paceUpdated = now;
+    update(this->averagePace, AveragePaceWeight * weight);
+    return wasSlow != (this->slowness(backend, now) >= SlowThreshold);
+}
+
+double BackendHealth::slowness(const std::string &backend, TimePoint now) const
+{
+    const auto it = this->records.find(backend);
+    if (it == this->records.end() || it->second.pace == 0 || this->averagePace == 0) {
+        return 1;
+    }
+    const double halfLives = toSeconds(now - it->second.paceUpdated) / toSeconds(SlownessHalfLife);
+    const double excess = (it->second.pace / this->averagePace - 1) * std::exp2(-std::max(0.0, halfLives));
+    return excess < NormalVariation ? 1 : std::min(1 + excess, MaxSlowness);
+}
+
 double BackendHealth::failureRate(const std::string &backend, TimePoint now) const
 {
     const auto it = this->records.find(backend);
--- a/src/route/placement.cpp
+++ b/src/route/placement.cpp
@@ -21,6 +21,10 @@
 // Largest random cost, added so that routers with the same data do not all choose the same one of equal candidates.
 constexpr double MaxTieBreakCost = 0.02;
 
+// Largest random cost of decode engines that several router groups share. Their work is known with some delay, in which
+// many routers would choose the same engine.
+constexpr double SharedTieBreakCost = 0.06;
+
 // Returns the index of the candidate with the lowest cost; an infinite cost excludes a candidate. Considers avoided
 // candidates only if all are avoided.
 template<typename Cost>
@@ -78,16 +82,19 @@
                                         const KvCacheForecast &request, double capacity,
                                         const std::function<double()> &random)
 {
-    // A request larger than the whole KV cache of an engine is placed only on an empty engine.
-    const double limit = std::max(double(request.peak()), capacity);
     return lowestCostCandidate(candidates, [&](const PlacementCandidate &candidate) {
         const auto peak = double(candidate.work.kvCache.peakWith(request));
+        // A request larger than the whole KV cache of an engine is placed only on an empty engine.
+        const double limit =
+            std::max(double(request.peak()), capacity * (candidate.isShared ? MaxSharedForecastShare : 1));
         if (capacity > 0 && (candidate.reservationRefused || peak > limit)) {
             return std::numeric_limits<double>::infinity();
         }
-        const double load =
-            capacity > 0 ? peak / capacity : double(candidate.work.requests) / std::max(1, candidate.server.slots);
-        return load + commonCost(candidate, random);
+        // A slow engine counts as fuller in proportion, so it gets less work but never none.
+        const double load = candidate.slowness
+            * (capacity > 0 ? peak / capacity : double(candidate.work.requests) / std::max(1, candidate.server.slots));
+        const double spread = candidate.isShared ? SharedTieBreakCost * random() : 0;
+        return load + spread + commonCost(candidate, random);
     });
 }
 
--- a/testsuite/soak/fleet.py
+++ b/testsuite/soak/fleet.py
@@ -32,6 +32,7 @@
 retry_ratio = 0.2
 retry_slack = 30
 retry_window_s = 10
+order_pause_ms = 3000
 answer_ttl_max_s = 5
 """
 
