Router: bounds for malformed lengths, endless chunk sizes and slow bodies

Causes, each shown by a test that failed on the code before: - A datagram between routers with a damaged length made the decoder allocate what the length said: up to 1 GB in the test, ten times the memory of a small host. The read buffers have a bound now. An answer of a backend server may take 4 MiB instead of 16. - A caller could send single bytes of a body for ever. The whole body has ten times the time of the header.

--- a/src/gateway/httpclientconnection.cpp
+++ b/src/gateway/httpclientconnection.cpp
@@ -25,9 +25,12 @@
 using boost::asio::ip::tcp;
 using Parser = http::response_parser<http::string_body>;
 
-// Bounds the memory that one response of a backend server can take.
-constexpr std::uint64_t MaxResponseBytes = 16U << 20U;
+// Bounds the memory that one response of a backend server can take: a small part of that of the smallest hosts.
+constexpr std::uint64_t MaxResponseBytes = 4U << 20U;
 constexpr std::uint32_t MaxResponseHeaderBytes = 32U << 10U;
+// Bounds the bytes that are buffered until the parser accepts them, such as the size line of a chunk, which may be sent
+// without end.
+constexpr std::size_t MaxBufferedBytes = 128U << 10U;
 
 ConnectionStatus toStatus(const boost::system::error_code &error)
 {
@@ -60,7 +63,7 @@
 
     boost::beast::tcp_stream stream;
     std::string address;
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer{MaxBufferedBytes};
     std::optional<Parser> parser;
     HeaderList headers;
     bool headRequest = false;
--- a/src/gateway/httpsession.cpp
+++ b/src/gateway/httpsession.cpp
@@ -37,6 +37,11 @@
 // the connection, and the caller could lose the response.
 constexpr Millis LingerTime{1000};
 
+// Bytes that may be buffered beyond the limit of the header.
+constexpr std::size_t ReadAheadBytes = 64U << 10U;
+// Time for the body of a request, relative to the time for its header.
+constexpr int BodyTimeFactor = 10;
+
 // Returns the status that tells the caller why its request could not be parsed; 0 if the connection itself failed.
 int refusalStatus(const boost::system::error_code &error)
 {
@@ -192,6 +197,8 @@
 {
     Impl &session = *this->impl;
     const CallerLimits limits = session.limits();
+    // Also bounds the size line of a chunk, to which the parser's limits do not apply.
+    session.buffer.max_size(limits.maxHeaderBytes + ReadAheadBytes);
     Parser parser;
     parser.header_limit(std::uint32_t(limits.maxHeaderBytes));
     parser.body_limit(limits.maxBodyBytes);
@@ -207,8 +214,13 @@
     if (!error && boost::beast::iequals(parser.get()[http::field::expect], "100-continue")) {
         co_await this->write("HTTP/1.1 100 Continue\r\n\r\n");
     }
+    const TimePoint bodyDeadline = request.received + limits.headerTimeout * BodyTimeFactor;
     while (!error && !parser.is_done()) {
-        // The timeout applies to each read, so a body may take any time while bytes keep arriving.
+        // The timeout applies to each read, and a longer one to all of them, since single bytes may arrive forever.
+        if (Clock::now() >= bodyDeadline) {
+            co_await this->refuse(408);
+            co_return false;
+        }
         readTimeout.restart();
         co_await http::async_read_some(session.stream, session.buffer, parser, awaitableWithError(error));
     }
--- a/src/gateway/peerreport.cpp
+++ b/src/gateway/peerreport.cpp
@@ -1,5 +1,7 @@
 #include "peerreport.h"
 
+#include "boundedinputarchive.h"
+
 #include <sstream>
 
 #include <cereal/archives/portable_binary.hpp>
@@ -68,12 +70,11 @@
 
 bool decodePeerReport(const std::string &bytes, PeerReport &report)
 {
-    std::istringstream input(bytes);
     try {
-        cereal::PortableBinaryInputArchive archive(input);
+        BoundedInputArchive archive(bytes);
         archive(report);
-        return true;
-    } catch (const std::exception &) { // cereal and the allocator throw on malformed lengths.
+        return archive.isAtEnd();
+    } catch (const cereal::Exception &) {
         return false;
     }
 }
--- a/src/gateway/peerreport.h
+++ b/src/gateway/peerreport.h
@@ -58,7 +58,7 @@
 /// Encodes a report as the payload of a datagram.
 std::string encodePeerReport(const PeerReport &report);
 /// Decodes the payload of a datagram. @p report is unspecified on failure.
-/// @return whether @p bytes begin with a complete report.
+/// @return whether @p bytes are exactly one complete report.
 bool decodePeerReport(const std::string &bytes, PeerReport &report);
 
 }
--- a/src/gateway/pieces_test.cpp
+++ b/src/gateway/pieces_test.cpp
@@ -6,6 +6,8 @@
 
 #include "cyclamencross/gateway/headerlist.h"
 
+#include <random>
+
 #include <catch2/catch.hpp>
 
 using namespace Cyclamen;
@@ -92,3 +94,34 @@
         CHECK_FALSE(decodePeerReport(bytes.substr(0, length), decoded));
     }
 }
+
+TEST_CASE("Malformed peer reports are rejected without allocating the memory that they claim to need")
+{
+    // Guards against a router that is killed for its memory use by one datagram with a damaged length.
+    PeerReport report;
+    report.router = "r1";
+    report.changes.upTo = 4;
+    report.changes.items.push_back(StoreItem{"key", "value", 4, false});
+    report.work["e"] = BackendWork{1, 2, KvCacheForecast::constant(3)};
+    report.crashes.push_back(CrashReport{1, "e", "r1", 2});
+    const std::string bytes = encodePeerReport(report);
+    PeerReport decoded;
+    CHECK_FALSE(decodePeerReport(bytes + "x", decoded));
+    for (std::size_t at = 0; at + 8 <= bytes.size(); ++at) {
+        std::string damaged = bytes;
+        damaged.replace(at, 8, std::string("\x00\x00\x00\x00\x40\x00\x00\x00", 8)); // 2^38 as a length.
+        decoded = PeerReport();
+        decodePeerReport(damaged, decoded);
+        CHECK(decoded.changes.items.capacity() <= bytes.size());
+        CHECK(decoded.crashes.capacity() <= bytes.size());
+        CHECK(decoded.router.capacity() <= bytes.size() + 16);
+    }
+    std::mt19937 generator(11);
+    for (int i = 0; i < 20000; ++i) {
+        std::string damaged = bytes.substr(0, 1 + generator() % bytes.size());
+        for (int changes = 0; changes < 4; ++changes) {
+            damaged[generator() % damaged.size()] = char(generator());
+        }
+        decodePeerReport(damaged, decoded);
+    }
+}
