Router: engines of other groups only if the own group has no usable one

Cause: when no engine of its group had room, a router tried three engines of other groups, whose load it did not know.

Change: engines of other groups are tried only if all engines of the own group are gone or avoided.

--- a/src/gateway/streamrequesthandler.cpp
+++ b/src/gateway/streamrequesthandler.cpp
@@ -286,7 +286,7 @@
     };
     auto candidates = this->state.candidates(this->service, stage, this->excluded, this->state.settings.zone, now);
     auto choice = choose(candidates);
-    if (!choice) {
+    if (!choice && !Placement::hasUsableCandidate(candidates)) {
         candidates = this->state.sampleOtherGroups(this->service, stage, this->excluded, now);
         choice = choose(candidates);
     }
--- a/src/include/cyclamencross/route/backendhealth.h
+++ b/src/include/cyclamencross/route/backendhealth.h
@@ -32,8 +32,8 @@
     /// Half-life with which the slowness of an engine decays while there are no new samples, so that it gets work again
     /// from which its pace can be seen.
     static constexpr Millis SlownessHalfLife{3000};
-    /// Difference from the average pace, relative to it, that does not count: the pace of a sound engine varies with the
-    /// number of its requests and with the prompts that it processes.
+    /// Difference from the average pace, relative to it, that does not count: the pace of a sound engine varies with
+    /// the number of its requests and with the prompts that it processes.
     static constexpr double NormalVariation = 0.7;
     /// Largest slowness that is returned.
     static constexpr double MaxSlowness = 8;
--- a/src/route/placement.cpp
+++ b/src/route/placement.cpp
@@ -54,6 +54,12 @@
 
 }
 
+bool hasUsableCandidate(const std::vector<PlacementCandidate> &candidates)
+{
+    return std::any_of(candidates.begin(), candidates.end(),
+                       [](const PlacementCandidate &candidate) { return !candidate.avoided; });
+}
+
 std::optional<std::size_t> choosePlain(const std::vector<PlacementCandidate> &candidates, double maxCallsPerSlot,
                                        const std::function<double()> &random)
 {
--- a/src/route/route_test.cpp
+++ b/src/route/route_test.cpp
@@ -377,3 +377,17 @@
     CHECK(estimator.elapsedBefore("r", Millis(2900), timeout, later + CallerWaitEstimator::Period) == Millis(100));
     CHECK(estimator.elapsedBefore("r", Millis(1000), timeout, later + CallerWaitEstimator::Period * 5) == Millis(0));
 }
+
+TEST_CASE("Engines of other groups are needed only if the own group has no usable engine")
+{
+    // Guards against bursts in which every group places streams at the engines of the others, unknown to their routers:
+    // 1,300 of 6,300 streams of one day were preempted (site obrzil-grown, day scale-1).
+    std::vector<PlacementCandidate> candidates{engine("a", 1000), engine("b", 1000)};
+    REQUIRE_FALSE(Placement::chooseDecode(candidates, KvCacheForecast::constant(10), 1000, zeroRandom).has_value());
+    CHECK(Placement::hasUsableCandidate(candidates));
+    candidates[0].avoided = true;
+    CHECK(Placement::hasUsableCandidate(candidates));
+    candidates[1].avoided = true;
+    CHECK_FALSE(Placement::hasUsableCandidate(candidates));
+    CHECK_FALSE(Placement::hasUsableCandidate({}));
+}
