--- /dev/null
+++ b/src/gateway/routerstatereports.cpp
@@ -0,0 +1,222 @@
+// The part of RouterState that exchanges reports with other routers.
+
+#include "routerstate.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Cyclamen
+{
+
+namespace
+{
+
+// Weight of a peer's outcomes relative to own ones: the fault may lie on the peer's network path.
+constexpr double PeerOutcomeWeight = 0.5;
+// Maximum number of outcomes of each type that count per report, so that one peer alone does not decide.
+constexpr std::uint32_t MaxPeerOutcomes = 4;
+
+}
+
+void RouterState::queueChangesForPeers(const StoreChanges &added)
+{
+    if (this->pendingChanges.upTo == 0 || this->pendingChanges.upTo < added.after) {
+        // The changes between the two ranges came from a peer and are in neither of them.
+        this->pendingChanges = StoreChanges();
+        this->pendingChanges.after = added.after;
+    }
+    this->pendingChanges.upTo = std::max(this->pendingChanges.upTo, added.upTo);
+    this->pendingChanges.isSnapshotDiff = this->pendingChanges.isSnapshotDiff || added.isSnapshotDiff;
+    this->pendingChanges.items.insert(this->pendingChanges.items.end(), added.items.begin(), added.items.end());
+    std::size_t size = 0;
+    for (const StoreItem &item : this->pendingChanges.items) {
+        size += item.key.size() + item.value.size();
+    }
+    if (size > (this->pendingChanges.isSnapshotDiff ? MaxChangesBytes : MaxPendingBytes)) {
+        this->pendingChanges = StoreChanges();
+    }
+}
+
+StoreChanges RouterState::takeChanges()
+{
+    StoreChanges &pending = this->pendingChanges;
+    std::size_t size = 0;
+    std::size_t count = 0;
+    while (count < pending.items.size()) {
+        const StoreItem &item = pending.items[count];
+        size += item.key.size() + item.value.size();
+        // Items of the same revision were written together and stay together.
+        const bool mayEndBefore = count > 0 && pending.items[count - 1].revision < item.revision;
+        if (size > MaxChangesBytes && mayEndBefore) {
+            break;
+        }
+        ++count;
+    }
+    if (size > MaxDatagramItemBytes && count == pending.items.size()) {
+        pending = StoreChanges(); // Too large for a datagram. The peers read the changes from the store.
+        return {};
+    }
+    if (count == pending.items.size()) {
+        return std::exchange(pending, {});
+    }
+    const auto end = pending.items.begin() + std::ptrdiff_t(count);
+    StoreChanges part;
+    part.after = pending.after;
+    part.upTo = pending.items[count - 1].revision;
+    part.items.assign(pending.items.begin(), end);
+    pending.items.erase(pending.items.begin(), end);
+    pending.after = part.upTo;
+    return part;
+}
+
+std::optional<PeerReport> RouterState::takeReport(TimePoint now)
+{
+    std::erase_if(this->recentCrashes, [now](const auto &item) { return now - item.first > CrashRepeatTime; });
+    const bool changed = this->work->own() != this->lastReportedWork
+        || this->waiting->own() != this->lastReportedWaiting || !this->pendingOutcomes.empty()
+        || !this->recentCrashes.empty() || this->pendingChanges.upTo != 0;
+    const bool due = now - this->lastReport >= ReportPeriod;
+    if (!changed && !due) {
+        return std::nullopt;
+    }
+    PeerReport report;
+    report.router = this->settings.name;
+    report.incarnation = this->incarnation;
+    report.sequence = ++this->reportSequence;
+    report.storeRevision = this->storeRevision;
+    report.watching = this->watching;
+    report.changes = this->takeChanges();
+    report.work = this->work->own();
+    report.waiting = this->waiting->own();
+    report.reportedCalls = std::exchange(this->pendingReportedCalls, {});
+    if (this->isPrimaryWatcher() && now - this->otherGroupsWorkTime <= GroupWorkLifetime) {
+        report.knowsOtherGroups = true;
+        report.otherGroupsWork = this->otherGroupsWork;
+    }
+    report.outcomes = std::exchange(this->pendingOutcomes, {});
+    report.streams = std::exchange(this->pendingStreams, {});
+    for (const auto &[time, crash] : this->recentCrashes) {
+        report.crashes.push_back(crash);
+    }
+    this->lastReportedWork = report.work;
+    this->lastReportedWaiting = report.waiting;
+    this->lastReport = now;
+    return report;
+}
+
+std::optional<PeerReport> RouterState::takeGroupReport(TimePoint now)
+{
+    if (!this->isPrimaryWatcher() || this->delegates.empty() || this->sharedBackends.empty()
+        || now - this->lastGroupReport < GroupReportPeriod) {
+        return std::nullopt;
+    }
+    this->lastGroupReport = now;
+    this->sumGroupWork(now);
+    PeerReport report;
+    report.router = this->settings.name;
+    report.incarnation = this->incarnation;
+    report.sequence = ++this->groupReportSequence;
+    report.isGroupReport = true;
+    for (const std::string &id : this->sharedBackends) {
+        const BackendWork total = this->work->total(id);
+        if (total != BackendWork()) {
+            report.groupWork[id] = total;
+        }
+    }
+    return report;
+}
+
+void RouterState::sumGroupWork(TimePoint now)
+{
+    std::erase_if(this->groupWork, [this, now](const auto &item) {
+        const bool isDelegate =
+            std::any_of(this->delegates.begin(), this->delegates.end(),
+                        [&item](const RouterMember &delegate) { return delegate.name == item.first; });
+        return !isDelegate || now - item.second.second > GroupWorkLifetime;
+    });
+    if (this->groupWork.size() < this->delegates.size()) {
+        return; // Without the work of each group, the extrapolation is more accurate.
+    }
+    this->otherGroupsWork.clear();
+    for (const auto &[delegate, work] : this->groupWork) {
+        for (const auto &[id, backendWork] : work.first) {
+            this->otherGroupsWork[id] += backendWork;
+        }
+    }
+    this->otherGroupsWorkTime = now;
+}
+
+const std::vector<RouterMember> &RouterState::otherDelegates() const
+{
+    return this->delegates;
+}
+
+bool RouterState::isNewer(const PeerReport &report, std::map<std::string, PeerSequence> &sequences)
+{
+    PeerSequence &last = sequences[report.router];
+    const bool newer = report.incarnation > last.incarnation
+        || (report.incarnation == last.incarnation && report.sequence > last.sequence);
+    if (newer) {
+        last = PeerSequence{report.incarnation, report.sequence};
+    }
+    return newer;
+}
+
+void RouterState::applyReport(const PeerReport &report, TimePoint now)
+{
+    if (report.router == this->settings.name) {
+        return;
+    }
+    if (report.isGroupReport) {
+        if (this->isPrimaryWatcher() && isNewer(report, this->groupReportSequences)) {
+            this->groupWork[report.router] = {report.groupWork, now};
+        }
+        return;
+    }
+    if (!isNewer(report, this->peerSequences)) {
+        return;
+    }
+    if (report.knowsOtherGroups && !this->isPrimaryWatcher()) {
+        this->otherGroupsWork = report.otherGroupsWork;
+        this->otherGroupsWorkTime = now;
+    }
+    this->newestPeerRevision = std::max(this->newestPeerRevision, report.storeRevision);
+    if (report.watching) {
+        this->lastWatcherReport = now;
+    }
+    if (report.changes.upTo != 0 && this->onPeerChanges) {
+        this->onPeerChanges(report.changes);
+    }
+    this->work->setPeerWork(report.router, report.work, now);
+    this->waiting->setPeerWork(report.router, report.waiting, now);
+    for (const auto &[backend, calls] : report.reportedCalls) {
+        if (this->sharedBackends.contains(backend)) {
+            this->reportedCalls[backend] = {calls, now};
+        }
+    }
+    for (const auto &item : report.outcomes) {
+        const std::string &backend = item.first;
+        const PeerReport::Outcomes &outcomes = item.second;
+        const auto addOutcomes = [&](CallOutcome outcome, std::uint32_t count) {
+            for (std::uint32_t i = 0; i < std::min(count, MaxPeerOutcomes); ++i) {
+                this->health.add(backend, outcome, now, PeerOutcomeWeight);
+            }
+        };
+        if (outcomes.paceSamples > 0) {
+            this->applyPace(backend, outcomes.paceSum / outcomes.paceSamples, now, PeerOutcomeWeight);
+        }
+        addOutcomes(CallOutcome::Failed, outcomes.failed);
+        addOutcomes(CallOutcome::Broken, outcomes.broken);
+        // A peer's success must not end the avoidance of a backend server that this router can't reach.
+        if (!this->health.isAvoided(backend, now)) {
+            addOutcomes(CallOutcome::Served, outcomes.served);
+        }
+    }
+    for (const StreamSample &sample : report.streams) {
+        this->outputEstimator.record(sample);
+    }
+    for (const CrashReport &crash : report.crashes) {
+        this->crashHistory.add(crash);
+    }
+}
+}
--- a/src/gateway/streamrequesthandler.h
+++ b/src/gateway/streamrequesthandler.h
@@ -27,6 +27,11 @@
     boost::asio::awaitable<void> serve() override;
 
 private:
+    /// Number of unreachable engines after which a stream fails. Half of a group's engines may be lost at once, and a
+    /// request that was not sent costs only the time to connect. If connecting takes long, the wait for capacity ends
+    /// first.
+    static constexpr int MaxUnreachableEngines = 12;
+
     enum class AttemptResult : std::uint8_t {
         Done, ///< The caller has received the complete stream or an error response.
         NotExecuted, ///< The engine stated that it did not execute the request.
--- /dev/null
+++ b/src/gateway/streamrequestplacement.cpp
@@ -0,0 +1,258 @@
+// The part of StreamRequestHandler that places a request at a decode engine and tracks its work there.
+
+#include "asioutil.h"
+#include "capacitywaiter.h"
+#include "httpsession.h"
+#include "routerstate.h"
+#include "streamrequesthandler.h"
+
+#include "cyclamencross/base/logline.h"
+#include "cyclamencross/gateway/httpclientconnection.h"
+#include "cyclamencross/route/placement.h"
+
+#include <algorithm>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace Cyclamen
+{
+
+namespace
+{
+
+constexpr Millis ReleaseTimeout{500};
+// Share of the target latency of the first event within which a request must find capacity to be on time. The rest is
+// for processing the prompt.
+constexpr double OnTimeShare = 0.6;
+// A late request waits for capacity for this many times the target latency. Callers disconnect if there is no first
+// event after four times the target.
+constexpr int LateWaitFactor = 3;
+// A stream that has begun waits for capacity at another engine for this many times the route's target for the gap
+// between events. Callers disconnect after eight times.
+constexpr int ResumeWaitFactor = 6;
+// Lifetime requested for a capacity reservation: longer than a prefill takes, including the time in its queue.
+constexpr Millis ReservationLifetime{1500};
+constexpr Millis ReservationTimeout{300};
+// Share of the expected output that a capacity reservation covers. The rest is generated after the reservation has
+// expired, when other requests have ended.
+constexpr double ReservedOutputShare = 0.25;
+// A stream that has exceeded its expected output is expected to generate this share of its output again.
+constexpr double MinRemainingShare = 0.15;
+// Output that the forecast allows for, relative to the expected one. A stream that no longer fits is preempted, and the
+// repeated processing of its prompt delays all other streams of the engine.
+constexpr double OutputMargin = 1.8;
+// Shortest time between two updates of a stream's forecast.
+constexpr Millis WorkUpdatePeriod{150};
+
+boost::asio::awaitable<void> sendAndForget(RouterState &state, std::string address, std::string call)
+{
+    const auto connection = co_await state.connections.open(address, RequestHandler::ConnectTimeout);
+    if (!connection) {
+        co_return;
+    }
+    const TimePoint until = Clock::now() + ReleaseTimeout;
+    // The resource expires at the end of its lifetime anyway, so a failed release is not retried.
+    std::optional<std::string> noBody;
+    co_await connection->performRequest(std::move(call), std::move(noBody), until);
+    connection->close();
+}
+
+}
+
+boost::asio::awaitable<bool> StreamRequestHandler::reserveDecodeEngine()
+{
+    this->releaseReservation(); // At the engine of an attempt that did not reach it.
+    const TimePoint start = Clock::now();
+    CapacityWaiter waiter(this->state, this->service, this->capacityWait());
+    while (!this->shouldStop()) {
+        const CapacityWait::Action action = waiter.nextAction();
+        if (action != CapacityWait::Action::Yield && this->chooseDecodeEngine()) {
+            const bool acquired = co_await this->acquireReservation();
+            if (acquired) {
+                this->logDecodePlacement();
+                co_return true;
+            }
+            continue;
+        }
+        if (action == CapacityWait::Action::TryLast || this->unreachableCount >= MaxUnreachableEngines) {
+            this->failure = "no-room";
+            this->overloaded = this->unreachableCount < MaxUnreachableEngines;
+            break;
+        }
+        co_await waiter.pause();
+    }
+    LogLine("no-room")
+        .add("request", this->request.id)
+        .add("waited_ms", std::int64_t(toSeconds(Clock::now() - start) * 1000))
+        .add("used_before_ms", std::int64_t(this->timeSpentBefore.count()))
+        .write();
+    co_return false;
+}
+
+CapacityWait StreamRequestHandler::capacityWait() const
+{
+    if (this->session.isResponseStarted()) {
+        const Millis maxWait = this->route.eventGapTarget * ResumeWaitFactor;
+        return CapacityWait(Clock::now(), maxWait, maxWait);
+    }
+    const Millis target = this->route.targetLatency;
+    const Millis maxWait = std::min(target * LateWaitFactor, this->route.timeout / 4);
+    // An earlier attempt that was refused for lack of capacity waited that long, so the caller's target has passed.
+    const bool refusedBefore = this->timeSpentBefore >= maxWait;
+    const Millis onTimeFor = refusedBefore ? Millis(0) : std::chrono::duration_cast<Millis>(target * OnTimeShare);
+    return CapacityWait(this->request.received, onTimeFor, maxWait);
+}
+
+void StreamRequestHandler::logDecodePlacement() const
+{
+    LogLine("placement")
+        .add("request", this->request.id)
+        .add("stage", "decode")
+        .add("candidates", std::int64_t(this->candidateCount))
+        .add("backend", this->decodeCandidate.server.id)
+        .add("in_flight", this->decodeCandidate.work.requests)
+        .add("memory_tokens", this->decodeCandidate.work.kvCache.tokens().front())
+        .add("memory_peak", this->decodeCandidate.work.kvCache.peak())
+        .add("expected_output", this->estimate.tokens)
+        .add("failure_rate", this->decodeCandidate.failureRate)
+        .add("avoided", this->decodeCandidate.avoided)
+        .write();
+}
+
+boost::asio::awaitable<bool> StreamRequestHandler::acquireReservation()
+{
+    const ServiceConfig *config = this->table->service(this->service);
+    const Millis maxLifetime = config != nullptr && config->engine ? config->engine->reservationLifetime : Millis(0);
+    if (maxLifetime <= Millis(0)) {
+        co_return true;
+    }
+    const BackendServer server = *this->decodeEngine;
+    bool open = co_await this->openConnection(server, false);
+    if (!open || this->shouldStop()) {
+        this->decodeEngine = std::nullopt;
+        co_return false;
+    }
+    const auto request = this->codec.reserveCall(this->reservedTokens(), std::min(maxLifetime, ReservationLifetime));
+    const TimePoint until = std::min(this->deadline, Clock::now() + ReservationTimeout);
+    ConnectionStatus status = co_await this->connection->performRequest(request.first, request.second, until);
+    if (status == ConnectionStatus::Broken && this->connectionReused && !this->shouldStop()) {
+        // An engine may close an idle connection at any moment, which says nothing about the engine.
+        this->connection->close();
+        open = co_await this->openConnection(server, true);
+        if (!open) {
+            this->decodeEngine = std::nullopt;
+            co_return false;
+        }
+        status = co_await this->connection->performRequest(request.first, request.second, until);
+    }
+    if (status != ConnectionStatus::Ok) {
+        this->connection->close();
+        this->recordOutcome(server, CallOutcome::Broken);
+        this->excluded.insert(server.id);
+        ++this->unreachableCount;
+        this->decodeEngine = std::nullopt;
+        co_return false;
+    }
+    const int code = this->connection->status();
+    const auto token = code == 200 ? this->codec.decodeReservation(this->connection->takeBody()) : std::nullopt;
+    this->releaseConnection(server);
+    if (token) {
+        this->reservationToken = *token;
+        co_return true;
+    }
+    this->state.metrics.count("cyclamencross_holds_refused_total");
+    this->state.markFull(server.id, Clock::now());
+    this->workReservation = nullptr;
+    this->decodeEngine = std::nullopt;
+    co_return false;
+}
+
+void StreamRequestHandler::releaseReservation()
+{
+    if (!this->reservationToken.empty() && this->decodeEngine) {
+        this->callAndForget(this->decodeEngine->address, this->codec.releaseReservationCall(this->reservationToken));
+    }
+    this->reservationToken.clear();
+}
+
+void StreamRequestHandler::callAndForget(const std::string &address, const std::string &call)
+{
+    boost::asio::co_spawn(this->state.executor, sendAndForget(this->state, address, call), boost::asio::detached);
+}
+
+bool StreamRequestHandler::chooseDecodeEngine()
+{
+    this->workReservation = nullptr;
+    this->decodeEngine = std::nullopt;
+    const ServiceConfig *config = this->table->service(this->service);
+    const double capacity = config != nullptr && config->engine ? double(config->engine->kvCacheTokens) : 0;
+    const EngineStage stage = capacity > 0 ? EngineStage::Decode : EngineStage::None;
+    const TimePoint now = Clock::now();
+    const auto choose = [&](const std::vector<PlacementCandidate> &from) {
+        return Placement::chooseDecode(from, this->requestWork().kvCache, capacity,
+                                       [this] { return this->state.random(); });
+    };
+    auto candidates = this->state.candidates(this->service, stage, this->excluded, this->state.settings.zone, now);
+    auto choice = choose(candidates);
+    if (!choice && !Placement::hasUsableCandidate(candidates)) {
+        candidates = this->state.sampleOtherGroups(this->service, stage, this->excluded, now);
+        choice = choose(candidates);
+    }
+    if (!choice) {
+        return false;
+    }
+    const PlacementCandidate &chosen = candidates[*choice];
+    this->decodeEngine = chosen.server;
+    this->workReservation = std::make_unique<WorkReservation>(this->state.work, chosen.server.id, this->requestWork());
+    this->decodeCandidate = chosen;
+    this->candidateCount = candidates.size();
+    return true;
+}
+
+BackendWork StreamRequestHandler::requestWork() const
+{
+    const auto generated = std::int64_t(double(this->eventCount) * this->estimate.tokensPerEvent);
+    const auto moreThanGenerated = std::int64_t(double(generated) * MinRemainingShare);
+    const std::int64_t remaining = std::max(this->estimate.tokens - generated, moreThanGenerated);
+    // A slow engine keeps the request in its KV cache for longer.
+    const double slowness = this->decodeEngine ? this->state.health.slowness(this->decodeEngine->id, Clock::now()) : 1;
+    return BackendWork{1, 0,
+                       KvCacheForecast::ofRequest(this->request.promptTokens + generated,
+                                                  std::int64_t(double(remaining) * OutputMargin),
+                                                  this->estimate.millisPerToken * slowness)};
+}
+
+std::int64_t StreamRequestHandler::reservedTokens() const
+{
+    // At an engine of another group only the engine itself knows how full it is.
+    const double share = this->decodeCandidate.ofOtherGroup ? OutputMargin : ReservedOutputShare;
+    return this->request.promptTokens + std::int64_t(double(this->estimate.tokens) * share);
+}
+
+void StreamRequestHandler::updateWork(TimePoint now)
+{
+    if (!this->workReservation || now - this->lastWorkUpdate < WorkUpdatePeriod) {
+        return;
+    }
+    const double tokens = double(this->eventCount - this->eventsAtUpdate) * this->estimate.tokensPerEvent;
+    if (tokens > 0 && this->lastWorkUpdate >= this->attemptStart) {
+        const double pace = toSeconds(now - this->lastWorkUpdate) * 1000 / tokens;
+        this->state.recordPace(this->decodeEngine->id, pace, now);
+    }
+    this->lastWorkUpdate = now;
+    this->eventsAtUpdate = this->eventCount;
+    this->workReservation->update(this->requestWork());
+}
+
+void StreamRequestHandler::recordStream(TimePoint now)
+{
+    if (this->eventCount < 2 || this->request.lastEventId) {
+        return; // The number of events says nothing about the pace or the whole output.
+    }
+    const double millis = toSeconds(now - this->firstChunkTime) * 1000;
+    this->state.recordStream(StreamSample{this->route.name, this->service, this->request.expectedOutputTokens,
+                                          this->eventCount, millis / double(this->eventCount - 1)});
+}
+
+}
