Router: an engine that rejects a change of its stage goes on serving

Cause: routers send nothing to an engine whose registered stage differs from the stage plan. An engine that rejects the order, or never follows it, stayed in the plan and so without requests for ever.

Change: the leader removes such changes from the plan, after a rejection for all engines of the service, otherwise after two orders without effect.

--- a/src/gateway/stagecontroller.cpp
+++ b/src/gateway/stagecontroller.cpp
@@ -50,11 +50,14 @@
             this->leaderSince = Clock::now();
             this->balancers.clear();
             this->lastOrders.clear();
+            this->orderCounts.clear();
+            this->fixedServices.clear();
             LogLine("leader").add("fencing_token", this->state.leadership.revision).write();
         }
         if (!this->mayOrder()) {
             continue;
         }
+        co_await this->dropFailedChanges();
         const bool pending = co_await this->enforcePlan();
         if (!pending && this->mayOrder()) {
             co_await this->balance();
@@ -99,11 +102,33 @@
             break;
         }
         this->lastOrders[server.id] = Clock::now();
+        ++this->orderCounts[server.id];
         co_await this->order(server, stage);
     }
     co_return pending;
 }
 
+boost::asio::awaitable<void> StageController::dropFailedChanges()
+{
+    const TimePoint now = Clock::now();
+    StagePlan plan = this->state.stagePlan;
+    const auto dropped = std::erase_if(plan.stages, [this, now](const auto &item) {
+        const BackendServer *server = this->state.backends.find(item.first);
+        if (server == nullptr || server->stage == item.second) {
+            return false;
+        }
+        const auto last = this->lastOrders.find(item.first);
+        const auto count = this->orderCounts.find(item.first);
+        const bool timedOut =
+            count != this->orderCounts.end() && count->second >= MaxOrders && now - last->second >= OrderRepeatTime;
+        return timedOut || this->fixedServices.contains(server->service);
+    });
+    if (dropped > 0) {
+        LogLine("stage-change-failed").add("engines", std::uint64_t(dropped)).warn();
+        co_await this->sync.writeStagePlan(plan);
+    }
+}
+
 boost::asio::awaitable<void> StageController::order(BackendServer server, EngineStage stage)
 {
     const auto connection = co_await this->state.connections.open(server.address, ConnectTimeout);
@@ -121,6 +146,11 @@
             .add("fencing_token", this->state.leadership.revision)
             .add("status", status == ConnectionStatus::Ok ? connection->status() : 0)
             .write();
+        const int code = status == ConnectionStatus::Ok ? connection->status() : 0;
+        // Any other status may change: the engine is busy, another one has its address, or it did not answer.
+        if (code == 400 || code == 404 || code == 405) {
+            this->fixedServices.insert(server.service);
+        }
         this->state.metrics.count("cyclamencross_engine_orders_total", {{"stage", stageName(stage)}});
     }
     if (connection) {
@@ -135,6 +165,9 @@
     std::erase_if(plan.stages, [this](const auto &item) { return this->state.backends.find(item.first) == nullptr; });
     bool changed = false;
     for (const auto &[service, load] : this->state.stageLoads()) {
+        if (this->fixedServices.contains(service)) {
+            continue;
+        }
         StageBalancer &balancer = this->balancers[service];
         balancer.record(load, now);
         const int count = balancer.enginesToMove();
--- a/src/gateway/stagecontroller.h
+++ b/src/gateway/stagecontroller.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 #include <boost/asio/awaitable.hpp>
@@ -35,6 +36,8 @@
     /// Time after which an order that had no effect is repeated, longer than an engine needs to change its stage.
     static constexpr Millis OrderRepeatTime{9000};
     static constexpr Millis OrderTimeout{500};
+    /// Orders to one engine after which a change is given up.
+    static constexpr int MaxOrders = 2;
     /// Engines that get an order in one period.
     static constexpr int MaxOrdersPerPeriod = 8;
 
@@ -49,7 +52,11 @@
     /// Orders engines to follow the stage plan.
     /// @return whether any engine does not follow it yet.
     boost::asio::awaitable<bool> enforcePlan();
+    /// Gives one order. Records the service as fixed if the engine rejects it for good.
     boost::asio::awaitable<void> order(BackendServer server, EngineStage stage);
+    /// Removes the changes that engines have rejected or not made after MaxOrders from the plan, since routers send
+    /// nothing to an engine whose stage differs from the plan.
+    boost::asio::awaitable<void> dropFailedChanges();
     /// Records the load of each model service and extends the plan if engines should change.
     boost::asio::awaitable<void> balance();
     /// Adds @p count changes of engines of @p service from stage @p from to stage @p target to the plan.
@@ -63,6 +70,8 @@
     std::optional<TimePoint> leaderSince;
     std::map<std::string, StageBalancer> balancers; ///< By service.
     std::map<std::string, TimePoint> lastOrders; ///< By id of the engine.
+    std::map<std::string, int> orderCounts; ///< By id of the engine.
+    std::set<std::string> fixedServices; ///< Services whose engines do not change their stage.
 };
 
 }
