Gateway: one record of orders for each engine, one name of each stage

Found when reading the change again: StageController kept time and count of orders in two maps with the same keys, had its own copy of the connect timeout of RequestHandler, and StagePlan's names of stages stood twice.

--- a/src/gateway/stagecontroller.cpp
+++ b/src/gateway/stagecontroller.cpp
@@ -2,7 +2,9 @@
 
 #include "asioutil.h"
 #include "fleetsync.h"
+#include "requesthandler.h"
 #include "routerstate.h"
+#include "stageplancodec.h"
 
 #include "cyclamencross/base/hash.h"
 #include "cyclamencross/base/logline.h"
@@ -19,12 +21,6 @@
 
 // Longest pause before a router claims a vacant leadership. The pauses are random, so that usually one router claims.
 constexpr Millis MaxClaimPause{1500};
-constexpr Millis ConnectTimeout{200};
-
-std::string stageName(EngineStage stage)
-{
-    return stage == EngineStage::Prefill ? "prefill" : "decode";
-}
 
 }
 
@@ -49,8 +45,7 @@
         if (!this->leaderSince) {
             this->leaderSince = Clock::now();
             this->balancers.clear();
-            this->lastOrders.clear();
-            this->orderCounts.clear();
+            this->orders.clear();
             this->fixedServices.clear();
             LogLine("leader").add("fencing_token", this->state.leadership.revision).write();
         }
@@ -91,8 +86,8 @@
             continue;
         }
         pending = true;
-        const auto last = this->lastOrders.find(id);
-        const bool repeat = last == this->lastOrders.end() || now - last->second >= OrderRepeatTime;
+        const auto last = this->orders.find(id);
+        const bool repeat = last == this->orders.end() || now - last->second.time >= OrderRepeatTime;
         if (repeat && now - this->state.stagePlanSince >= PlanHeadStart && int(due.size()) < MaxOrdersPerPeriod) {
             due.emplace_back(*server, stage);
         }
@@ -101,8 +96,9 @@
         if (!this->mayOrder()) {
             break;
         }
-        this->lastOrders[server.id] = Clock::now();
-        ++this->orderCounts[server.id];
+        OrderRecord &record = this->orders[server.id];
+        record.time = Clock::now();
+        ++record.count;
         co_await this->order(server, stage);
     }
     co_return pending;
@@ -117,10 +113,9 @@
         if (server == nullptr || server->stage == item.second) {
             return false;
         }
-        const auto last = this->lastOrders.find(item.first);
-        const auto count = this->orderCounts.find(item.first);
+        const auto last = this->orders.find(item.first);
         const bool timedOut =
-            count != this->orderCounts.end() && count->second >= MaxOrders && now - last->second >= OrderRepeatTime;
+            last != this->orders.end() && last->second.count >= MaxOrders && now - last->second.time >= OrderRepeatTime;
         return timedOut || this->fixedServices.contains(server->service);
     });
     if (dropped > 0) {
@@ -131,7 +126,7 @@
 
 boost::asio::awaitable<void> StageController::order(BackendServer server, EngineStage stage)
 {
-    const auto connection = co_await this->state.connections.open(server.address, ConnectTimeout);
+    const auto connection = co_await this->state.connections.open(server.address, RequestHandler::ConnectTimeout);
     if (connection && this->mayOrder() && this->state.isRegistered(server)) {
         const TimePoint until = Clock::now() + OrderTimeout;
         OrderCall order =
@@ -140,13 +135,13 @@
         std::optional<std::string> body = std::move(order.body);
         const ConnectionStatus status =
             co_await connection->performRequest(std::move(call), std::move(body), until, std::move(order.headers));
+        const int code = status == ConnectionStatus::Ok ? connection->status() : 0;
         LogLine("engine-order")
             .add("backend", server.id)
             .add("stage", stageName(stage))
             .add("fencing_token", this->state.leadership.revision)
-            .add("status", status == ConnectionStatus::Ok ? connection->status() : 0)
+            .add("status", code)
             .write();
-        const int code = status == ConnectionStatus::Ok ? connection->status() : 0;
         // Any other status may change: the engine is busy, another one has its address, or it did not answer.
         if (code == 400 || code == 404 || code == 405) {
             this->fixedServices.insert(server.service);
--- a/src/gateway/stagecontroller.h
+++ b/src/gateway/stagecontroller.h
@@ -48,6 +48,13 @@
     boost::asio::awaitable<void> run();
 
 private:
+    /// The orders that an engine was given.
+    struct OrderRecord
+    {
+        TimePoint time; ///< Of the last one.
+        int count = 0;
+    };
+
     boost::asio::awaitable<void> claim();
     /// Orders engines to follow the stage plan.
     /// @return whether any engine does not follow it yet.
@@ -69,8 +76,7 @@
     const BackendCodec &codec;
     std::optional<TimePoint> leaderSince;
     std::map<std::string, StageBalancer> balancers; ///< By service.
-    std::map<std::string, TimePoint> lastOrders; ///< By id of the engine.
-    std::map<std::string, int> orderCounts; ///< By id of the engine.
+    std::map<std::string, OrderRecord> orders; ///< By id of the engine.
     std::set<std::string> fixedServices; ///< Services whose engines do not change their stage.
 };
 
--- a/src/gateway/stageplancodec.cpp
+++ b/src/gateway/stageplancodec.cpp
@@ -5,11 +5,16 @@
 namespace Cyclamen
 {
 
+std::string stageName(EngineStage stage)
+{
+    return stage == EngineStage::Prefill ? "prefill" : "decode";
+}
+
 std::string encodeStagePlan(const StagePlan &plan)
 {
     nlohmann::json engines = nlohmann::json::object();
     for (const auto &[id, stage] : plan.stages) {
-        engines[id] = stage == EngineStage::Prefill ? "prefill" : "decode";
+        engines[id] = stageName(stage);
     }
     return nlohmann::json{{"engines", engines}}.dump();
 }
--- a/src/gateway/streamrequesthandler.cpp
+++ b/src/gateway/streamrequesthandler.cpp
@@ -1,7 +1,6 @@
 #include "streamrequesthandler.h"
 
 #include "asioutil.h"
-#include "capacitywaiter.h"
 #include "httpsession.h"
 #include "routerstate.h"
 
