Router: crash log lines name the prompt parts and the progress of the request

A crash line named only the request, and a refusal named no record at all, so the logs could not tell whether crashes of different requests have a cause in common. The metric cyclamencross_backend_crashes_total counts crashes by whether output had begun.

Routing is unchanged.

--- a/src/gateway/requesthandler.cpp
+++ b/src/gateway/requesthandler.cpp
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 
+#include <boost/algorithm/string/join.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -26,16 +27,33 @@
 // Number of late responses to other requests that are skipped before the connection counts as malformed.
 constexpr int MaxStrayResponses = 3;
 
-boost::asio::awaitable<void> probeForCrash(RouterState &state, BackendServer server, std::uint64_t fingerprint,
-                                           std::string requestId)
+// What is known of a call when its connection breaks.
+struct BrokenCall
+{
+    std::uint64_t fingerprint = 0;
+    std::string requestId;
+    std::vector<std::string> sharedPromptParts;
+    std::int64_t events = 0; ///< Events received in this call.
+    Millis duration{0};
+};
+
+boost::asio::awaitable<void> probeForCrash(RouterState &state, BackendServer server, BrokenCall call)
 {
     const auto connection = co_await state.connections.open(server.address, CrashCheckTimeout);
     if (connection) {
         connection->close();
         co_return;
     }
-    state.recordCrash(CrashReport{fingerprint, server.id, state.settings.name, unixSeconds()});
-    LogLine("backend-crash").add("request", requestId).add("backend", server.id).warn();
+    state.recordCrash(CrashReport{call.fingerprint, server.id, state.settings.name, unixSeconds()});
+    state.metrics.count("cyclamencross_backend_crashes_total", {{"output", call.events > 0 ? "begun" : "none"}});
+    LogLine("backend-crash")
+        .add("request", call.requestId)
+        .add("backend", server.id)
+        .add("fingerprint", toHex(call.fingerprint))
+        .add("prompt_parts", boost::algorithm::join(call.sharedPromptParts, ","))
+        .add("events", call.events)
+        .add("call_ms", std::int64_t(call.duration.count()))
+        .warn();
 }
 
 }
@@ -65,6 +83,11 @@
         }
     });
     if (this->state.crashHistory.isContained(this->fingerprint(), unixSeconds())) {
+        LogLine("crash-contained")
+            .add("request", this->request.id)
+            .add("fingerprint", toHex(this->fingerprint()))
+            .add("prompt_parts", boost::algorithm::join(this->request.sharedPromptParts, ","))
+            .write();
         co_await this->finishWithFailure("crash-contained");
     } else {
         co_await this->serve();
@@ -106,6 +129,8 @@
 {
     ++this->budgetedCalls;
     this->retryReserved = false;
+    this->callStart = Clock::now();
+    this->eventsBeforeCall = this->eventCount;
     call.backendId = server.id;
     call.timeLeft = std::max(Millis(1), this->timeLeft());
     std::string message = this->request.method + " " + this->request.target + " HTTP/1.1\r\n"
@@ -191,9 +216,13 @@
 
 void RequestHandler::startCrashProbe(const BackendServer &server)
 {
-    boost::asio::co_spawn(this->state.executor,
-                          probeForCrash(this->state, server, this->fingerprint(), this->request.id),
-                          boost::asio::detached);
+    const Millis duration = std::chrono::duration_cast<Millis>(Clock::now() - this->callStart);
+    boost::asio::co_spawn(
+        this->state.executor,
+        probeForCrash(this->state, server,
+                      BrokenCall{this->fingerprint(), this->request.id, this->request.sharedPromptParts,
+                                 this->eventCount - this->eventsBeforeCall, duration}),
+        boost::asio::detached);
 }
 
 boost::asio::awaitable<void> RequestHandler::finishWithFailure(std::string reason)
--- a/src/gateway/requesthandler.h
+++ b/src/gateway/requesthandler.h
@@ -110,6 +110,8 @@
     bool overloaded = false; ///< No backend server had capacity for as long as the request may wait.
     bool retryReserved = false; ///< A retry was taken from the budget and not sent yet.
     BackendResponseHead response; ///< Head of the current response.
+    TimePoint callStart; ///< When the request was last sent to a backend server.
+    std::int64_t eventsBeforeCall = 0; ///< Value of `eventCount` at `callStart`.
     std::string failure; ///< Reason why the last call failed.
     std::string outcome; ///< For the log and the metrics.
     /// From the receipt of the request to the first chunk sent to the caller; for the log.
