Router: attribute crashes of engines to the prompt parts and requests that cause them

What callers saw: each request with a certain prompt part took down the engine that began to answer it, and then a second one, as long as such requests came; streams of other callers at these engines broke, and most refusals for crashes hit requests that had only been running there.

Cause: crash records were kept by a hash of the whole request. Different requests with a part in common never added up, and every request in flight at a crashed engine was blamed, also one that the engine had been answering for seconds. The class of fault is attribution by identity and presence instead of by what the crashes have in common. The same cause refused a plain read that many callers repeat for ten minutes, once two of its servers were lost.

Change: CrashAttribution collects the calls that had no output when their server crashed, with their suspects: each shared part of the prompt, and the request. A suspect is contained after two crashes of calls that followed one another (four if requests with it were served before), and cleared when a request with it is served. Of several suspects the one that explains most crashes is contained, or the most specific one, so parts that sound requests share stay in use. Servers that fail together count once. Routers report crashed calls to all others, and served suspects if calls with them have crashed. A request is checked before each send, not only on arrival. A minute after the last crash one router tries a single request, later with growing pauses.

--- a/src/gateway/peerreport.cpp
+++ b/src/gateway/peerreport.cpp
@@ -28,9 +28,32 @@
 }
 
 template<typename Archive>
-void serialize(Archive &archive, CrashReport &crash)
+void archiveMillis(Archive &archive, Millis &duration)
 {
-    archive(crash.fingerprint, crash.backend, crash.reporter, crash.unixTime);
+    std::int64_t count = duration.count();
+    archive(count);
+    duration = Millis(count);
+}
+
+template<typename Archive>
+void serialize(Archive &archive, CrashSuspect &suspect)
+{
+    archive(suspect.name, suspect.servedBefore);
+}
+
+template<typename Archive>
+void serialize(Archive &archive, CrashedCall &call)
+{
+    archive(call.id, call.backend, call.suspects);
+    archiveMillis(archive, call.age);
+    archiveMillis(archive, call.duration);
+}
+
+template<typename Archive>
+void serialize(Archive &archive, ServedSuspect &suspect)
+{
+    archive(suspect.name);
+    archiveMillis(archive, suspect.age);
 }
 
 template<typename Archive>
@@ -57,7 +80,7 @@
     archive(report.watching, report.changes);
     archive(report.isGroupReport, report.groupWork, report.knowsOtherGroups, report.otherGroupsWork);
     archive(report.router, report.incarnation, report.sequence, report.storeRevision, report.work, report.waiting,
-            report.reportedCalls, report.outcomes, report.streams, report.crashes);
+            report.reportedCalls, report.outcomes, report.streams, report.crashes, report.servedSuspects);
 }
 
 std::string encodePeerReport(const PeerReport &report)
--- a/src/gateway/peerreport.h
+++ b/src/gateway/peerreport.h
@@ -2,8 +2,9 @@
 
 #include "storechanges.h"
 
-#include "cyclamencross/base/crashreport.h"
 #include "cyclamencross/route/backendwork.h"
+#include "cyclamencross/route/crashedcall.h"
+#include "cyclamencross/route/servedsuspect.h"
 #include "cyclamencross/route/streamsample.h"
 
 #include <cstdint>
@@ -50,7 +51,8 @@
     std::map<std::string, std::int64_t> reportedCalls;
     std::map<std::string, Outcomes> outcomes; ///< By backend server, since the last report.
     std::vector<StreamSample> streams; ///< Streams completed since the last report.
-    std::vector<CrashReport> crashes; ///< Recent crashes, repeated in several reports.
+    std::vector<CrashedCall> crashes; ///< Recent ones, repeated in several reports.
+    std::vector<ServedSuspect> servedSuspects; ///< Recent ones, repeated in several reports.
 
     bool operator==(const PeerReport &) const = default;
 };
--- a/src/gateway/peersocket.cpp
+++ b/src/gateway/peersocket.cpp
@@ -71,7 +71,7 @@
             continue;
         }
         const std::string bytes = encodePeerReport(*report);
-        if (report->crashes.empty()) {
+        if (report->crashes.empty() && report->servedSuspects.empty()) {
             this->sendTo(this->state.groupPeers(), bytes);
             continue;
         }
--- a/src/gateway/pieces_test.cpp
+++ b/src/gateway/pieces_test.cpp
@@ -85,7 +85,8 @@
     report.otherGroupsWork["e"] = BackendWork{4, 0, {}};
     report.streams.push_back(StreamSample{"r", "s", 1, 2, 3});
     report.outcomes["e"] = PeerReport::Outcomes{1, 2, 3};
-    report.crashes.push_back(CrashReport{1, "e", "r1", 2});
+    report.crashes.push_back(CrashedCall{1, "e", {{"part:a", true}, {"request:b", false}}, Millis(3), Millis(4)});
+    report.servedSuspects.push_back(ServedSuspect{"part:a", Millis(5)});
     const std::string bytes = encodePeerReport(report);
     PeerReport decoded;
     REQUIRE(decodePeerReport(bytes, decoded));
@@ -103,7 +104,8 @@
     report.changes.upTo = 4;
     report.changes.items.push_back(StoreItem{"key", "value", 4, false});
     report.work["e"] = BackendWork{1, 2, KvCacheForecast::constant(3)};
-    report.crashes.push_back(CrashReport{1, "e", "r1", 2});
+    report.crashes.push_back(CrashedCall{1, "e", {{"part:a", true}, {"request:b", false}}, Millis(3), Millis(4)});
+    report.servedSuspects.push_back(ServedSuspect{"part:a", Millis(5)});
     const std::string bytes = encodePeerReport(report);
     PeerReport decoded;
     CHECK_FALSE(decodePeerReport(bytes + "x", decoded));
--- a/src/gateway/plainrequesthandler.cpp
+++ b/src/gateway/plainrequesthandler.cpp
@@ -136,6 +136,7 @@
         co_return this->resultAfterFailure();
     }
     const int code = this->connection->status();
+    this->recordServed(Clock::now());
     this->recordOutcome(server, code >= 500 ? CallOutcome::Failed : CallOutcome::Served);
     if (code >= 500 || impliesNotExecuted(code)) {
         this->mayHaveExecuted = true;
--- a/src/gateway/requesthandler.cpp
+++ b/src/gateway/requesthandler.cpp
@@ -10,6 +10,8 @@
 #include "cyclamencross/route/retryafter.h"
 
 #include <algorithm>
+#include <iterator>
+#include <utility>
 
 #include <boost/algorithm/string/join.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -27,33 +29,34 @@
 // Number of late responses to other requests that are skipped before the connection counts as malformed.
 constexpr int MaxStrayResponses = 3;
 
-// What is known of a call when its connection breaks.
-struct BrokenCall
-{
-    std::uint64_t fingerprint = 0;
-    std::string requestId;
-    std::vector<std::string> sharedPromptParts;
-    std::int64_t events = 0; ///< Events received in this call.
-    Millis duration{0};
-};
-
-boost::asio::awaitable<void> probeForCrash(RouterState &state, BackendServer server, BrokenCall call)
+// Longer ids of prompt parts are replaced by a hash, since crash reports must fit into a datagram.
+constexpr std::size_t MaxPartIdLength = 32;
+
+boost::asio::awaitable<void> probeForCrash(RouterState &state, BackendServer server, CrashedCall call,
+                                           std::string requestId, bool hadOutput)
 {
+    const TimePoint brokenAt = Clock::now();
     const auto connection = co_await state.connections.open(server.address, CrashCheckTimeout);
     if (connection) {
         connection->close();
         co_return;
     }
-    state.recordCrash(CrashReport{call.fingerprint, server.id, state.settings.name, unixSeconds()});
-    state.metrics.count("cyclamencross_backend_crashes_total", {{"output", call.events > 0 ? "begun" : "none"}});
+    const TimePoint now = Clock::now();
+    call.age = std::chrono::duration_cast<Millis>(now - brokenAt);
+    std::vector<std::string> names;
+    std::transform(call.suspects.begin(), call.suspects.end(), std::back_inserter(names),
+                   [](const CrashSuspect &suspect) { return suspect.name; });
+    state.metrics.count("cyclamencross_backend_crashes_total", {{"output", hadOutput ? "begun" : "none"}});
     LogLine("backend-crash")
-        .add("request", call.requestId)
+        .add("request", requestId)
         .add("backend", server.id)
-        .add("fingerprint", toHex(call.fingerprint))
-        .add("prompt_parts", boost::algorithm::join(call.sharedPromptParts, ","))
-        .add("events", call.events)
+        .add("suspects", boost::algorithm::join(names, ","))
+        .add("had_output", hadOutput)
         .add("call_ms", std::int64_t(call.duration.count()))
         .warn();
+    if (!hadOutput) {
+        state.recordCrash(std::move(call), now);
+    }
 }
 
 }
@@ -82,12 +85,16 @@
             this->connection->close();
         }
     });
-    if (this->state.crashHistory.isContained(this->fingerprint(), unixSeconds())) {
-        LogLine("crash-contained")
+    this->suspects = this->findSuspects();
+    const CrashAttribution::Verdict verdict = this->state.crashes.check(this->suspects, Clock::now());
+    this->isCrashTrial = verdict == CrashAttribution::Verdict::Trial;
+    if (this->isCrashTrial) {
+        LogLine("crash-trial")
             .add("request", this->request.id)
-            .add("fingerprint", toHex(this->fingerprint()))
-            .add("prompt_parts", boost::algorithm::join(this->request.sharedPromptParts, ","))
+            .add("suspect", *this->state.crashes.findContained(this->suspects))
             .write();
+    }
+    if (verdict == CrashAttribution::Verdict::Contained) {
         co_await this->finishWithFailure("crash-contained");
     } else {
         co_await this->serve();
@@ -130,7 +137,7 @@
     ++this->budgetedCalls;
     this->retryReserved = false;
     this->callStart = Clock::now();
-    this->eventsBeforeCall = this->eventCount;
+    this->outputStart = std::nullopt;
     call.backendId = server.id;
     call.timeLeft = std::max(Millis(1), this->timeLeft());
     std::string message = this->request.method + " " + this->request.target + " HTTP/1.1\r\n"
@@ -216,13 +223,34 @@
 
 void RequestHandler::startCrashProbe(const BackendServer &server)
 {
-    const Millis duration = std::chrono::duration_cast<Millis>(Clock::now() - this->callStart);
-    boost::asio::co_spawn(
-        this->state.executor,
-        probeForCrash(this->state, server,
-                      BrokenCall{this->fingerprint(), this->request.id, this->request.sharedPromptParts,
-                                 this->eventCount - this->eventsBeforeCall, duration}),
-        boost::asio::detached);
+    const TimePoint now = Clock::now();
+    const bool hadOutput = this->served || (this->outputStart && now - *this->outputStart >= SoundOutputTime);
+    CrashedCall call;
+    call.id = randomNumber();
+    call.backend = server.id;
+    std::transform(this->suspects.begin(), this->suspects.end(), std::back_inserter(call.suspects),
+                   [](const std::string &name) {
+                       return CrashSuspect{name, false};
+                   });
+    call.duration = std::chrono::duration_cast<Millis>(now - this->callStart);
+    boost::asio::co_spawn(this->state.executor,
+                          probeForCrash(this->state, server, std::move(call), this->request.id, hadOutput),
+                          boost::asio::detached);
+}
+
+void RequestHandler::recordOutput(TimePoint now)
+{
+    this->outputStart = this->outputStart.value_or(now);
+    if (now - *this->outputStart >= SoundOutputTime) {
+        this->recordServed(now);
+    }
+}
+
+void RequestHandler::recordServed(TimePoint now)
+{
+    if (!std::exchange(this->served, true)) {
+        this->state.recordServed(this->suspects, now);
+    }
 }
 
 boost::asio::awaitable<void> RequestHandler::finishWithFailure(std::string reason)
@@ -231,6 +259,11 @@
         this->outcome = "caller-gone";
         co_return;
     }
+    const std::string *contained = this->isCrashTrial ? nullptr : this->state.crashes.findContained(this->suspects);
+    if (contained != nullptr) {
+        reason = "crash-contained";
+        LogLine("crash-contained").add("request", this->request.id).add("suspect", *contained).write();
+    }
     if (this->timeLeft() <= Millis(0)) {
         reason += ",deadline";
     }
@@ -251,6 +284,9 @@
 
 Millis RequestHandler::retryAfterDelay()
 {
+    if (const std::string *contained = this->state.crashes.findContained(this->suspects)) {
+        return std::max(this->state.retryAfterDelay(), this->state.crashes.timeUntilTrial(*contained, Clock::now()));
+    }
     return this->overloaded ? RetryAfter::afterOverload(this->callerTimeLeft(), this->state.random())
                             : this->state.retryAfterDelay();
 }
@@ -264,7 +300,8 @@
 
 bool RequestHandler::shouldStop() const
 {
-    return this->session.isCallerDisconnected() || this->timeLeft() <= Millis(0);
+    return this->session.isCallerDisconnected() || this->timeLeft() <= Millis(0)
+        || (!this->isCrashTrial && this->state.crashes.findContained(this->suspects) != nullptr);
 }
 
 bool RequestHandler::hasAttemptsLeft() const
@@ -283,9 +320,14 @@
     return allowed - std::chrono::duration_cast<Millis>(Clock::now() - this->request.received);
 }
 
-std::uint64_t RequestHandler::fingerprint() const
+std::vector<std::string> RequestHandler::findSuspects() const
 {
-    return hash64(this->request.body, hash64(this->request.target));
+    std::vector<std::string> names;
+    for (const std::string &part : this->request.sharedPromptParts) {
+        names.push_back("part:" + (part.size() > MaxPartIdLength ? toHex(hash64(part)) : part));
+    }
+    names.push_back("request:" + toHex(hash64(this->request.body, hash64(this->request.target))));
+    return names;
 }
 
 void RequestHandler::logEnd() const
--- a/src/gateway/requesthandler.h
+++ b/src/gateway/requesthandler.h
@@ -8,8 +8,10 @@
 #include "cyclamencross/route/routeconfig.h"
 
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include <boost/asio/awaitable.hpp>
 
@@ -73,8 +75,12 @@
     /// starts a crash probe.
     void failCall(const BackendServer &server, ConnectionStatus status);
     /// Checks in the background whether @p server still accepts connections. If not, records that this request may have
-    /// crashed it.
+    /// crashed it, unless the server has produced output for it.
     void startCrashProbe(const BackendServer &server);
+    /// Records that the current call has produced output. After some output, the request did not crash its server.
+    void recordOutput(TimePoint now);
+    /// Records that the request was served, so that it does not crash servers.
+    void recordServed(TimePoint now);
 
     /// Ends the request without a backend server's response: refuses it with 503, or fails it with 502 or 504 if it may
     /// have been executed. Closes the connection of a caller that has received part of a response.
@@ -82,7 +88,8 @@
     /// Sends the caller the response on the current connection with the given body.
     boost::asio::awaitable<void> forwardResponse(std::string body);
 
-    /// Returns whether the caller has disconnected or the deadline has passed.
+    /// Returns whether the caller has disconnected, the deadline has passed, or the request must not be sent because of
+    /// crashes.
     bool shouldStop() const;
     /// Returns whether the route allows another attempt.
     bool hasAttemptsLeft() const;
@@ -111,7 +118,8 @@
     bool retryReserved = false; ///< A retry was taken from the budget and not sent yet.
     BackendResponseHead response; ///< Head of the current response.
     TimePoint callStart; ///< When the request was last sent to a backend server.
-    std::int64_t eventsBeforeCall = 0; ///< Value of `eventCount` at `callStart`.
+    std::optional<TimePoint> outputStart; ///< When the current call produced its first output.
+    bool served = false; ///< The request has been served or has produced enough output.
     std::string failure; ///< Reason why the last call failed.
     std::string outcome; ///< For the log and the metrics.
     /// From the receipt of the request to the first chunk sent to the caller; for the log.
@@ -120,9 +128,17 @@
     Millis longestChunkGap{0}; ///< Between two chunks sent to the caller; for the log.
 
 private:
-    /// Returns a hash of target and body, by which routers recognize a request that crashes backend servers.
-    std::uint64_t fingerprint() const;
+    /// Time of output after which a backend server that crashes has another reason: an engine that crashes because of a
+    /// request does so when it begins to answer.
+    static constexpr Millis SoundOutputTime{100};
+
+    /// Returns the crash suspects of the request: the shared parts of its prompt, and its target and body, by which its
+    /// repeats are recognized.
+    std::vector<std::string> findSuspects() const;
     void logEnd() const;
+
+    std::vector<std::string> suspects; ///< From the most general to the most specific.
+    bool isCrashTrial = false; ///< The request is sent in spite of crashes, to see whether they go on.
 };
 
 }
--- a/src/gateway/router.cpp
+++ b/src/gateway/router.cpp
@@ -259,6 +259,7 @@
         co_await sleepFor(HousekeepingPeriod);
         const TimePoint now = Clock::now();
         this->sync.expire(now);
+        this->state.crashes.expire(now);
         this->state.regroupIfPending(now);
         this->state.connections.expire(now);
         this->state.health.retain([this](const std::string &id) { return this->state.backends.find(id) != nullptr; });
--- a/src/gateway/routerstate.cpp
+++ b/src/gateway/routerstate.cpp
@@ -16,6 +16,15 @@
     , settings(std::move(settings))
     , incarnation(incarnation)
     , retryBudget(this->settings.retryRatio, this->settings.retrySlack, this->settings.retryWindow)
+    , crashes([this](const std::string &suspect) { return this->isTrialRouter(suspect); },
+              [this](const std::string &suspect, int count) {
+                  LogLine("containment")
+                      .add("suspect", suspect)
+                      .add("crashes", count)
+                      .add("state", count > 0 ? "begun" : "ended")
+                      .warn();
+                  this->metrics.set("cyclamencross_contained_suspects", double(this->crashes.containments().size()));
+              })
     , connections(executor)
     , generator(randomNumber())
 {
@@ -297,11 +306,31 @@
     this->fullUntil[backend] = now + FullLifetime;
 }
 
-void RouterState::recordCrash(const CrashReport &crash)
+void RouterState::recordCrash(CrashedCall call, TimePoint now)
 {
-    if (this->crashHistory.add(crash)) {
-        this->recentCrashes.emplace_back(Clock::now(), crash);
+    for (CrashSuspect &suspect : call.suspects) {
+        suspect.servedBefore = this->crashes.wasServed(suspect.name);
     }
+    if (this->crashes.addCrash(call, now) && this->recentCrashes.size() < MaxReportedCrashes) {
+        this->recentCrashes.emplace_back(now, std::move(call));
+    }
+}
+
+void RouterState::recordServed(const std::vector<std::string> &suspects, TimePoint now)
+{
+    for (std::string &suspect : this->crashes.recordServed(suspects, now)) {
+        this->recentlyServed.emplace_back(now, std::move(suspect));
+    }
+}
+
+bool RouterState::isTrialRouter(const std::string &suspect) const
+{
+    std::pair<std::uint64_t, std::string> lowest(hash64(this->settings.name + suspect), this->settings.name);
+    const std::string own = this->settings.name;
+    this->members.forEach([&](const std::string &name, const RouterMember & /*member*/) {
+        lowest = std::min(lowest, std::pair(hash64(name + suspect), name));
+    });
+    return lowest.second == own;
 }
 
 double RouterState::random()
--- a/src/gateway/routerstate.h
+++ b/src/gateway/routerstate.h
@@ -5,12 +5,12 @@
 #include "peerreport.h"
 
 #include "cyclamencross/base/metrics.h"
-#include "cyclamencross/decide/crashhistory.h"
 #include "cyclamencross/gateway/routersettings.h"
 #include "cyclamencross/route/backendhealth.h"
 #include "cyclamencross/route/backendserver.h"
 #include "cyclamencross/route/backendworktracker.h"
 #include "cyclamencross/route/callerwaitestimator.h"
+#include "cyclamencross/route/crashattribution.h"
 #include "cyclamencross/route/fleetretrybudget.h"
 #include "cyclamencross/route/outputestimator.h"
 #include "cyclamencross/route/placementcandidate.h"
@@ -81,8 +81,12 @@
     void recordStream(const StreamSample &sample);
     /// Records that an engine refused a capacity reservation; it counts as full for FullLifetime.
     void markFull(const std::string &backend, TimePoint now);
-    /// Records that a request may have crashed a backend server, for this router and for its next reports to peers.
-    void recordCrash(const CrashReport &crash);
+    /// Records a call that had produced no output when its backend server crashed, for this router and for its next
+    /// reports to peers. Sets CrashSuspect::servedBefore.
+    void recordCrash(CrashedCall call, TimePoint now);
+    /// Records that a request with the given crash suspects was served, for this router and, if calls with them have
+    /// crashed, for its next reports to peers.
+    void recordServed(const std::vector<std::string> &suspects, TimePoint now);
     /// Recomputes the groups of routers and backend servers. Must be called after either list has changed.
     void regroup();
     /// Calls regroup(), but not more often than every RegroupInterval; a call that is due later is made by
@@ -125,7 +129,7 @@
     FleetRetryBudget retryBudget;
     CallerWaitEstimator callerWaitEstimator;
     OutputEstimator outputEstimator;
-    CrashHistory crashHistory;
+    CrashAttribution crashes;
     ConnectionPool connections;
     Metrics metrics;
     Leadership leadership; ///< As recorded in the store.
@@ -163,8 +167,10 @@
     static constexpr Millis RegroupInterval{200};
     /// Completed streams sent with one report; further ones add little to the estimates.
     static constexpr std::size_t MaxReportedStreams = 16;
-    /// How long a crash is repeated in reports, since datagrams may be lost.
+    /// How long news about crashes is repeated in reports, since datagrams may be lost.
     static constexpr Millis CrashRepeatTime{400};
+    /// Crashed calls that are reported at a time, so that a report fits into a datagram.
+    static constexpr std::size_t MaxReportedCrashes = 32;
     /// Size of the sample that sampleOtherGroups() returns.
     static constexpr std::size_t OtherGroupSampleSize = 3;
 
@@ -196,7 +202,8 @@
     std::map<std::string, BackendWork> lastReportedWaiting;
     std::map<std::string, PeerReport::Outcomes> pendingOutcomes; ///< To be sent with the next report.
     std::vector<StreamSample> pendingStreams; ///< To be sent with the next report.
-    std::vector<std::pair<TimePoint, CrashReport>> recentCrashes;
+    std::vector<std::pair<TimePoint, CrashedCall>> recentCrashes; ///< With the time to which their age refers.
+    std::vector<std::pair<TimePoint, std::string>> recentlyServed; ///< Crash suspects that were served, and when.
     std::vector<RouterMember> peersOfGroup;
     std::vector<RouterMember> delegates; ///< Of the other groups.
     /// Work of the other groups on shared backend servers by delegate, if this router is the delegate of its group.
@@ -215,6 +222,8 @@
     bool regroupPending = false;
     TimePoint lastRegroup;
 
+    /// Returns whether this router is the one that tries requests with a contained crash suspect.
+    bool isTrialRouter(const std::string &suspect) const;
     /// Records a pace sample and logs whether the engine has become slow or recovered.
     void applyPace(const std::string &backend, double millisPerToken, TimePoint now, double weight);
     /// Returns the changes for the next report and keeps the rest.
--- a/src/gateway/routerstatereports.cpp
+++ b/src/gateway/routerstatereports.cpp
@@ -71,10 +71,12 @@
 
 std::optional<PeerReport> RouterState::takeReport(TimePoint now)
 {
-    std::erase_if(this->recentCrashes, [now](const auto &item) { return now - item.first > CrashRepeatTime; });
+    const auto isRepeatedEnough = [now](const auto &item) { return now - item.first > CrashRepeatTime; };
+    std::erase_if(this->recentCrashes, isRepeatedEnough);
+    std::erase_if(this->recentlyServed, isRepeatedEnough);
     const bool changed = this->work->own() != this->lastReportedWork
         || this->waiting->own() != this->lastReportedWaiting || !this->pendingOutcomes.empty()
-        || !this->recentCrashes.empty() || this->pendingChanges.upTo != 0;
+        || !this->recentCrashes.empty() || !this->recentlyServed.empty() || this->pendingChanges.upTo != 0;
     const bool due = now - this->lastReport >= ReportPeriod;
     if (!changed && !due) {
         return std::nullopt;
@@ -95,8 +97,12 @@
     }
     report.outcomes = std::exchange(this->pendingOutcomes, {});
     report.streams = std::exchange(this->pendingStreams, {});
-    for (const auto &[time, crash] : this->recentCrashes) {
-        report.crashes.push_back(crash);
+    for (const auto &[time, call] : this->recentCrashes) {
+        report.crashes.push_back(call);
+        report.crashes.back().age += std::chrono::duration_cast<Millis>(now - time);
+    }
+    for (const auto &[time, suspect] : this->recentlyServed) {
+        report.servedSuspects.push_back(ServedSuspect{suspect, std::chrono::duration_cast<Millis>(now - time)});
     }
     this->lastReportedWork = report.work;
     this->lastReportedWaiting = report.waiting;
@@ -215,8 +221,11 @@
     for (const StreamSample &sample : report.streams) {
         this->outputEstimator.record(sample);
     }
-    for (const CrashReport &crash : report.crashes) {
-        this->crashHistory.add(crash);
+    for (const CrashedCall &call : report.crashes) {
+        this->crashes.addCrash(call, now);
+    }
+    for (const ServedSuspect &suspect : report.servedSuspects) {
+        this->crashes.addServed(suspect.name, suspect.age, now);
     }
 }
 }
--- a/src/gateway/streamrequesthandler.cpp
+++ b/src/gateway/streamrequesthandler.cpp
@@ -283,6 +283,7 @@
     if (status == ConnectionStatus::Ok && valid && !this->splitter.hasPartialEvent()) {
         co_await this->session.endStream();
         this->recordOutcome(server, CallOutcome::Served);
+        this->recordServed(Clock::now());
         this->recordStream(this->lastChunkTime);
         this->outcome = "streamed";
         this->releaseConnection(server);
@@ -333,6 +334,7 @@
     }
     this->lastChunkTime = now;
     this->progress->lastActivity = now;
+    this->recordOutput(now);
     this->updateWork(now);
 }
 
--- /dev/null
+++ b/src/include/cyclamencross/route/crashattribution.h
@@ -0,0 +1,130 @@
+#pragma once
+
+#include "cyclamencross/base/timing.h"
+#include "cyclamencross/route/containment.h"
+#include "cyclamencross/route/crashedcall.h"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace Cyclamen
+{
+
+/// Finds out what makes backend servers crash, from the calls that were running without output when they crashed, and
+/// contains it: requests with it are refused. A cause may be a request that comes again, or a part of the prompt that
+/// many requests share which are otherwise sound.
+///
+/// A suspect is contained after a few crashes of calls that followed one another; backend servers that fail together
+/// count once. It is cleared when a request with it is served. Of several suspects of the same crashes, the one that
+/// explains most of them is contained, or else the most specific one, which refuses the fewest sound requests.
+///
+/// A containment ends when a single request, tried after a period without crashes, is served. Not thread-safe.
+class CrashAttribution
+{
+public:
+    /// Crashes after which a suspect is contained.
+    static constexpr int CrashesToContain = 2;
+    /// Crashes after which a suspect is contained with which requests have been served before. Engines crash for other
+    /// reasons too, and a widely shared part is present at many of these crashes.
+    static constexpr int CrashesToContainServed = 4;
+    /// How long a crash counts.
+    static constexpr Millis CrashLifetime{600000};
+    /// Time after the last crash until a request is tried. Doubles with each crash of such a request.
+    static constexpr Millis InitialPeriod{60000};
+    static constexpr Millis MaxPeriod{3600000};
+    /// Time in which a tried request is served or crashes.
+    static constexpr Millis TrialTime{30000};
+    /// Bounds on memory: crashed calls, served suspects and containments that are remembered.
+    static constexpr std::size_t MaxCalls = 256;
+    static constexpr std::size_t MaxServed = 1024;
+    static constexpr std::size_t MaxContainments = 256;
+
+    enum class Verdict : std::uint8_t {
+        Allowed,
+        Contained, ///< The request must be refused.
+        Trial, ///< The request is the one that is tried.
+    };
+    /// Returns whether this router is the one that tries requests with the given suspect.
+    using TrialHook = std::function<bool(const std::string &suspect)>;
+    /// Called when a suspect is contained, with the number of its crashes, or when its containment ends (0).
+    using ChangeHook = std::function<void(const std::string &suspect, int crashes)>;
+
+    CrashAttribution(TrialHook isTrialRouter, ChangeHook onChange);
+
+    /// Records a crashed call; a duplicate is ignored.
+    /// @return whether the call was recorded.
+    bool addCrash(const CrashedCall &call, TimePoint now);
+    /// Records that a request of this router with the given suspects was served.
+    /// @return the suspects for which other routers must know this, since calls with them have crashed.
+    std::vector<std::string> recordServed(const std::vector<std::string> &suspects, TimePoint now);
+    /// Records that a request of another router with @p suspect was served.
+    /// @param age time since then.
+    void addServed(const std::string &suspect, Millis age, TimePoint now);
+    /// Returns whether a request with @p suspect has been served, as far as this router remembers.
+    bool wasServed(const std::string &suspect) const;
+    /// Decides whether a request may be sent to a backend server.
+    /// @param suspects the suspects of the request.
+    Verdict check(const std::vector<std::string> &suspects, TimePoint now);
+    /// Returns the contained one of @p suspects, or nullptr if there is none.
+    const std::string *findContained(const std::vector<std::string> &suspects) const;
+    /// Returns the time until a request with the contained @p suspect may be tried; at least 0.
+    Millis timeUntilTrial(const std::string &suspect, TimePoint now) const;
+
+    /// Returns the containments in force by suspect.
+    const std::map<std::string, Containment> &containments() const;
+    /// Replaces the containments that are known from the store only.
+    void restore(const std::map<std::string, Containment> &stored);
+    /// Drops crashes and containments that no longer count.
+    void expire(TimePoint now);
+
+private:
+    struct Call
+    {
+        std::uint64_t id = 0;
+        std::string backend;
+        std::vector<std::string> suspects;
+        TimePoint sentAt;
+        TimePoint crashedAt;
+    };
+    /// The crashed calls with one suspect.
+    struct Evidence
+    {
+        int specificity = 0; ///< Position of the suspect in its last call.
+        std::vector<std::size_t> calls; ///< Indices into `calls`.
+    };
+    /// By index into `calls`: whether the crash has another cause.
+    using ExplainedCalls = std::vector<bool>;
+
+    /// Attributes all recorded crashes anew.
+    void attribute();
+    /// Rebuilds `evidence` from `calls`.
+    void collectEvidence();
+    /// Returns the number of crashes since the suspect was last served that followed one another.
+    /// @param explained the calls to leave out; empty for none.
+    int countCrashes(const std::string &suspect, const ExplainedCalls &explained) const;
+    /// Marks the calls that ran at the backend servers which @p suspect has crashed.
+    void markExplained(const std::string &suspect, ExplainedCalls &explained) const;
+    int crashesToContain(const std::string &suspect) const;
+    void setServed(const std::string &suspect, TimePoint at);
+    /// Ends the containments for which @p hasEnded returns true.
+    void releaseIf(const std::function<bool(const std::string &suspect, const Containment &containment)> &hasEnded);
+    /// Adds a containment unless there is one. Drops the oldest one if there are too many.
+    void contain(const std::string &suspect, const Containment &containment, int crashes);
+
+    TrialHook isTrialRouter;
+    ChangeHook onChange;
+    std::deque<Call> calls; ///< In the order in which they became known.
+    std::map<std::string, Evidence> evidence; ///< By suspect.
+    std::map<std::string, TimePoint> served; ///< When a request was last served, by suspect.
+    std::deque<std::pair<TimePoint, std::string>> servedOrder; ///< Entries of `served` from the oldest on.
+    std::set<std::string> servedElsewhere; ///< Suspects of `calls` that the router of the call knew as served before.
+    std::map<std::string, Containment> contained;
+};
+
+}
--- /dev/null
+++ b/src/include/cyclamencross/route/servedsuspect.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "cyclamencross/base/timing.h"
+
+#include <string>
+
+namespace Cyclamen
+{
+
+/// States that a request with a crash suspect was served although calls with it had crashed.
+struct ServedSuspect
+{
+    std::string name; ///< See CrashSuspect::name.
+    Millis age{0}; ///< Time since the output of the request.
+
+    bool operator==(const ServedSuspect &) const = default;
+};
+
+}
