Router: containments are kept in the store, so a router that starts knows them

What callers saw: after routers were stopped or killed, requests with a prompt part that was already known to crash engines crashed further ones.

Cause: containments were in memory only, and peers repeat a crash for 0.4 s. The class of fault is a decision that must hold for the whole fleet and has no owner beyond the process that made it.

Change: ContainmentKeeper writes the containments of a router to the store, as one item under a condition on its revision, once they have differed from it for 0.7 s; the routers take turns in the order of a hash, so that one writes, and pause longer after each write. A stored containment holds as if the router had seen the crashes, unless its own records say that another suspect explains them. Also, a repeat of a request counts as sent after the crash that caused it although the reported times are not exact; before, the part and the repeated request could change places as the cause.

--- /dev/null
+++ b/src/gateway/containmentkeeper.cpp
@@ -0,0 +1,60 @@
+#include "containmentkeeper.h"
+
+#include "asioutil.h"
+#include "fleetsync.h"
+#include "routerstate.h"
+
+#include "cyclamencross/base/hash.h"
+
+#include <algorithm>
+
+namespace Cyclamen
+{
+
+ContainmentKeeper::ContainmentKeeper(RouterState &state, FleetSync &sync)
+    : state(state)
+    , sync(sync)
+{
+}
+
+boost::asio::awaitable<void> ContainmentKeeper::run()
+{
+    while (!this->state.stopping) {
+        co_await sleepFor(Period);
+        const TimePoint now = Clock::now();
+        if (!this->state.backendsKnown || !this->isDifferent()) {
+            this->differentSince = std::nullopt;
+            if (now - this->nextWrite > MaxWritePause) {
+                this->writePause = WritePause;
+            }
+            continue;
+        }
+        this->differentSince = this->differentSince.value_or(now);
+        if (now < this->nextWrite || now - *this->differentSince < SettleTime + this->rank() * TakeoverDelay) {
+            continue;
+        }
+        co_await this->sync.writeContainments();
+        this->nextWrite = Clock::now() + this->writePause;
+        this->writePause = std::min(MaxWritePause, this->writePause * 2);
+    }
+}
+
+bool ContainmentKeeper::isDifferent() const
+{
+    const auto &own = this->state.crashes.containments();
+    const auto &stored = this->state.storedContainments;
+    return !std::equal(own.begin(), own.end(), stored.begin(), stored.end(), [](const auto &a, const auto &b) {
+        return a.first == b.first && a.second.period == b.second.period;
+    });
+}
+
+int ContainmentKeeper::rank() const
+{
+    const std::uint64_t ownHash = hash64(this->state.settings.name);
+    int lower = 0;
+    this->state.members.forEach(
+        [&](const std::string &name, const RouterMember & /*member*/) { lower += hash64(name) < ownHash ? 1 : 0; });
+    return lower;
+}
+
+}
--- a/src/gateway/fleetsync.cpp
+++ b/src/gateway/fleetsync.cpp
@@ -64,6 +64,11 @@
     return "cyclamencross/stages";
 }
 
+std::string FleetSync::containmentsKey()
+{
+    return "cyclamencross/containments";
+}
+
 boost::asio::awaitable<void> FleetSync::follow(std::string prefix)
 {
     int failures = 0;
--- a/src/gateway/fleetsync.h
+++ b/src/gateway/fleetsync.h
@@ -79,6 +79,8 @@
     boost::asio::awaitable<void> claimLeadership();
     /// Writes the stage plan, provided that this router is still the leader.
     boost::asio::awaitable<void> writeStagePlan(StagePlan plan);
+    /// Writes the containments of crash suspects, unless they have changed in the store in between.
+    boost::asio::awaitable<void> writeContainments();
     /// Returns whether the lease of this router's registration is certain to be in force for a while: the last renewal
     /// is recent, also counting the time for which this host was suspended.
     bool isLeaseConfirmed() const;
@@ -90,6 +92,8 @@
     static std::string leaderKey();
     /// Returns the key of the stage plan.
     static std::string stagePlanKey();
+    /// Returns the key of the containments of crash suspects.
+    static std::string containmentsKey();
 
 private:
     /// Availability of the store as seen by this router's calls.
@@ -126,6 +130,7 @@
     bool putMember(const StoreItem &item);
     bool putLeader(const StoreItem &item);
     bool putStagePlan(const StoreItem &item);
+    bool putContainments(const StoreItem &item);
     bool remove(const std::string &key, std::uint64_t revision);
     /// Returns a removal for each known entry under @p prefix that a complete list does not contain.
     std::vector<StoreItem> findRemoved(const std::string &prefix, const StorePage &page) const;
--- a/src/gateway/fleetsyncitems.cpp
+++ b/src/gateway/fleetsyncitems.cpp
@@ -1,5 +1,6 @@
 // The part of FleetSync that applies the items of the store to RouterState.
 
+#include "containmentcodec.h"
 #include "fleetsync.h"
 #include "memberrecord.h"
 #include "routerstate.h"
@@ -36,6 +37,9 @@
     if (!this->state.leadership.router.empty()) {
         addMissing("", {{leaderKey(), this->state.leadership.revision}});
     }
+    if (this->state.containmentsRevision > 0) {
+        addMissing("", {{containmentsKey(), this->state.containmentsRevision}});
+    }
     return result;
 }
 
@@ -57,6 +61,9 @@
     if (item.key == stagePlanKey()) {
         return this->putStagePlan(item);
     }
+    if (item.key == containmentsKey()) {
+        return this->putContainments(item);
+    }
     return item.key.starts_with(memberPrefix()) && this->putMember(item);
 }
 
@@ -159,6 +166,23 @@
     return true;
 }
 
+bool FleetSync::putContainments(const StoreItem &item)
+{
+    if (item.revision <= this->state.containmentsRevision) {
+        return false;
+    }
+    this->state.containmentsRevision = item.revision;
+    auto containments = decodeContainments(item.value, Clock::now(), unixSeconds());
+    if (!containments) {
+        LogLine("containments-rejected").add("revision", item.revision).warn();
+        this->state.storedContainments.clear(); // The record is replaced if this router has any containments.
+        return false;
+    }
+    this->state.storedContainments = std::move(*containments);
+    this->state.crashes.restore(this->state.storedContainments);
+    return true;
+}
+
 bool FleetSync::remove(const std::string &key, std::uint64_t revision)
 {
     if (key == leaderKey() && revision >= this->state.leadership.revision) {
@@ -166,6 +190,11 @@
         this->state.leadership = Leadership{"", 0, revision};
         return known;
     }
+    if (key == containmentsKey()) {
+        this->state.containmentsRevision = 0;
+        this->state.storedContainments.clear();
+        return true;
+    }
     const auto until = this->keepUntil();
     if (key.starts_with(this->codec.backendPrefix)) {
         const std::string id = key.substr(this->codec.backendPrefix.size());
--- a/src/gateway/fleetsyncwrites.cpp
+++ b/src/gateway/fleetsyncwrites.cpp
@@ -1,6 +1,8 @@
-// The part of FleetSync that writes to the store: the registration of this router, leadership and the stage plan.
+// The part of FleetSync that writes to the store: the registration of this router, leadership, the stage plan and the
+// containments of crash suspects.
 
 #include "asioutil.h"
+#include "containmentcodec.h"
 #include "fleetsync.h"
 #include "memberrecord.h"
 #include "routerstate.h"
@@ -109,6 +111,19 @@
     this->recordSuccess();
 }
 
+boost::asio::awaitable<void> FleetSync::writeContainments()
+{
+    std::string value = encodeContainments(this->state.crashes.containments(), Clock::now(), unixSeconds());
+    const StoreResult<std::uint64_t> written = co_await this->store.writeIf(
+        containmentsKey(), std::move(value), 0, containmentsKey(), this->state.containmentsRevision);
+    if (const auto *failure = std::get_if<StoreFailure>(&written)) {
+        // After a conflict, the next difference is that to the newer record.
+        this->recordFailure("write-containments", *failure);
+        co_return;
+    }
+    this->recordSuccess();
+}
+
 bool FleetSync::isLeaseConfirmed() const
 {
     return this->registered && bootTime() - this->leaseConfirmedAt <= LeaseTrust;
--- a/src/gateway/router.cpp
+++ b/src/gateway/router.cpp
@@ -46,6 +46,7 @@
     , sync(this->state, this->platform.makeStore(context.get_executor(), settings), this->platform.fleetCodec)
     , peers(this->state)
     , stages(this->state, this->sync, this->platform.backendCodec)
+    , containments(this->state, this->sync)
     , signals(context, SIGTERM, SIGINT, SIGHUP)
 {
 }
@@ -77,6 +78,7 @@
     spawn(this->sync.catchUp(""));
     spawn(this->sync.keepRegistered());
     spawn(this->stages.run());
+    spawn(this->containments.run());
     spawn(this->peers.receive());
     spawn(this->peers.send());
     spawn(this->runHousekeeping());
--- a/src/gateway/router.h
+++ b/src/gateway/router.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "containmentkeeper.h"
 #include "fleetsync.h"
 #include "httpsession.h"
 #include "peersocket.h"
@@ -76,6 +77,7 @@
     FleetSync sync;
     PeerSocket peers;
     StageController stages;
+    ContainmentKeeper containments;
     boost::asio::signal_set signals;
     std::vector<std::shared_ptr<Acceptor>> acceptors;
     std::set<std::shared_ptr<HttpSession>> sessions;
--- a/src/gateway/routerstate.h
+++ b/src/gateway/routerstate.h
@@ -136,6 +136,8 @@
     StagePlan stagePlan; ///< As recorded in the store.
     std::uint64_t stagePlanRevision = 0;
     TimePoint stagePlanSince; ///< When this router learned of the plan.
+    std::map<std::string, Containment> storedContainments; ///< As recorded in the store, by crash suspect.
+    std::uint64_t containmentsRevision = 0;
     bool backendsKnown = false; ///< The backend servers were read from the store at least once.
     std::uint64_t storeRevision = 0; ///< Newest store revision that this router has seen.
     bool watching = false; ///< This router watches the store and can reach it.
--- a/src/include/cyclamencross/route/containment.h
+++ b/src/include/cyclamencross/route/containment.h
@@ -11,7 +11,6 @@
     TimePoint crashedAt; ///< Time of the last crash.
     Millis period{0}; ///< Time after the last crash for which no request is tried.
     TimePoint trialUntil; ///< While a request is being tried, when the next one may be.
-    bool isRestored = false; ///< Known from the store only; this router has seen too few of the crashes itself.
 
     bool operator==(const Containment &) const = default;
 };
--- a/src/include/cyclamencross/route/crashattribution.h
+++ b/src/include/cyclamencross/route/crashattribution.h
@@ -78,8 +78,9 @@
 
     /// Returns the containments in force by suspect.
     const std::map<std::string, Containment> &containments() const;
-    /// Replaces the containments that are known from the store only.
-    void restore(const std::map<std::string, Containment> &stored);
+    /// Takes over the containments in the store. One that was there and is not any more ends, unless this router has
+    /// seen enough crashes itself.
+    void restore(const std::map<std::string, Containment> &storedNow);
     /// Drops crashes and containments that no longer count.
     void expire(TimePoint now);
 
@@ -111,6 +112,8 @@
     /// Marks the calls that ran at the backend servers which @p suspect has crashed.
     void markExplained(const std::string &suspect, ExplainedCalls &explained) const;
     int crashesToContain(const std::string &suspect) const;
+    /// Returns whether the recorded crashes would contain @p suspect if no other suspect explained them.
+    bool hasEnoughCrashes(const std::string &suspect) const;
     void setServed(const std::string &suspect, TimePoint at);
     /// Ends the containments for which @p hasEnded returns true.
     void releaseIf(const std::function<bool(const std::string &suspect, const Containment &containment)> &hasEnded);
@@ -125,6 +128,7 @@
     std::deque<std::pair<TimePoint, std::string>> servedOrder; ///< Entries of `served` from the oldest on.
     std::set<std::string> servedElsewhere; ///< Suspects of `calls` that the router of the call knew as served before.
     std::map<std::string, Containment> contained;
+    std::set<std::string> stored; ///< Suspects that were contained in the store at the last restore().
 };
 
 }
--- a/src/route/crashattribution.cpp
+++ b/src/route/crashattribution.cpp
@@ -1,6 +1,7 @@
 #include "cyclamencross/route/crashattribution.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Cyclamen
 {
@@ -11,6 +12,9 @@
 // Calls at one backend server that crashed within this time belong to the same crash: less than it needs to start
 // again.
 constexpr Millis SameCrashTime{1000};
+// Error of the times in reports of different routers. A request is repeated within milliseconds after a crash, so its
+// repeat must not seem to have been sent before it.
+constexpr Millis ReportTolerance{20};
 
 }
 
@@ -129,19 +133,19 @@
     return this->contained;
 }
 
-void CrashAttribution::restore(const std::map<std::string, Containment> &stored)
+void CrashAttribution::restore(const std::map<std::string, Containment> &storedNow)
 {
-    this->releaseIf([&stored](const std::string &suspect, const Containment &containment) {
-        return containment.isRestored && !stored.contains(suspect);
+    const std::set<std::string> storedBefore = std::exchange(this->stored, {});
+    this->releaseIf([&](const std::string &suspect, const Containment & /*containment*/) {
+        return storedBefore.contains(suspect) && !storedNow.contains(suspect) && !this->hasEnoughCrashes(suspect);
     });
-    for (const auto &[suspect, containment] : stored) {
+    for (const auto &[suspect, containment] : storedNow) {
+        this->stored.insert(suspect);
         const auto lastServed = this->served.find(suspect);
         if (lastServed != this->served.end() && lastServed->second > containment.crashedAt) {
             continue;
         }
-        Containment restored = containment;
-        restored.isRestored = true;
-        this->contain(suspect, restored, CrashesToContain);
+        this->contain(suspect, containment, CrashesToContain);
         if (const auto known = this->contained.find(suspect); known != this->contained.end()) {
             known->second.period = std::max(known->second.period, containment.period);
             known->second.crashedAt = std::max(known->second.crashedAt, containment.crashedAt);
@@ -181,8 +185,8 @@
 {
     ExplainedCalls explained(this->calls.size(), false);
     for (const auto &[suspect, containment] : this->contained) {
-        if (containment.isRestored) {
-            this->markExplained(suspect, explained);
+        if (!this->hasEnoughCrashes(suspect)) {
+            this->markExplained(suspect, explained); // Contained for crashes before those that are recorded.
         }
     }
     std::map<std::string, int> causes; // Number of crashes by suspect.
@@ -207,16 +211,15 @@
         this->markExplained(best->first, explained);
     }
     // A suspect with enough crashes that is not a cause any more owes them to another suspect.
-    this->releaseIf([&](const std::string &suspect, const Containment &containment) {
-        return !containment.isRestored && !causes.contains(suspect)
-            && this->countCrashes(suspect, {}) >= this->crashesToContain(suspect);
+    this->releaseIf([&](const std::string &suspect, const Containment & /*containment*/) {
+        return !causes.contains(suspect) && this->hasEnoughCrashes(suspect);
     });
     for (const auto &[suspect, crashes] : causes) {
         TimePoint lastCrash;
         for (const std::size_t i : this->evidence.at(suspect).calls) {
             lastCrash = std::max(lastCrash, this->calls[i].crashedAt);
         }
-        this->contain(suspect, Containment{lastCrash, InitialPeriod, TimePoint(), false}, crashes);
+        this->contain(suspect, Containment{lastCrash, InitialPeriod, TimePoint()}, crashes);
     }
 }
 
@@ -240,7 +243,7 @@
     TimePoint lastCrash;
     for (const Call *call : crashed) {
         // A call that was sent before the previous crash may have been lost together with that one.
-        if (count == 0 || call->sentAt >= lastCrash) {
+        if (count == 0 || call->sentAt + ReportTolerance >= lastCrash) {
             ++count;
             lastCrash = call->crashedAt;
         }
@@ -269,6 +272,11 @@
     return this->wasServed(suspect) ? CrashesToContainServed : CrashesToContain;
 }
 
+bool CrashAttribution::hasEnoughCrashes(const std::string &suspect) const
+{
+    return this->countCrashes(suspect, {}) >= this->crashesToContain(suspect);
+}
+
 void CrashAttribution::setServed(const std::string &suspect, TimePoint at)
 {
     const auto [known, isNew] = this->served.try_emplace(suspect, at);
--- a/src/route/crashattribution_test.cpp
+++ b/src/route/crashattribution_test.cpp
@@ -127,6 +127,19 @@
     CHECK(attribution.containments().contains("part:bad"));
 }
 
+TEST_CASE("The repeat of a request follows its crash although the reported times are not exact")
+{
+    // Guards against a cause whose crashes do not add up because each request is repeated at once.
+    CrashAttribution attribution = makeAttribution();
+    attribution.addCrash(crashedCall("e1", {"part:bad", "request:1"}), Start);
+    attribution.addCrash(crashedCall("e2", {"part:bad", "request:2"}), Start + Millis(300));
+    CHECK(attribution.containments().contains("part:bad"));
+    // Sent 3 ms before the crash, as far as the times show.
+    attribution.addCrash(crashedCall("e3", {"part:bad", "request:2"}), Start + Millis(297) + CallTime);
+    CHECK(attribution.containments().size() == 1);
+    CHECK(attribution.containments().contains("part:bad"));
+}
+
 TEST_CASE("A request that is served clears its suspects, also if another router served it")
 {
     CrashAttribution attribution = makeAttribution();
@@ -185,7 +198,7 @@
 {
     // Guards against a restarted router that lets the same requests crash engines again.
     CrashAttribution attribution = makeAttribution();
-    const Containment stored{Start, CrashAttribution::InitialPeriod, TimePoint(), false};
+    const Containment stored{Start, CrashAttribution::InitialPeriod, TimePoint()};
     attribution.restore({{"part:bad", stored}});
     CHECK_FALSE(isAllowed(attribution, {"part:bad"}, Start + Millis(100)));
     // A request that was on its way.
@@ -195,6 +208,18 @@
     CHECK_FALSE(isAllowed(attribution, {"part:bad"}, Start + Millis(300)));
     attribution.restore({});
     CHECK(isAllowed(attribution, {"part:bad"}, Start + Millis(400)));
+    SECTION("A stored containment that crashes seen since then disprove ends")
+    {
+        // Guards against a first guess that comes back from the store and clears the cause that was found meanwhile.
+        CrashAttribution other = makeAttribution();
+        other.addCrash(crashedCall("e1", {"part:bad", "request:1"}), Start);
+        other.addCrash(crashedCall("e2", {"part:bad", "request:1"}), Start + Millis(200));
+        CHECK(other.containments().contains("request:1"));
+        other.addCrash(crashedCall("e3", {"part:bad", "request:2"}), Start + Millis(400));
+        other.restore({{"request:1", stored}});
+        CHECK(other.containments().size() == 1);
+        CHECK(other.containments().contains("part:bad"));
+    }
     SECTION("A suspect that was served since is not contained again")
     {
         attribution.recordServed({"part:bad"}, Start + Millis(500));
