Router: a stream without a length that ends before its first event was broken off

What callers saw: an empty answer with status 200 that looked complete, when an engine crashed before the first event of a stream that has neither a length nor chunks and whose connection ended in order.

Cause: the end of the connection is the end of such an answer, and only a part of an event counted as a sign of a break. For the same reason no crash probe was started for such streams, also those that ended inside an event, so their crashes were attributed to nothing.

Change: a stream of this form that ends without an event, or inside one, counts as a broken connection: it goes on at another engine if the route allows that, and the engine is probed.

--- a/src/gateway/httpclientconnection.cpp
+++ b/src/gateway/httpclientconnection.cpp
@@ -233,6 +233,11 @@
     return this->impl->parser && this->impl->parser->is_done();
 }
 
+bool HttpClientConnection::endsWithConnection() const
+{
+    return this->impl->parser && this->impl->parser->need_eof();
+}
+
 bool HttpClientConnection::isReusable() const
 {
     const Impl &connection = *this->impl;
--- a/src/gateway/streamrequesthandler.cpp
+++ b/src/gateway/streamrequesthandler.cpp
@@ -280,7 +280,9 @@
         this->failure = "caller-gone";
         co_return AttemptResult::MayHaveExecuted;
     }
-    if (status == ConnectionStatus::Ok && valid && !this->splitter.hasPartialEvent()) {
+    // An engine that crashes before the first event ends a stream of this form like one that has finished.
+    const bool lacksEvents = this->connection->endsWithConnection() && !this->outputStart;
+    if (status == ConnectionStatus::Ok && valid && !lacksEvents && !this->splitter.hasPartialEvent()) {
         co_await this->session.endStream();
         this->recordOutcome(server, CallOutcome::Served);
         this->recordServed(Clock::now());
@@ -289,7 +291,8 @@
         this->releaseConnection(server);
         co_return AttemptResult::Done;
     }
-    this->failCall(server, status);
+    const bool endedEarly = status == ConnectionStatus::Ok && valid;
+    this->failCall(server, endedEarly ? ConnectionStatus::Broken : status);
     if (!valid && status != ConnectionStatus::TimedOut) {
         this->failure = "out-of-order";
     }
--- a/src/include/cyclamencross/gateway/httpclientconnection.h
+++ b/src/include/cyclamencross/gateway/httpclientconnection.h
@@ -49,6 +49,8 @@
     std::string takeBody();
     /// Returns whether the response was read completely.
     bool isComplete() const;
+    /// Returns whether the response has neither a length nor chunks, so that the end of the connection ends it.
+    bool endsWithConnection() const;
     /// Returns whether another request may follow: the request was sent and the response was read completely, the
     /// server keeps the connection open and sent nothing after the response.
     bool isReusable() const;
