Router: news about crashes reaches other groups without the rest of the report

Cause: a report with crashes went to all 120 routers with everything else in it, the work on each engine included, four times. The link of a small host carries 10 Mbit/s, so most of these datagrams were lost. The work of another group was also added to that of the own group for a while.

Change: routers of other groups get a report that contains only crashed calls and served suspects.

Test: size and effect of such a report with the work of 200 engines beside it.

--- a/src/gateway/peerreport.cpp
+++ b/src/gateway/peerreport.cpp
@@ -78,7 +78,8 @@
 void serialize(Archive &archive, PeerReport &report)
 {
     archive(report.watching, report.changes);
-    archive(report.isGroupReport, report.groupWork, report.knowsOtherGroups, report.otherGroupsWork);
+    archive(report.isCrashNews, report.isGroupReport, report.groupWork, report.knowsOtherGroups,
+            report.otherGroupsWork);
     archive(report.router, report.incarnation, report.sequence, report.storeRevision, report.work, report.waiting,
             report.reportedCalls, report.outcomes, report.streams, report.crashes, report.servedSuspects);
 }
--- a/src/gateway/peerreport.h
+++ b/src/gateway/peerreport.h
@@ -45,6 +45,7 @@
     std::map<std::string, BackendWork> otherGroupsWork;
     bool knowsOtherGroups = false; ///< `otherGroupsWork` is known, even if it is empty.
     bool isGroupReport = false; ///< Sent between delegates.
+    bool isCrashNews = false; ///< Contains only `crashes` and `servedSuspects`. Sent to routers of other groups.
     /// Requests that wait for capacity and can be on time, by service; replaces that of earlier reports.
     std::map<std::string, BackendWork> waiting;
     /// Number of calls that backend servers reported in their latest responses.
--- a/src/gateway/peersocket.cpp
+++ b/src/gateway/peersocket.cpp
@@ -70,16 +70,10 @@
         if (!report) {
             continue;
         }
-        const std::string bytes = encodePeerReport(*report);
-        if (report->crashes.empty() && report->servedSuspects.empty()) {
-            this->sendTo(this->state.groupPeers(), bytes);
-            continue;
+        this->sendTo(this->state.groupPeers(), encodePeerReport(*report));
+        if (const auto news = RouterState::crashNews(*report)) {
+            this->sendTo(this->state.otherGroupsRouters(), encodePeerReport(*news));
         }
-        // The caller may retry the request at any router.
-        std::vector<RouterMember> allRouters;
-        this->state.members.forEach(
-            [&](const std::string & /*name*/, const RouterMember &member) { allRouters.push_back(member); });
-        this->sendTo(allRouters, bytes);
     }
 }
 
--- a/src/gateway/peersocket.h
+++ b/src/gateway/peersocket.h
@@ -27,7 +27,7 @@
     bool open();
     /// Receives reports until the process ends.
     boost::asio::awaitable<void> receive();
-    /// Sends reports until the process ends: to the routers of the group, and to all routers if the report has crashes.
+    /// Sends reports until the process ends: to the routers of the group, and news about crashes to all routers.
     boost::asio::awaitable<void> send();
 
 private:
--- a/src/gateway/routerstate.cpp
+++ b/src/gateway/routerstate.cpp
@@ -143,6 +143,11 @@
     return this->peersOfGroup;
 }
 
+const std::vector<RouterMember> &RouterState::otherGroupsRouters() const
+{
+    return this->routersOfOtherGroups;
+}
+
 void RouterState::regroup()
 {
     this->regroupPending = false;
@@ -154,9 +159,10 @@
     const auto own = groupOfRouter.find(this->settings.name);
     const std::size_t ownGroup = own == groupOfRouter.end() ? 0 : own->second;
     this->peersOfGroup.clear();
+    this->routersOfOtherGroups.clear();
     this->members.forEach([&](const std::string &name, const RouterMember &member) {
-        if (name != this->settings.name && groupOfRouter.at(name) == ownGroup) {
-            this->peersOfGroup.push_back(member);
+        if (name != this->settings.name) {
+            (groupOfRouter.at(name) == ownGroup ? this->peersOfGroup : this->routersOfOtherGroups).push_back(member);
         }
     });
     // The delegate of each group is the router with the lowest hash.
--- a/src/gateway/routerstate.h
+++ b/src/gateway/routerstate.h
@@ -53,6 +53,8 @@
                                                       const std::set<std::string> &excluded, TimePoint now);
     /// Returns the other routers of this router's group.
     const std::vector<RouterMember> &groupPeers() const;
+    /// Returns the routers of the other groups.
+    const std::vector<RouterMember> &otherGroupsRouters() const;
     /// Returns whether this router is one of the routers of its group that watch the store for the others.
     bool isDesignatedWatcher() const;
     /// Returns whether this router is the primary of these watchers; the others are standbys.
@@ -97,6 +99,9 @@
     /// Returns the next report for peers and clears what it reports only once; std::nullopt if nothing has changed and
     /// the last report is younger than ReportPeriod.
     std::optional<PeerReport> takeReport(TimePoint now);
+    /// Returns a report for the routers of other groups with the crashes of @p report, to which callers may send such
+    /// requests too; std::nullopt if there are none. The rest of the report would fill the links of small hosts.
+    static std::optional<PeerReport> crashNews(const PeerReport &report);
     /// Returns the next report to the delegates of the other groups; std::nullopt if this router is not the delegate of
     /// its group, all groups have their own backend servers, or the last report is younger than GroupReportPeriod.
     std::optional<PeerReport> takeGroupReport(TimePoint now);
@@ -207,6 +212,7 @@
     std::vector<std::pair<TimePoint, CrashedCall>> recentCrashes; ///< With the time to which their age refers.
     std::vector<std::pair<TimePoint, std::string>> recentlyServed; ///< Crash suspects that were served, and when.
     std::vector<RouterMember> peersOfGroup;
+    std::vector<RouterMember> routersOfOtherGroups;
     std::vector<RouterMember> delegates; ///< Of the other groups.
     /// Work of the other groups on shared backend servers by delegate, if this router is the delegate of its group.
     std::map<std::string, std::pair<std::map<std::string, BackendWork>, TimePoint>> groupWork;
@@ -232,6 +238,8 @@
     StoreChanges takeChanges();
     /// Recomputes the work of the other groups from the reports of their delegates.
     void sumGroupWork(TimePoint now);
+    /// Applies the crashes and served suspects of a report.
+    void applyCrashNews(const PeerReport &report, TimePoint now);
     /// Returns whether @p report is newer than the last one of the same router, and remembers it then.
     static bool isNewer(const PeerReport &report, std::map<std::string, PeerSequence> &sequences);
     /// Returns whether requests of the server's registered stage may be sent to it.
--- a/src/gateway/routerstate_test.cpp
+++ b/src/gateway/routerstate_test.cpp
@@ -324,3 +324,28 @@
     state.regroupIfPending(start + Millis(300));
     CHECK(state.candidates("s", EngineStage::None, {}, "z", start).size() == 50);
 }
+
+TEST_CASE("Routers of other groups get news about crashes without the rest of the report")
+{
+    // Guards against reports of work to hundreds of routers, which fill the links of small hosts and are lost there.
+    boost::asio::io_context context;
+    RouterState sender(context.get_executor(), named("r0"), 1);
+    RouterState receiver(context.get_executor(), named("r1"), 1);
+    addRouters(sender);
+    sender.regroup();
+    CHECK(sender.groupPeers().size() + sender.otherGroupsRouters().size() == 39);
+    for (int i = 0; i < 200; ++i) {
+        sender.work->add(numbered("engine-", i), BackendWork{1, 100, KvCacheForecast::constant(5000)});
+    }
+    CHECK_FALSE(RouterState::crashNews(*sender.takeReport(Clock::now())).has_value());
+    for (std::uint64_t i = 1; i <= 2; ++i) {
+        const TimePoint now = Clock::now() + Millis(500 * i);
+        sender.recordCrash(CrashedCall{i, numbered("e", int(i)), {{"part:bad", false}}, Millis(0), Millis(100)}, now);
+        const auto news = RouterState::crashNews(*sender.takeReport(now));
+        REQUIRE(news.has_value());
+        CHECK(encodePeerReport(*news).size() < 500);
+        receiver.applyReport(*news, now);
+    }
+    CHECK(receiver.crashes.findContained({"part:bad"}) != nullptr);
+    CHECK(receiver.work->total("engine-1").requests == 0);
+}
--- a/src/gateway/routerstatereports.cpp
+++ b/src/gateway/routerstatereports.cpp
@@ -110,6 +110,30 @@
     return report;
 }
 
+std::optional<PeerReport> RouterState::crashNews(const PeerReport &report)
+{
+    if (report.crashes.empty() && report.servedSuspects.empty()) {
+        return std::nullopt;
+    }
+    PeerReport news;
+    news.router = report.router;
+    news.incarnation = report.incarnation;
+    news.isCrashNews = true;
+    news.crashes = report.crashes;
+    news.servedSuspects = report.servedSuspects;
+    return news;
+}
+
+void RouterState::applyCrashNews(const PeerReport &report, TimePoint now)
+{
+    for (const CrashedCall &call : report.crashes) {
+        this->crashes.addCrash(call, now);
+    }
+    for (const ServedSuspect &suspect : report.servedSuspects) {
+        this->crashes.addServed(suspect.name, suspect.age, now);
+    }
+}
+
 std::optional<PeerReport> RouterState::takeGroupReport(TimePoint now)
 {
     if (!this->isPrimaryWatcher() || this->delegates.empty() || this->sharedBackends.empty()
@@ -173,6 +197,10 @@
     if (report.router == this->settings.name) {
         return;
     }
+    if (report.isCrashNews) {
+        this->applyCrashNews(report, now);
+        return;
+    }
     if (report.isGroupReport) {
         if (this->isPrimaryWatcher() && isNewer(report, this->groupReportSequences)) {
             this->groupWork[report.router] = {report.groupWork, now};
@@ -221,11 +249,7 @@
     for (const StreamSample &sample : report.streams) {
         this->outputEstimator.record(sample);
     }
-    for (const CrashedCall &call : report.crashes) {
-        this->crashes.addCrash(call, now);
-    }
-    for (const ServedSuspect &suspect : report.servedSuspects) {
-        this->crashes.addServed(suspect.name, suspect.age, now);
-    }
+    this->applyCrashNews(report, now);
 }
+
 }
