Router: log lines of limits that backend servers name, and of reservations

The logs could not tell whether routers know an engine's limit, keep to it alone but not together, or exceed it through reservations. The limit in an answer is decoded now, and a change of it is logged and counted; an answer of another server and a malformed limit change nothing. Routing is unchanged.

--- a/src/gateway/requesthandler.cpp
+++ b/src/gateway/requesthandler.cpp
@@ -159,6 +159,9 @@
         this->response = this->codec.decodeResponseHead(code, this->connection->headers());
         const bool withoutId = this->response.requestId.empty() && code >= 300;
         if (withoutId || this->response.requestId == this->request.id) {
+            if (this->response.requestsPerSecond && !withoutId) {
+                this->state.recordNamedLimit(backend, *this->response.requestsPerSecond);
+            }
             if (this->response.reportedCalls) {
                 this->state.recordReportedCalls(backend, *this->response.reportedCalls, Clock::now());
             }
--- a/src/gateway/routerstate.cpp
+++ b/src/gateway/routerstate.cpp
@@ -6,6 +6,8 @@
 #include "cyclamencross/route/subsetting.h"
 
 #include <algorithm>
+#include <cmath>
+#include <limits>
 
 namespace Cyclamen
 {
@@ -278,6 +280,26 @@
     }
 }
 
+void RouterState::recordNamedLimit(const std::string &backend, double requestsPerSecond)
+{
+    const auto known = this->namedLimits.find(backend);
+    const double before = known == this->namedLimits.end() ? std::numeric_limits<double>::infinity() : known->second;
+    if (before == requestsPerSecond) {
+        return;
+    }
+    LogLine("backend-limit")
+        .add("backend", backend)
+        .add("requests_per_second", std::isinf(requestsPerSecond) ? -1 : requestsPerSecond)
+        .add("before", std::isinf(before) ? -1 : before)
+        .write();
+    if (std::isinf(requestsPerSecond)) {
+        this->namedLimits.erase(backend);
+    } else {
+        this->namedLimits[backend] = requestsPerSecond;
+    }
+    this->metrics.set("cyclamencross_limited_backends", double(this->namedLimits.size()));
+}
+
 void RouterState::recordPace(const std::string &backend, double millisPerToken, TimePoint now)
 {
     this->applyPace(backend, millisPerToken, now, 1);
--- a/src/gateway/routerstate.h
+++ b/src/gateway/routerstate.h
@@ -77,6 +77,9 @@
     /// Records how many calls a shared backend server reported, for this router and its next report to peers. Ignored
     /// for backend servers that only one group uses.
     void recordReportedCalls(const std::string &backend, std::int64_t calls, TimePoint now);
+    /// Records the limit on requests that a backend server named in an answer, and logs a change.
+    /// @param requestsPerSecond infinity if it named none.
+    void recordNamedLimit(const std::string &backend, double requestsPerSecond);
     /// Records the pace of a running stream for this router's health data and its next report to peers.
     void recordPace(const std::string &backend, double millisPerToken, TimePoint now);
     /// Records a completed stream for this router's estimates and its next report to peers.
@@ -203,6 +206,7 @@
     std::mt19937_64 generator;
     /// Number of calls that a shared backend server reported, and when.
     std::map<std::string, std::pair<std::int64_t, TimePoint>> reportedCalls;
+    std::map<std::string, double> namedLimits; ///< Requests per second, by id of the backend server.
     std::map<std::string, std::int64_t> pendingReportedCalls; ///< To be sent with the next report.
     std::map<std::string, TimePoint> fullUntil; ///< By id of the engine.
     std::map<std::string, BackendWork> lastReportedWork;
--- a/src/gateway/streamrequestplacement.cpp
+++ b/src/gateway/streamrequestplacement.cpp
@@ -155,6 +155,7 @@
         co_return false;
     }
     const int code = this->connection->status();
+    LogLine("reservation").add("request", this->request.id).add("backend", server.id).add("status", code).write();
     const auto token = code == 200 ? this->codec.decodeReservation(this->connection->takeBody()) : std::nullopt;
     this->releaseConnection(server);
     if (token) {
--- a/src/include/cyclamencross/gateway/backendresponsehead.h
+++ b/src/include/cyclamencross/gateway/backendresponsehead.h
@@ -16,6 +16,9 @@
     bool hasContentEncoding = false; ///< The body has a content encoding, which no backend server uses.
     /// Number of calls running and queued at the backend server when it responded, if reported.
     std::optional<std::int64_t> reportedCalls;
+    /// Requests per second that the backend server takes from all routers together, infinity if it names no limit.
+    /// Unset if that is not known, such as for an answer of another server or with a malformed limit.
+    std::optional<double> requestsPerSecond;
     std::string requestId; ///< Id of the request that this responds to; empty if not stated.
 
     bool operator==(const BackendResponseHead &) const = default;
