Tests: ports of the router fixture lie below those of outgoing connections

In one run of all unit tests at once, two platform cases failed with 'router did not start'; the log says 'Address already in use' for its directory port.

--- a/src/testport.h
+++ b/src/testport.h
@@ -8,18 +8,33 @@
 namespace Cyclamen
 {
 
-/// Returns a TCP port that is currently free on loopback. Another process may take it before the caller binds to it.
+/// Returns a port of loopback that is free for TCP and UDP and that this process has not returned before. Lies below
+/// the ports of outgoing connections: one of those, of any process, may take such a port before the caller binds to it.
 inline int freePort()
 {
-    const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof address;
-    REQUIRE(::bind(descriptor, reinterpret_cast<sockaddr *>(&address), size) == 0);
-    REQUIRE(::getsockname(descriptor, reinterpret_cast<sockaddr *>(&address), &size) == 0);
-    ::close(descriptor);
-    return ntohs(address.sin_port);
+    constexpr int FirstPort = 15000;
+    constexpr int PortCount = 17000;
+    // Test programs run at the same time and begin at different ports.
+    constexpr int PortsPerProcess = 977;
+    static int next = ::getpid() % PortCount * PortsPerProcess % PortCount;
+    const auto isFree = [](int type, int port) {
+        const int descriptor = ::socket(AF_INET, type, 0);
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        address.sin_port = htons(static_cast<std::uint16_t>(port));
+        const bool bound = ::bind(descriptor, reinterpret_cast<sockaddr *>(&address), sizeof address) == 0;
+        ::close(descriptor);
+        return bound;
+    };
+    for (int tries = 0; tries < PortCount; ++tries) {
+        const int port = FirstPort + next++ % PortCount;
+        if (isFree(SOCK_STREAM, port) && isFree(SOCK_DGRAM, port)) {
+            return port;
+        }
+    }
+    FAIL("no free port");
+    return 0;
 }
 
 }
