Router: requests of all routers keep to the rate that a backend server names

What callers saw: a server in need, which names the requests a second that it takes, got its share of the load as if it were sound: up to 218 requests in 4 s where its limit allowed 39.

Reading it is not enough: a server that gets few requests looks idle, so all routers choose it at the same moment, and a limit that each router keeps by itself is exceeded by all together. The class of fault is a bound on the whole fleet that no decision takes into account.

Change: NamedRateLimits divides the wall-clock time into slots of 50 ms, each of which allows its part of the rate and belongs, by a hash of slot and server, to one of the routers that use the server. So all routers together use a slot once at most, without a message for each request. A slot may be used for 1.5 s, and at low rates for longer, as three requests more may come at once. A router takes a permit when it chooses the server and gives it back if nothing is sent. The latest answer decides, also that of a peer, which reports tell; an answer without a limit lifts it, a restart forgets it. Servers at their limit are left out of every choice, and requests wait for capacity as before.

--- a/src/base/logline.cpp
+++ b/src/base/logline.cpp
@@ -1,5 +1,7 @@
 #include "cyclamencross/base/logline.h"
 
+#include "cyclamencross/base/timing.h"
+
 #include <algorithm>
 #include <chrono>
 #include <string>
@@ -20,12 +22,6 @@
 
 std::string processName;
 
-std::int64_t unixMillis()
-{
-    using namespace std::chrono;
-    return duration_cast<milliseconds>(system_clock::now().time_since_epoch()).count();
-}
-
 }
 
 struct LogLine::Impl
--- a/src/base/timing.cpp
+++ b/src/base/timing.cpp
@@ -14,8 +14,12 @@
 
 std::int64_t unixSeconds()
 {
-    return std::chrono::duration_cast<std::chrono::seconds>(std::chrono::system_clock::now().time_since_epoch())
-        .count();
+    return unixMillis() / 1000;
+}
+
+std::int64_t unixMillis()
+{
+    return std::chrono::duration_cast<Millis>(std::chrono::system_clock::now().time_since_epoch()).count();
 }
 
 }
--- a/src/gateway/fleetsyncitems.cpp
+++ b/src/gateway/fleetsyncitems.cpp
@@ -106,6 +106,10 @@
         return this->remove(item.key, item.revision);
     }
     const auto &server = std::get<BackendServer>(decoded);
+    const BackendServer *known = this->state.backends.find(id);
+    if (known != nullptr && known->startUnixMillis != server.startUnixMillis) {
+        this->state.namedLimits->forget(id);
+    }
     const bool changed = this->state.backends.put(id, server, item.revision);
     if (changed) {
         LogLine("backend-changed")
--- a/src/gateway/peerreport.cpp
+++ b/src/gateway/peerreport.cpp
@@ -56,6 +56,13 @@
     archiveMillis(archive, suspect.age);
 }
 
+template<typename Archive>
+void serialize(Archive &archive, NamedLimit &limit)
+{
+    archive(limit.requestsPerSecond);
+    archiveMillis(archive, limit.age);
+}
+
 template<typename Archive>
 void serialize(Archive &archive, PeerReport::Outcomes &outcomes)
 {
@@ -81,7 +88,8 @@
     archive(report.isCrashNews, report.isGroupReport, report.groupWork, report.knowsOtherGroups,
             report.otherGroupsWork);
     archive(report.router, report.incarnation, report.sequence, report.storeRevision, report.work, report.waiting,
-            report.reportedCalls, report.outcomes, report.streams, report.crashes, report.servedSuspects);
+            report.reportedCalls, report.namedLimits, report.outcomes, report.streams, report.crashes,
+            report.servedSuspects);
 }
 
 std::string encodePeerReport(const PeerReport &report)
--- a/src/gateway/peerreport.h
+++ b/src/gateway/peerreport.h
@@ -4,6 +4,7 @@
 
 #include "cyclamencross/route/backendwork.h"
 #include "cyclamencross/route/crashedcall.h"
+#include "cyclamencross/route/namedlimit.h"
 #include "cyclamencross/route/servedsuspect.h"
 #include "cyclamencross/route/streamsample.h"
 
@@ -50,6 +51,7 @@
     std::map<std::string, BackendWork> waiting;
     /// Number of calls that backend servers reported in their latest responses.
     std::map<std::string, std::int64_t> reportedCalls;
+    std::map<std::string, NamedLimit> namedLimits; ///< Read from answers of backend servers since the last report.
     std::map<std::string, Outcomes> outcomes; ///< By backend server, since the last report.
     std::vector<StreamSample> streams; ///< Streams completed since the last report.
     std::vector<CrashedCall> crashes; ///< Recent ones, repeated in several reports.
--- a/src/gateway/pieces_test.cpp
+++ b/src/gateway/pieces_test.cpp
@@ -84,6 +84,7 @@
     report.knowsOtherGroups = true;
     report.otherGroupsWork["e"] = BackendWork{4, 0, {}};
     report.streams.push_back(StreamSample{"r", "s", 1, 2, 3});
+    report.namedLimits["e"] = NamedLimit{2.5, Millis(6)};
     report.outcomes["e"] = PeerReport::Outcomes{1, 2, 3};
     report.crashes.push_back(CrashedCall{1, "e", {{"part:a", true}, {"request:b", false}}, Millis(3), Millis(4)});
     report.servedSuspects.push_back(ServedSuspect{"part:a", Millis(5)});
--- a/src/gateway/plainrequesthandler.cpp
+++ b/src/gateway/plainrequesthandler.cpp
@@ -2,6 +2,7 @@
 
 #include "capacitywaiter.h"
 #include "httpsession.h"
+#include "requestpermit.h"
 #include "routerstate.h"
 #include "workreservation.h"
 
@@ -106,6 +107,7 @@
 boost::asio::awaitable<PlainRequestHandler::AttemptResult> PlainRequestHandler::attempt(BackendServer server)
 {
     const WorkReservation reservation(this->state.work, server.id, BackendWork{1, 0, {}});
+    RequestPermit permit(this->state.namedLimits, server.id);
     const bool open = co_await this->openConnection(server, !this->route.mayRepeat());
     if (!open) {
         this->failure = "unreachable";
@@ -117,7 +119,7 @@
     }
     this->excluded.insert(server.id);
     ++this->attempts;
-    this->send(server, BackendCall());
+    this->send(server, BackendCall(), permit);
     const bool anotherFollows = this->route.mayRepeat() && this->hasAttemptsLeft();
     const auto attemptTimeout =
         std::chrono::duration_cast<Clock::duration>((this->deadline - Clock::now()) * AttemptTimeShare);
--- a/src/gateway/requesthandler.cpp
+++ b/src/gateway/requesthandler.cpp
@@ -2,6 +2,7 @@
 
 #include "asioutil.h"
 #include "httpsession.h"
+#include "requestpermit.h"
 #include "routerstate.h"
 
 #include "cyclamencross/base/hash.h"
@@ -132,8 +133,9 @@
     }
 }
 
-void RequestHandler::send(const BackendServer &server, BackendCall call)
+void RequestHandler::send(const BackendServer &server, BackendCall call, RequestPermit &permit)
 {
+    permit.use();
     ++this->budgetedCalls;
     this->retryReserved = false;
     this->callStart = Clock::now();
@@ -160,7 +162,7 @@
         const bool withoutId = this->response.requestId.empty() && code >= 300;
         if (withoutId || this->response.requestId == this->request.id) {
             if (this->response.requestsPerSecond && !withoutId) {
-                this->state.recordNamedLimit(backend, *this->response.requestsPerSecond);
+                this->state.recordNamedLimit(backend, *this->response.requestsPerSecond, Clock::now());
             }
             if (this->response.reportedCalls) {
                 this->state.recordReportedCalls(backend, *this->response.reportedCalls, Clock::now());
--- a/src/gateway/requesthandler.h
+++ b/src/gateway/requesthandler.h
@@ -20,6 +20,7 @@
 
 class HttpClientConnection;
 class HttpSession;
+class RequestPermit;
 class RouterState;
 class RouteTable;
 struct RouterRequest;
@@ -55,7 +56,8 @@
     /// Returns the current connection to the pool.
     void releaseConnection(const BackendServer &server);
     /// Starts sending the request over the current connection and counts it against the retry budget.
-    void send(const BackendServer &server, BackendCall call);
+    /// @param permit for @p server.
+    void send(const BackendServer &server, BackendCall call, RequestPermit &permit);
     /// Reads the head of the response of @p backend to this request into `response`. Late responses to other requests
     /// are skipped, at most MaxStrayResponses of them.
     boost::asio::awaitable<ConnectionStatus> readMatchingHead(std::string backend, TimePoint until);
--- /dev/null
+++ b/src/gateway/requestpermit.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "cyclamencross/base/timing.h"
+
+#include <memory>
+#include <string>
+
+namespace Cyclamen
+{
+
+class NamedRateLimits;
+
+/// The right to send one request to a backend server that has named a limit. Takes it on construction and gives it back
+/// on destruction unless the request was sent. Of no effect for other backend servers.
+class RequestPermit
+{
+public:
+    /// @param backend id of the backend server; NamedRateLimits::mayRequest() must be true.
+    RequestPermit(std::shared_ptr<NamedRateLimits> limits, std::string backend);
+    ~RequestPermit();
+    RequestPermit(const RequestPermit &) = delete;
+    RequestPermit &operator=(const RequestPermit &) = delete;
+
+    /// Records that the request was sent.
+    void use();
+    /// Returns whether the request was sent.
+    bool isUsed() const;
+
+private:
+    std::shared_ptr<NamedRateLimits> limits;
+    std::string backend;
+    TimePoint expiry;
+    bool used = false;
+};
+
+}
--- a/src/gateway/router.cpp
+++ b/src/gateway/router.cpp
@@ -264,7 +264,10 @@
         this->state.crashes.expire(now);
         this->state.regroupIfPending(now);
         this->state.connections.expire(now);
-        this->state.health.retain([this](const std::string &id) { return this->state.backends.find(id) != nullptr; });
+        const auto isRegistered = [this](const std::string &id) { return this->state.backends.find(id) != nullptr; };
+        this->state.health.retain(isRegistered);
+        this->state.namedLimits->retain(isRegistered);
+        this->state.namedLimits->advance(now, unixMillis());
         this->state.metrics.set("cyclamencross_active_requests", this->state.activeRequests);
         this->state.metrics.set("cyclamencross_caller_connections", double(this->sessions.size()));
         this->state.metrics.set("cyclamencross_routers", double(this->state.members.size()));
--- a/src/gateway/routerstate.cpp
+++ b/src/gateway/routerstate.cpp
@@ -7,7 +7,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <limits>
 
 namespace Cyclamen
 {
@@ -17,6 +16,12 @@
     : executor(executor)
     , settings(std::move(settings))
     , incarnation(incarnation)
+    , namedLimits(std::make_shared<NamedRateLimits>(
+          hash64(this->settings.name),
+          [this](const std::string &backend) -> const std::vector<std::uint64_t> & { return this->routersOf(backend); },
+          [this](const std::string &backend, double requestsPerSecond, double before) {
+              this->logNamedLimit(backend, requestsPerSecond, before);
+          }))
     , retryBudget(this->settings.retryRatio, this->settings.retrySlack, this->settings.retryWindow)
     , crashes([this](const std::string &suspect) { return this->isTrialRouter(suspect); },
               [this](const std::string &suspect, int count) {
@@ -101,6 +106,7 @@
         }
         candidate.workIsEstimated = !candidate.reportedCalls && !othersKnown;
     }
+    candidate.atNamedLimit = !this->namedLimits->mayRequest(server.id);
     candidate.avoided = this->health.isAvoided(server.id, now);
     candidate.failureRate = this->health.failureRate(server.id, now);
     candidate.slowness = this->health.slowness(server.id, now);
@@ -187,6 +193,7 @@
     this->watcherRank = std::size_t(lowerRanked);
     this->pools.clear();
     this->sharedBackends.clear();
+    this->foreignBackends.clear();
     std::map<PoolKey, std::vector<std::string>> idsByPool;
     this->backends.forEach([&idsByPool](const std::string &id, const BackendServer &server) {
         idsByPool[{server.service, server.stage}].push_back(id);
@@ -203,6 +210,15 @@
         for (const auto &[id, group] : Subsetting::assignGroups(ids, this->groupCount)) {
             (group == ownGroup ? pool.own : pool.otherGroups).push_back(id);
         }
+        this->foreignBackends.insert(pool.otherGroups.begin(), pool.otherGroups.end());
+    }
+    this->routerHashes.clear();
+    this->groupHashes.clear();
+    for (const auto &[name, group] : groupOfRouter) {
+        this->routerHashes.push_back(hash64(name));
+        if (group == ownGroup) {
+            this->groupHashes.push_back(hash64(name));
+        }
     }
     std::erase_if(this->reportedCalls, [this](const auto &item) { return !this->sharedBackends.contains(item.first); });
 }
@@ -280,24 +296,31 @@
     }
 }
 
-void RouterState::recordNamedLimit(const std::string &backend, double requestsPerSecond)
+void RouterState::recordNamedLimit(const std::string &backend, double requestsPerSecond, TimePoint now)
 {
-    const auto known = this->namedLimits.find(backend);
-    const double before = known == this->namedLimits.end() ? std::numeric_limits<double>::infinity() : known->second;
-    if (before == requestsPerSecond) {
-        return;
+    this->namedLimits->record(backend, requestsPerSecond, now);
+    if (this->namedLimits->isKnown(backend)) {
+        this->pendingLimits[backend] = {NamedLimit{requestsPerSecond, Millis(0)}, now};
     }
+}
+
+const std::vector<std::uint64_t> &RouterState::routersOf(const std::string &backend) const
+{
+    static const std::vector<std::uint64_t> None;
+    if (this->foreignBackends.contains(backend)) {
+        return None;
+    }
+    return this->sharedBackends.contains(backend) ? this->routerHashes : this->groupHashes;
+}
+
+void RouterState::logNamedLimit(const std::string &backend, double requestsPerSecond, double before)
+{
     LogLine("backend-limit")
         .add("backend", backend)
         .add("requests_per_second", std::isinf(requestsPerSecond) ? -1 : requestsPerSecond)
         .add("before", std::isinf(before) ? -1 : before)
         .write();
-    if (std::isinf(requestsPerSecond)) {
-        this->namedLimits.erase(backend);
-    } else {
-        this->namedLimits[backend] = requestsPerSecond;
-    }
-    this->metrics.set("cyclamencross_limited_backends", double(this->namedLimits.size()));
+    this->metrics.set("cyclamencross_limited_backends", double(this->namedLimits->count()));
 }
 
 void RouterState::recordPace(const std::string &backend, double millisPerToken, TimePoint now)
--- a/src/gateway/routerstate.h
+++ b/src/gateway/routerstate.h
@@ -12,6 +12,8 @@
 #include "cyclamencross/route/callerwaitestimator.h"
 #include "cyclamencross/route/crashattribution.h"
 #include "cyclamencross/route/fleetretrybudget.h"
+#include "cyclamencross/route/namedlimit.h"
+#include "cyclamencross/route/namedratelimits.h"
 #include "cyclamencross/route/outputestimator.h"
 #include "cyclamencross/route/placementcandidate.h"
 #include "cyclamencross/route/registrationcache.h"
@@ -77,9 +79,10 @@
     /// Records how many calls a shared backend server reported, for this router and its next report to peers. Ignored
     /// for backend servers that only one group uses.
     void recordReportedCalls(const std::string &backend, std::int64_t calls, TimePoint now);
-    /// Records the limit on requests that a backend server named in an answer, and logs a change.
+    /// Records the limit on requests that a backend server named in an answer, for this router and its next report to
+    /// peers.
     /// @param requestsPerSecond infinity if it named none.
-    void recordNamedLimit(const std::string &backend, double requestsPerSecond);
+    void recordNamedLimit(const std::string &backend, double requestsPerSecond, TimePoint now);
     /// Records the pace of a running stream for this router's health data and its next report to peers.
     void recordPace(const std::string &backend, double millisPerToken, TimePoint now);
     /// Records a completed stream for this router's estimates and its next report to peers.
@@ -133,6 +136,8 @@
     const std::shared_ptr<BackendWorkTracker> work = std::make_shared<BackendWorkTracker>();
     /// Requests of this router's group that wait for capacity and can still be on time, by service.
     const std::shared_ptr<BackendWorkTracker> waiting = std::make_shared<BackendWorkTracker>();
+    /// Limits of backend servers on the requests of all routers. Shared with the permits of requests, like `work`.
+    const std::shared_ptr<NamedRateLimits> namedLimits;
     BackendHealth health;
     FleetRetryBudget retryBudget;
     CallerWaitEstimator callerWaitEstimator;
@@ -206,7 +211,8 @@
     std::mt19937_64 generator;
     /// Number of calls that a shared backend server reported, and when.
     std::map<std::string, std::pair<std::int64_t, TimePoint>> reportedCalls;
-    std::map<std::string, double> namedLimits; ///< Requests per second, by id of the backend server.
+    /// Limits read from answers, to be sent with the next report, with the time to which their age refers.
+    std::map<std::string, std::pair<NamedLimit, TimePoint>> pendingLimits;
     std::map<std::string, std::int64_t> pendingReportedCalls; ///< To be sent with the next report.
     std::map<std::string, TimePoint> fullUntil; ///< By id of the engine.
     std::map<std::string, BackendWork> lastReportedWork;
@@ -230,10 +236,17 @@
     StoreChanges pendingChanges; ///< To be sent with the next report.
     std::map<PoolKey, Pool> pools;
     std::set<std::string> sharedBackends; ///< Ids of the backend servers that all groups use.
+    std::set<std::string> foreignBackends; ///< Ids of the backend servers that only another group uses.
+    std::vector<std::uint64_t> routerHashes; ///< Of the names of all routers.
+    std::vector<std::uint64_t> groupHashes; ///< Of the names of the routers of this router's group.
     std::size_t groupCount = 1;
     bool regroupPending = false;
     TimePoint lastRegroup;
 
+    /// Returns the hashes of the names of the routers that use a backend server.
+    const std::vector<std::uint64_t> &routersOf(const std::string &backend) const;
+    /// Logs and counts a change of a named limit.
+    void logNamedLimit(const std::string &backend, double requestsPerSecond, double before);
     /// Returns whether this router is the one that tries requests with a contained crash suspect.
     bool isTrialRouter(const std::string &suspect) const;
     /// Records a pace sample and logs whether the engine has become slow or recovered.
--- a/src/gateway/routerstate_test.cpp
+++ b/src/gateway/routerstate_test.cpp
@@ -3,6 +3,7 @@
 #include "workreservation.h"
 
 #include <algorithm>
+#include <limits>
 #include <map>
 #include <memory>
 #include <vector>
@@ -349,3 +350,78 @@
     CHECK(receiver.crashes.findContained({"part:bad"}) != nullptr);
     CHECK(receiver.work->total("engine-1").requests == 0);
 }
+
+TEST_CASE("A limit that a backend server names to one router holds at its peers, until it is lifted or restarted")
+{
+    // Guards against a server in need that each router has to overload before it learns of the limit.
+    boost::asio::io_context context;
+    RouterState sender(context.get_executor(), named("r0"), 1);
+    RouterState receiver(context.get_executor(), named("r1"), 1);
+    addRouters(receiver);
+    receiver.backends.put("e", BackendServer{"e", "s", "10.0.1.1:1", "z", false, EngineStage::None, 4, 7}, 1);
+    receiver.regroup();
+    const auto isLimited = [&] {
+        return receiver.candidates("s", EngineStage::None, {}, "z", Clock::now()).at(0).atNamedLimit;
+    };
+    TimePoint now = Clock::now();
+    sender.recordNamedLimit("e", 0.5, now);
+    receiver.applyReport(*sender.takeReport(now), now);
+    CHECK(isLimited());
+    SECTION("An answer without a limit lifts it")
+    {
+        now += Millis(100);
+        sender.recordNamedLimit("e", std::numeric_limits<double>::infinity(), now);
+        receiver.applyReport(*sender.takeReport(now), now);
+        CHECK_FALSE(isLimited());
+    }
+    SECTION("Implausible news change nothing")
+    {
+        PeerReport report;
+        report.router = "r2";
+        report.sequence = 1;
+        for (const double rate : {-1.0, std::numeric_limits<double>::quiet_NaN()}) {
+            ++report.sequence;
+            report.namedLimits["e"] = NamedLimit{rate, Millis(0)};
+            receiver.applyReport(report, now + Millis(100));
+            CHECK(isLimited());
+        }
+        ++report.sequence;
+        report.namedLimits["e"] = NamedLimit{std::numeric_limits<double>::infinity(), Millis(-1)};
+        receiver.applyReport(report, now + Millis(100));
+        CHECK(isLimited());
+    }
+}
+
+TEST_CASE("Only the routers that use an engine share its limit")
+{
+    // Guards against routers of several groups that each take the whole rate of an engine.
+    boost::asio::io_context context;
+    std::map<std::string, int> users;
+    for (int self = 0; self < 40; ++self) {
+        RouterState state(context.get_executor(), named(numbered("r", self)), 1);
+        addRouters(state);
+        for (int i = 0; i < 30; ++i) {
+            const std::string id = numbered("e", i);
+            state.backends.put(id, BackendServer{id, "big", "10.0.1.1:1", "z", false, EngineStage::Decode, 4, 0}, 1);
+            state.recordNamedLimit(id, 0.2, Clock::now());
+        }
+        state.regroup();
+        const TimePoint now = Clock::now();
+        for (int i = 0; i < 30; ++i) {
+            const std::string id = numbered("e", i);
+            // One slot in five seconds, over 500 s: each router that uses the engine gets some.
+            for (std::int64_t second = 0; second < 500; ++second) {
+                state.namedLimits->advance(now + std::chrono::seconds(second), 1796400000000 + second * 1000);
+                if (state.namedLimits->mayRequest(id)) {
+                    ++users[id];
+                    break;
+                }
+            }
+        }
+    }
+    for (const auto &[id, count] : users) {
+        CAPTURE(id);
+        CHECK(count >= 10);
+        CHECK(count <= 30);
+    }
+}
--- a/src/gateway/routerstatereports.cpp
+++ b/src/gateway/routerstatereports.cpp
@@ -76,7 +76,8 @@
     std::erase_if(this->recentlyServed, isRepeatedEnough);
     const bool changed = this->work->own() != this->lastReportedWork
         || this->waiting->own() != this->lastReportedWaiting || !this->pendingOutcomes.empty()
-        || !this->recentCrashes.empty() || !this->recentlyServed.empty() || this->pendingChanges.upTo != 0;
+        || !this->pendingLimits.empty() || !this->recentCrashes.empty() || !this->recentlyServed.empty()
+        || this->pendingChanges.upTo != 0;
     const bool due = now - this->lastReport >= ReportPeriod;
     if (!changed && !due) {
         return std::nullopt;
@@ -95,6 +96,10 @@
         report.knowsOtherGroups = true;
         report.otherGroupsWork = this->otherGroupsWork;
     }
+    for (auto &[backend, pending] : std::exchange(this->pendingLimits, {})) {
+        pending.first.age = std::chrono::duration_cast<Millis>(now - pending.second);
+        report.namedLimits[backend] = pending.first;
+    }
     report.outcomes = std::exchange(this->pendingOutcomes, {});
     report.streams = std::exchange(this->pendingStreams, {});
     for (const auto &[time, call] : this->recentCrashes) {
@@ -228,6 +233,13 @@
             this->reportedCalls[backend] = {calls, now};
         }
     }
+    for (const auto &[backend, limit] : report.namedLimits) {
+        const bool isPlausible =
+            limit.requestsPerSecond >= 0 && limit.age >= Millis(0) && limit.age < NamedRateLimits::EndLifetime;
+        if (isPlausible) {
+            this->namedLimits->record(backend, limit.requestsPerSecond, now - limit.age);
+        }
+    }
     for (const auto &item : report.outcomes) {
         const std::string &backend = item.first;
         const PeerReport::Outcomes &outcomes = item.second;
--- a/src/gateway/streamrequesthandler.cpp
+++ b/src/gateway/streamrequesthandler.cpp
@@ -142,13 +142,14 @@
     const BackendServer server = chosen.server;
     const WorkReservation prefillReservation(this->state.work, server.id,
                                              BackendWork{1, this->request.promptTokens, {}});
+    RequestPermit prefillPermit(this->state.namedLimits, server.id);
     const bool open = co_await this->openConnection(server, false);
     if (!open || this->shouldStop() || !this->state.isUsable(server)) {
         co_return;
     }
     BackendCall call;
     call.stage = EngineStage::Prefill;
-    this->send(server, call);
+    this->send(server, call, prefillPermit);
     const TimePoint start = Clock::now();
     const Millis prefillTimeout =
         std::clamp(Millis(std::int64_t(double(expectedPrefill.count()) * PrefillTimeoutFactor)), MinPrefillTimeout,
@@ -189,6 +190,13 @@
 boost::asio::awaitable<StreamRequestHandler::AttemptResult> StreamRequestHandler::decode()
 {
     const BackendServer server = *this->decodeEngine;
+    if (this->permit->isUsed()) {
+        if (!this->state.namedLimits->mayRequest(server.id)) {
+            this->failure = "at-limit";
+            co_return AttemptResult::Unreachable;
+        }
+        this->permit = std::make_unique<RequestPermit>(this->state.namedLimits, server.id);
+    }
     const bool open = co_await this->openConnection(server, !this->route.mayRepeat());
     if (!open) {
         this->failure = "unreachable";
@@ -211,7 +219,7 @@
     this->excluded.insert(server.id);
     ++this->attempts;
     this->attemptStart = Clock::now();
-    this->send(server, call);
+    this->send(server, call, *this->permit);
     this->progress = std::make_shared<StreamProgress>();
     if (this->route.mayRepeat() && this->hasAttemptsLeft()) {
         const Millis stallTimeout = std::max(MinStallTimeout, this->route.eventGapTarget * StallTimeoutFactor);
--- a/src/gateway/streamrequesthandler.h
+++ b/src/gateway/streamrequesthandler.h
@@ -2,6 +2,7 @@
 
 #include "eventsplitter.h"
 #include "requesthandler.h"
+#include "requestpermit.h"
 #include "streamprogress.h"
 #include "workreservation.h"
 
@@ -91,6 +92,7 @@
     PlacementCandidate decodeCandidate; ///< State of `decodeEngine` when it was chosen; for the log.
     std::size_t candidateCount = 0; ///< Number of engines it was chosen from; for the log.
     std::unique_ptr<WorkReservation> workReservation; ///< Of the request's work at `decodeEngine`.
+    std::unique_ptr<RequestPermit> permit; ///< For `decodeEngine`.
     std::string reservationToken; ///< Of an unused capacity reservation at `decodeEngine`; empty if there is none.
     std::optional<BackendServer> prefillEngine; ///< Engine that processed the prompt.
     std::optional<PrefillResult> kvCache; ///< At `prefillEngine`, not passed to a decode engine yet.
--- a/src/gateway/streamrequestplacement.cpp
+++ b/src/gateway/streamrequestplacement.cpp
@@ -73,6 +73,7 @@
                 this->logDecodePlacement();
                 co_return true;
             }
+            this->permit = nullptr;
             continue;
         }
         if (action == CapacityWait::Action::TryLast || this->unreachableCount >= MaxUnreachableEngines) {
@@ -185,6 +186,7 @@
 bool StreamRequestHandler::chooseDecodeEngine()
 {
     this->workReservation = nullptr;
+    this->permit = nullptr;
     this->decodeEngine = std::nullopt;
     const ServiceConfig *config = this->table->service(this->service);
     const double capacity = config != nullptr && config->engine ? double(config->engine->kvCacheTokens) : 0;
@@ -206,6 +208,7 @@
     const PlacementCandidate &chosen = candidates[*choice];
     this->decodeEngine = chosen.server;
     this->workReservation = std::make_unique<WorkReservation>(this->state.work, chosen.server.id, this->requestWork());
+    this->permit = std::make_unique<RequestPermit>(this->state.namedLimits, chosen.server.id);
     this->decodeCandidate = chosen;
     this->candidateCount = candidates.size();
     return true;
--- a/src/include/cyclamencross/base/timing.h
+++ b/src/include/cyclamencross/base/timing.h
@@ -23,4 +23,7 @@
 /// Returns the wall-clock time in seconds since the Unix epoch.
 std::int64_t unixSeconds();
 
+/// Returns the wall-clock time in milliseconds since the Unix epoch.
+std::int64_t unixMillis();
+
 }
--- /dev/null
+++ b/src/include/cyclamencross/route/namedratelimits.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "cyclamencross/base/timing.h"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace Cyclamen
+{
+
+/// Keeps the requests of all routers to a backend server within the rate that the server names in its answers, without
+/// a message for each request. Wall-clock time is divided into slots. Each slot allows its part of the rate, and a hash
+/// of slot and server assigns it to one router, so that all routers together use each slot once at most. A router may
+/// use its slots for a short time, so that they are not lost when it has no request at that moment. This matters for
+/// servers in need, which look idle because they get few requests: without it, all routers would choose them at once.
+/// Not thread-safe.
+class NamedRateLimits
+{
+public:
+    static constexpr Millis SlotTime{50};
+    /// How long a router may use a slot: short relative to the seconds over which a server measures its rate.
+    static constexpr Millis SlotLifetime{1500};
+    /// Requests that may come at once beyond that. At low rates, a slot may be used for the time that this takes, up to
+    /// MaxSlotLifetime: otherwise most slots of many routers would expire unused.
+    static constexpr double BurstRequests = 3;
+    static constexpr Millis MaxSlotLifetime{6000};
+    /// Rate used if a server names a lower one, in requests per second. Only an answer can lift a limit.
+    static constexpr double MinRequestsPerSecond = 0.2;
+    /// How long the end of a limit is remembered: older news about it, from other routers, is ignored.
+    static constexpr Millis EndLifetime{10000};
+
+    /// Returns the hashes of the names of all routers that use a backend server, this one included.
+    using RoutersHook = std::function<const std::vector<std::uint64_t> &(const std::string &backend)>;
+    /// Called when a limit changes.
+    /// @param before rate before, in requests per second; infinity for none.
+    using ChangeHook = std::function<void(const std::string &backend, double requestsPerSecond, double before)>;
+
+    /// @param ownHash hash of the name of this router.
+    NamedRateLimits(std::uint64_t ownHash, RoutersHook routers, ChangeHook onChange);
+
+    /// Records the rate that @p backend named.
+    /// @param requestsPerSecond infinity if it named none.
+    /// @param answeredAt time of the answer; ignored if a later answer is known.
+    void record(const std::string &backend, double requestsPerSecond, TimePoint answeredAt);
+    /// Returns whether @p backend is known to have a limit, or had one until a short time ago.
+    bool isKnown(const std::string &backend) const;
+    /// Returns the number of backend servers that have a limit.
+    std::size_t count() const;
+    /// Takes the slots that have begun and drops those that have expired. Must be called every few slots.
+    /// @param unixMillis wall-clock time in milliseconds since the Unix epoch.
+    void advance(TimePoint now, std::int64_t unixMillis);
+    /// Returns whether this router may send a request to @p backend now.
+    bool mayRequest(const std::string &backend) const;
+    /// Takes the right to send a request; mayRequest() must be true.
+    /// @return when the right expires, for giveBack().
+    TimePoint take(const std::string &backend);
+    /// Returns the right to send a request that was not sent.
+    void giveBack(const std::string &backend, TimePoint expiry);
+    /// Drops the limits of all backend servers whose id @p isRegistered returns false for.
+    void retain(const std::function<bool(const std::string &backend)> &isRegistered);
+    /// Drops the limit of @p backend, which has been restarted.
+    void forget(const std::string &backend);
+
+private:
+    struct Limit
+    {
+        double requestsPerSecond = 0; ///< Infinity if there is none any more.
+        TimePoint answeredAt;
+        std::int64_t lastSlot = -1; ///< Last slot that was considered; -1 if none was.
+        std::deque<TimePoint> requests; ///< When the right to each request expires, in ascending order.
+    };
+
+    /// Returns whether @p slot of @p backend is this router's.
+    bool isOwnSlot(const std::string &backend, std::int64_t slot) const;
+
+    std::uint64_t ownHash;
+    RoutersHook routers;
+    ChangeHook onChange;
+    std::map<std::string, Limit> limits; ///< By id of the backend server.
+};
+
+}
--- a/src/include/cyclamencross/route/placement.h
+++ b/src/include/cyclamencross/route/placement.h
@@ -12,7 +12,8 @@
 class KvCacheForecast;
 struct PlacementCandidate;
 
-/// Selects the backend server for a request. The functions are pure: load, health and randomness are passed in.
+/// Selects the backend server for a request. The functions are pure: load, health and randomness are passed in. None of
+/// them selects a backend server at its named limit.
 namespace Placement
 {
 
--- a/src/route/placement.cpp
+++ b/src/route/placement.cpp
@@ -26,7 +26,7 @@
 constexpr double SharedTieBreakCost = 0.06;
 
 // Returns the index of the candidate with the lowest cost; an infinite cost excludes a candidate. Considers avoided
-// candidates only if all are avoided.
+// candidates only if all are avoided, and candidates at their limit never.
 template<typename Cost>
 std::optional<std::size_t> lowestCostCandidate(const std::vector<PlacementCandidate> &candidates, const Cost &cost)
 {
@@ -35,7 +35,7 @@
     std::optional<std::size_t> best;
     double bestCost = std::numeric_limits<double>::infinity();
     for (std::size_t i = 0; i < candidates.size(); ++i) {
-        if (candidates[i].avoided && !allAvoided) {
+        if (candidates[i].atNamedLimit || (candidates[i].avoided && !allAvoided)) {
             continue;
         }
         const double candidateCost = cost(candidates[i]);
