--- a/src/proxy/limits_test.cpp
+++ b/src/proxy/limits_test.cpp
@@ -154,6 +154,26 @@
     CHECK(fixture.complete(false, {}, "another prompt")->status == 200);
 }
 
+// Guards against sound requests that are refused because they were running at engines that another request crashed.
+TEST_CASE("a crash is not attributed to a request that its engine had begun to answer")
+{
+    ProxyFixture fixture;
+    std::thread killer;
+    fixture.decode.on("/v1/decode", [&](const httplib::Request &request, httplib::Response &response) {
+        killer = std::thread([&] {
+            std::this_thread::sleep_for(Millis(100));
+            fixture.decode.stop();
+        });
+        fixture.decode.streamAndHang(response, FakeBackend::event(FakeBackend::idOf(request), 0, "a"));
+    });
+    fixture.start();
+    const std::string answer = readAll(fixture.connectRaw(ProxyFixture::rawCompletion(true)));
+    killer.join();
+    CHECK(answer.find("\"a\"") != std::string::npos);
+    CHECK(answer.find("[DONE]") == std::string::npos);
+    CHECK(fixture.crashes().empty());
+}
+
 TEST_CASE("a resent model request is refused while the original runs, then gets its result")
 {
     ProxyFixture fixture;
