Soak: prompt parts that crash engines, and backend servers that name a limit

Two new faults beside the others. For a while, a fifth of the streams contain a prompt part on which each engine crashes that begins to answer; a crashed engine starts again after 1.5 s. A backend server names a limit of 2 requests per second in its answers for a while. Checked: at most three engines run a part later than 3 s after the fifth crash; no server exceeds in 4 s one and a half times its limit and 5 requests, from 3 s after it named it. A proxy refuses connections while its target does, so that routers can tell a crash.

--- a/testsuite/soak/backend.py
+++ b/testsuite/soak/backend.py
@@ -1,10 +1,13 @@
 """Emulates one backend server. Usage: backend.py ID SERVICE STAGE PORT PUBLIC_ADDRESS STORE_ADDRESS SEED
 
 STAGE is prefill, decode or none. Prints a JSON line for each request that begins or ends here. On SIGTERM it registers
-as draining, serves requests for another DRAIN_SECONDS, removes its registration and ends.
+as draining, serves requests for another DRAIN_SECONDS, removes its registration and ends. From SIGUSR1 to SIGUSR2 its
+answers name a limit of LIMIT requests per second. A decode engine crashes when it begins to answer a request with a
+prompt part whose id begins with BAD_PART.
 """
 import asyncio
 import json
+import os
 import random
 import signal
 import sys
@@ -15,6 +18,8 @@
 DRAIN_SECONDS = 2.6  # slightly longer than the time after which routers must not send new requests
 EVENTS = 12
 CAPACITY = 60000  # tokens
+LIMIT = 2.0
+BAD_PART = "bad"
 ID, SERVICE, STAGE, PORT, ADDRESS, STORE, SEED = sys.argv[1:8]
 
 
@@ -27,6 +32,7 @@
         self.used_tokens = 0
         self.handles = {}
         self.holds = {}
+        self.limit_headers = {}
 
     @staticmethod
     def log_event(event, request="", **more):
@@ -68,13 +74,18 @@
             pass
         asyncio.get_running_loop().stop()
 
+    def set_limit(self, limit):
+        """Starts naming a limit, or stops if it is None."""
+        self.limit_headers = {} if limit is None else {"Server-Limit": f"{limit:.1f}"}
+        self.log_event("limit", limit=limit)
+
     async def run_request(self, reader, writer, head, body):
         """Answers one request of a caller. Returns whether the connection can be reused."""
         method, target, _ = head[0].split()
         headers = head[1]
         request = headers.get("request-id", "")
-        answer_headers = {"Request-Id": request, "Server-Stamp": f"{ID}.{request}"}
-        refusal_headers = {"Request-Id": request, "Not-Executed": "1"}
+        answer_headers = {"Request-Id": request, "Server-Stamp": f"{ID}.{request}", **self.limit_headers}
+        refusal_headers = {"Request-Id": request, "Not-Executed": "1", **self.limit_headers}
         if headers.get("expect-instance") not in (None, ID):
             writer.write(wirehttp.message("HTTP/1.1 421 X", {**refusal_headers, "Instance-Id": ID}))
             return True
@@ -98,6 +109,10 @@
         left = int(headers.get("deadline-ms", "-1"))
         self.log_event("run", request, method=method, target=target, body=body.decode("latin1"), left=left,
                        forged=headers.get("kv-backup", ""))
+        bad_parts = [part for part in headers.get("prompt-prefix", "").split(",")[:-1] if part.startswith(BAD_PART)]
+        if STAGE == "decode" and bad_parts:
+            self.log_event("crash", request, part=bad_parts[0])
+            os._exit(1)
         disconnect = asyncio.ensure_future(reader.read(1))
         complete = False
         try:
@@ -162,6 +177,8 @@
     backend = Backend()
     loop.run_until_complete(asyncio.start_server(backend.serve, "127.0.0.1", int(PORT)))
     loop.add_signal_handler(signal.SIGTERM, lambda: loop.create_task(backend.leave()))
+    loop.add_signal_handler(signal.SIGUSR1, lambda: backend.set_limit(LIMIT))
+    loop.add_signal_handler(signal.SIGUSR2, lambda: backend.set_limit(None))
     heartbeats = loop.create_task(backend.send_heartbeats())
     Backend.log_event("listening")
     loop.run_forever()
--- a/testsuite/soak/callers.py
+++ b/testsuite/soak/callers.py
@@ -7,9 +7,10 @@
 
 import wirehttp
 
-DEADLINE_MS = {"once": 1500, "read": 1500, "stream": 6000, "stream-once": 6000}
+DEADLINE_MS = {"once": 1500, "read": 1500, "stream": 6000, "stream-once": 6000, "bad-part": 6000}
 PATHS = {"once": ("POST", "/plain/"), "read": ("GET", "/read/"), "stream": ("POST", "/stream/"),
-         "stream-once": ("POST", "/once/")}
+         "stream-once": ("POST", "/once/"), "bad-part": ("POST", "/stream/")}
+BAD_PART_SHARE = 0.2  # share of the streams that contain the part, while there is one
 
 
 class Caller:
@@ -61,6 +62,8 @@
         """Sends requests until `stopping` is set."""
         while not self.stopping:
             kind = self.random.choices(("once", "read", "stream", "stream-once"), (4, 4, 2, 2))[0]
+            if kind.startswith("stream") and self.fleet.bad_part and self.random.random() < BAD_PART_SHARE:
+                kind = "bad-part"
             leave = self.random.random() < 0.08
             await self.request(kind, leave)
             await asyncio.sleep(self.random.expovariate(8))
@@ -75,8 +78,10 @@
                 "deadline_ms": DEADLINE_MS[kind], "sent_at": time.time()}
         headers = {"Host": "h.example", "Request-Id": request, "Deadline-Ms": str(DEADLINE_MS[kind]),
                    "Kv-Backup": "127.0.0.1:9"}
-        if kind.startswith("stream"):
+        if path in ("/stream/", "/once/"):
             headers["Token-Count"] = f"{self.random.randrange(50, 4000)},100"
+            bad_part = f"{self.fleet.bad_part}:3," if kind == "bad-part" else ""
+            headers["Prompt-Prefix"] = f"shared{self.random.randrange(3)}:5,{bad_part}{request}:40"
         status, answer, whole = 0, b"", False
         try:
             await self.connect()
--- a/testsuite/soak/faultproxy.py
+++ b/testsuite/soak/faultproxy.py
@@ -7,21 +7,47 @@
 
     pass, delay (each block of data is delayed), refuse (new connections are reset), silent (all data is dropped),
     to-target or to-caller (data in that direction is dropped).
+
+    While the target refuses connections, as after a crash, the proxy refuses them too.
     """
 
     DELAY_SECONDS = 0.12
+    RELISTEN_SECONDS = 0.05
 
     def __init__(self, target_port):
         self.target_port = target_port
         self.mode = "pass"
         self.port = 0
+        self.server = None
         self.writers = set()
 
     async def start(self):
         """Starts listening on a free port, which is set as `port`."""
-        server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
-        self.port = server.sockets[0].getsockname()[1]
-        return server
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def target_accepts(self):
+        """Returns whether the target accepts connections."""
+        try:
+            _, writer = await asyncio.open_connection("127.0.0.1", self.target_port)
+        except OSError:
+            return False
+        writer.close()
+        return True
+
+    async def follow_target(self):
+        """Stops listening if the target refuses connections, until it accepts them again."""
+        if self.server is None or await self.target_accepts() or self.server is None:
+            return
+        self.server.close()
+        self.server = None
+        asyncio.ensure_future(self.relisten())
+
+    async def relisten(self):
+        """Waits until the target accepts connections and starts listening again."""
+        while not await self.target_accepts():
+            await asyncio.sleep(self.RELISTEN_SECONDS)
+        await self.start()
 
     def reset(self):
         """Resets all open connections."""
@@ -38,9 +64,13 @@
                     continue
                 writer.write(data)
                 await writer.drain()
+            if direction == "to-caller":
+                await self.follow_target()
             if self.mode == "pass":
                 writer.close()
         except (ConnectionError, OSError):
+            if direction == "to-caller":
+                await self.follow_target()
             writer.transport.abort()
 
     async def serve(self, reader, writer):
@@ -51,6 +81,7 @@
         try:
             target_reader, target_writer = await asyncio.open_connection("127.0.0.1", self.target_port)
         except OSError:
+            await self.follow_target()
             writer.transport.abort()
             return
         self.writers |= {writer, target_writer}
--- a/testsuite/soak/fleet.py
+++ b/testsuite/soak/fleet.py
@@ -99,6 +99,7 @@
         self.store = Process("store", [sys.executable, f"{HERE}/store.py", str(self.store_port)], self.log)
         self.on_backend_event = lambda event: None
         self.backend_count = 0
+        self.bad_part = ""  # id of a prompt part that crashes engines, for callers to use
 
     async def start(self):
         """Starts all processes and proxies."""
--- a/testsuite/soak/guarantees.py
+++ b/testsuite/soak/guarantees.py
@@ -1,10 +1,14 @@
 """Checks the guarantees of the routers against what callers and backend servers have observed."""
 import collections
+import time
 
 CANCEL_SECONDS = 0.5  # time after which the work of a caller that disconnected must have ended
 SLACK_SECONDS = 0.7  # tolerance for scheduling on a busy machine and for the delivery of events to this process
 DRAIN_SECONDS = 2.0  # time after which a draining backend server must not receive new requests
 RETRY_WINDOW, RETRY_RATIO, RETRY_SLACK = 10, 0.2, 30
+CONTACT_SECONDS = 3.0  # time in which routers without faults learn of crashes and limits
+LIMIT_WINDOW, LIMIT_FACTOR, LIMIT_SLACK = 4.0, 1.5, 5
+CRASHES, RUNS_AFTER_CRASHES = 5, 3  # crashes by a part after which only so many requests with it may be run
 
 
 class GuaranteeChecker:
@@ -14,6 +18,8 @@
         self.sent = {}  # request id -> what the caller sent
         self.runs = collections.defaultdict(list)  # request id -> runs
         self.drained = {}  # backend server -> time at which its draining was acknowledged
+        self.limits = collections.defaultdict(list)  # backend server -> (time, limit or None)
+        self.crashes = collections.defaultdict(list)  # prompt part -> crashes (time, backend server)
         self.violations = []
         self.counts = collections.Counter()
 
@@ -26,6 +32,10 @@
         kind, request = event["event"], event["request"]
         if kind == "drain-acknowledged":
             self.drained[event["backend"]] = event["t"]
+        if kind == "limit":
+            self.limits[event["backend"]].append((event["t"], event["limit"]))
+        if kind == "crash":
+            self.crashes[event["part"]].append((event["t"], event["backend"]))
         if kind == "run":
             sent = self.sent.get(request)
             if sent is None:
@@ -82,6 +92,35 @@
                     self.fail("drain", f"{request} reaches {run['backend']} {run['begin'] - drain_time:.2f} s "
                               "after it began to drain")
         self.check_retries()
+        self.check_limits(is_fault_free)
+
+    def check_limits(self, is_fault_free):
+        """Checks that backend servers get no more requests than the limits allow that they name."""
+        for backend, changes in self.limits.items():
+            runs = sorted(run["begin"] for runs in self.runs.values() for run in runs if run["backend"] == backend)
+            for (begin, limit), (end, _) in zip(changes, changes[1:] + [(time.time(), None)]):
+                if limit is None:
+                    continue
+                for start in runs:
+                    window = [at for at in runs if start <= at < start + LIMIT_WINDOW]
+                    if begin + CONTACT_SECONDS + SLACK_SECONDS < start and start + LIMIT_WINDOW < end \
+                            and len(window) > LIMIT_FACTOR * limit * LIMIT_WINDOW + LIMIT_SLACK \
+                            and is_fault_free(begin, start + LIMIT_WINDOW):
+                        self.fail("limit", f"{backend} got {len(window)} requests in {LIMIT_WINDOW} s, limit {limit}")
+                        break
+
+    def check_crashes(self, is_fault_free):
+        """Checks that requests with a part that crashes engines are stopped. `is_fault_free(begin, end)` returns
+        whether no fault but the crashes themselves was injected in or shortly before an interval."""
+        for part, crashes in self.crashes.items():
+            if len(crashes) <= CRASHES:
+                continue
+            fifth = crashes[CRASHES - 1][0]
+            late = [at for at, _ in crashes
+                    if at > fifth + CONTACT_SECONDS + SLACK_SECONDS and is_fault_free(crashes[0][0], at)]
+            if len(late) > RUNS_AFTER_CRASHES:
+                self.fail("crashing part", f"{len(late)} engines ran {part} later than {CONTACT_SECONDS} s after "
+                          f"the fifth crash")
 
     def check_retries(self):
         """Checks the retry budget over sliding windows."""
--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -22,6 +22,7 @@
 FAULT_FREE_SECONDS = 3.0  # time without faults before guarantees with a time limit are checked
 RECOVERY_SECONDS = 6.0  # time without faults at the end, before recovery is checked
 RECOVERED_SHARE = 0.9
+RESTART_SECONDS = 1.5  # time after which a crashed engine starts again
 
 
 def config(version):
@@ -49,7 +50,8 @@
         self.options = options
         self.fleet = Fleet(options.binary, folder, options.seed, options.routers, 3, 2, 3)
         self.guarantees = GuaranteeChecker()
-        self.fleet.on_backend_event = self.guarantees.on_backend_event
+        self.fleet.on_backend_event = self.on_backend_event
+        self.restarts = set()
         self.faults = []  # (begin, end, what)
         self.version = 1
         self.drained_backends = []
@@ -64,11 +66,16 @@
         return all(fault_end + FAULT_FREE_SECONDS < begin or fault_begin > end
                    for fault_begin, fault_end, _ in self.faults)
 
+    def is_fault_free_but_crashes(self, begin, end):
+        """Like is_fault_free, without regard to engines that requests have crashed."""
+        return all(fault_end + FAULT_FREE_SECONDS < begin or fault_begin > end or what.startswith("crash ")
+                   for fault_begin, fault_end, what in self.faults)
+
     async def inject_fault(self):
         """Injects one random fault and waits until it is over."""
         kinds = [self.pause, self.kill, self.proxy, self.proxy, self.store_mode, self.stop_router, self.replace_backend,
-                 self.reconfigure, self.restart_all]
-        kind = self.random.choices(kinds, (2, 2, 3, 3, 2, 3, 2, 3, 0.5))[0]
+                 self.reconfigure, self.restart_all, self.name_limit, self.use_bad_part]
+        kind = self.random.choices(kinds, (2, 2, 3, 3, 2, 3, 2, 3, 0.5, 2, 1))[0]
         await kind(self.random.uniform(0.3, 4.0))
 
     async def pause(self, seconds):
@@ -188,13 +195,44 @@
             if not router.running():
                 await router.start()
 
+    async def name_limit(self, seconds):
+        """Has a backend server name a limit for a while."""
+        process = self.random.choice(list(self.fleet.backends.values()))
+        if not process.running():
+            return
+        process.child.send_signal(signal.SIGUSR1)
+        await asyncio.sleep(2 * seconds + 4)
+        if process.running():
+            process.child.send_signal(signal.SIGUSR2)
+
+    async def use_bad_part(self, seconds):
+        """Has callers send requests with a prompt part that crashes engines for a while."""
+        if self.fleet.bad_part:
+            return
+        self.fleet.bad_part = f"bad{self.random.getrandbits(40):x}"
+        await asyncio.sleep(3 * seconds)
+        self.fleet.bad_part = ""
+
+    def on_backend_event(self, event):
+        """Passes an event on to the checks, and restarts an engine that has crashed."""
+        self.guarantees.on_backend_event(event)
+        if event["event"] == "crash" and event["backend"] in self.fleet.backends:
+            self.record_fault(time.time(), time.time() + RESTART_SECONDS, f"crash {event['backend']}")
+            self.restarts.add(asyncio.ensure_future(self.restart(self.fleet.backends[event["backend"]])))
+
+    @staticmethod
+    async def restart(process):
+        """Restarts a backend server after a while."""
+        await asyncio.sleep(RESTART_SECONDS)
+        await process.start()
+
     async def check_recovery(self):
         """Checks that at least RECOVERED_SHARE of the requests are served once the faults are over."""
         await asyncio.sleep(RECOVERY_SECONDS)
         begin = time.time()
         await asyncio.sleep(3.0)
         requests = [sent for sent in self.guarantees.sent.values() if sent["sent_at"] > begin and "left_at" not in sent
-                    and "status" in sent]
+                    and "status" in sent and sent["kind"] != "bad-part"]
         served = sum(sent["status"] == 200 and sent["whole"] for sent in requests)
         if not requests or served < RECOVERED_SHARE * len(requests):
             self.guarantees.fail("recovery", f"{served} of {len(requests)} requests were served after the faults")
@@ -222,6 +260,7 @@
                 if code not in (0, -signal.SIGKILL):
                     self.guarantees.fail("exit", f"{process.name} ended with code {code}")
         self.guarantees.check_all(self.is_fault_free)
+        self.guarantees.check_crashes(self.is_fault_free_but_crashes)
         for backend in self.drained_backends:
             await backend.end()
         await self.fleet.stop()
