Crash attribution: several calls that end with one crash count once

Cause: calls that were sent up to 20 ms before a crash count as following it, since reported times are not exact. Short calls at one engine, which all ended with the same crash, counted as one crash each.

Test: eight calls of 5 ms that end with the crash of one engine (failed before).

--- a/src/include/cyclamencross/route/crashattribution.h
+++ b/src/include/cyclamencross/route/crashattribution.h
@@ -114,6 +114,8 @@
     /// Returns the number of crashes since the suspect was last served that followed one another.
     /// @param explained the calls to leave out; empty for none.
     int countCrashes(const std::string &suspect, const ExplainedCalls &explained) const;
+    /// Returns whether two calls ran at the same backend server when it crashed.
+    static bool isSameCrash(const Call &call, const Call &other);
     /// Marks the calls that ran at the backend servers which @p suspect has crashed.
     void markExplained(const std::string &suspect, ExplainedCalls &explained) const;
     int crashesToContain(const std::string &suspect) const;
--- a/src/route/crashattribution.cpp
+++ b/src/route/crashattribution.cpp
@@ -249,17 +249,25 @@
     }
     std::sort(crashed.begin(), crashed.end(), [](const Call *a, const Call *b) { return a->crashedAt < b->crashedAt; });
     int count = 0;
-    TimePoint lastCrash;
+    const Call *last = nullptr;
     for (const Call *call : crashed) {
         // A call that was sent before the previous crash may have been lost together with that one.
-        if (count == 0 || call->sentAt + ReportTolerance >= lastCrash) {
+        const bool follows =
+            last == nullptr || (call->sentAt + ReportTolerance >= last->crashedAt && !isSameCrash(*call, *last));
+        if (follows) {
             ++count;
-            lastCrash = call->crashedAt;
+            last = call;
         }
     }
     return count;
 }
 
+bool CrashAttribution::isSameCrash(const Call &call, const Call &other)
+{
+    const auto apart = call.crashedAt - other.crashedAt;
+    return call.backend == other.backend && apart < SameCrashTime && -apart < SameCrashTime;
+}
+
 void CrashAttribution::markExplained(const std::string &suspect, ExplainedCalls &explained) const
 {
     const auto found = this->evidence.find(suspect);
@@ -268,10 +276,7 @@
     }
     for (const std::size_t cause : found->second.calls) {
         for (std::size_t i = 0; i < this->calls.size(); ++i) {
-            const auto apart = this->calls[i].crashedAt - this->calls[cause].crashedAt;
-            const bool sameCrash =
-                this->calls[i].backend == this->calls[cause].backend && apart < SameCrashTime && -apart < SameCrashTime;
-            explained[i] = explained[i] || sameCrash;
+            explained[i] = explained[i] || isSameCrash(this->calls[i], this->calls[cause]);
         }
     }
 }
--- a/src/route/crashattribution_test.cpp
+++ b/src/route/crashattribution_test.cpp
@@ -154,6 +154,18 @@
     CHECK(attribution.containments().contains("part:bad"));
 }
 
+TEST_CASE("Short calls that end with the same crash count once")
+{
+    // Guards against a shared part that is contained because several requests with it ran at one engine for a moment.
+    CrashAttribution attribution = makeAttribution();
+    for (std::uint64_t i = 0; i < 8; ++i) {
+        CrashedCall call = crashedCall("e1", {"part:common", numbered("request:", i)});
+        call.duration = Millis(5);
+        attribution.addCrash(call, Start + Millis(i));
+    }
+    CHECK(attribution.containments().empty());
+}
+
 TEST_CASE("A request that is served clears its suspects, also if another router served it")
 {
     CrashAttribution attribution = makeAttribution();
