Crash attribution: a suspect that was served before is tried after seconds

What callers could see: once a part that many requests share is contained, and no request with it is left running that could clear it, all of them are refused for a minute.

Cause: one period for all suspects. A part of which requests were served before is contained after four crashes only, but engines can crash that often for other reasons; it is more likely sound, and refusing it costs more.

Change: such a suspect is tried four seconds after its last crash, then with doubled pauses. Routers that know different periods no longer take turns in writing them: only a later end of a containment is written.

Test: a part that was served before is tried within 5 s (60 s before).

--- a/src/gateway/containmentkeeper.cpp
+++ b/src/gateway/containmentkeeper.cpp
@@ -43,8 +43,11 @@
 {
     const auto &own = this->state.crashes.containments();
     const auto &stored = this->state.storedContainments;
+    // Routers may have begun with different periods. The longest one is stored.
     return !std::equal(own.begin(), own.end(), stored.begin(), stored.end(), [](const auto &a, const auto &b) {
-        return a.first == b.first && a.second.period == b.second.period;
+        const TimePoint ownEnd = a.second.crashedAt + a.second.period;
+        const TimePoint storedEnd = b.second.crashedAt + b.second.period;
+        return a.first == b.first && ownEnd <= storedEnd + TimeTolerance;
     });
 }
 
--- a/src/gateway/containmentkeeper.h
+++ b/src/gateway/containmentkeeper.h
@@ -24,6 +24,8 @@
     static constexpr Millis SettleTime{700};
     /// Time after which the next router writes a difference: a write and the report of the change to peers take less.
     static constexpr Millis TakeoverDelay{700};
+    /// Difference of times that is not written: those in the store are in seconds, by clocks that differ.
+    static constexpr Millis TimeTolerance{3000};
     /// Time after a write until this router writes again. Doubles with each further one, up to MaxWritePause.
     static constexpr Millis WritePause{1000};
     static constexpr Millis MaxWritePause{60000};
--- a/src/include/cyclamencross/route/crashattribution.h
+++ b/src/include/cyclamencross/route/crashattribution.h
@@ -38,6 +38,8 @@
     static constexpr Millis CrashLifetime{600000};
     /// Time after the last crash until a request is tried. Doubles with each crash of such a request.
     static constexpr Millis InitialPeriod{60000};
+    /// The same for a suspect with which requests have been served before: it is more likely sound, and shared by many.
+    static constexpr Millis InitialPeriodServed{4000};
     static constexpr Millis MaxPeriod{3600000};
     /// Time in which a tried request is served or crashes.
     static constexpr Millis TrialTime{30000};
--- a/src/route/crashattribution.cpp
+++ b/src/route/crashattribution.cpp
@@ -204,7 +204,8 @@
         for (const std::size_t i : this->evidence.at(suspect).calls) {
             lastCrash = std::max(lastCrash, this->calls[i].crashedAt);
         }
-        this->contain(suspect, Containment{lastCrash, InitialPeriod, TimePoint()}, crashes);
+        const Millis period = this->wasServed(suspect) ? InitialPeriodServed : InitialPeriod;
+        this->contain(suspect, Containment{lastCrash, period, TimePoint()}, crashes);
     }
 }
 
--- a/src/route/crashattribution_test.cpp
+++ b/src/route/crashattribution_test.cpp
@@ -220,6 +220,25 @@
     }
 }
 
+TEST_CASE("A suspect that was served before it was contained is tried after seconds")
+{
+    // Guards against a part of all requests of a customer that is refused for a minute, when engines crash for other
+    // reasons and no request with it is left that could clear it.
+    CrashAttribution attribution = makeAttribution();
+    attribution.recordServed({"part:common"}, Start);
+    TimePoint now = Start;
+    for (std::uint64_t i = 0; i < std::uint64_t(CrashAttribution::CrashesToContainServed); ++i) {
+        now += Millis(500);
+        attribution.addCrash(crashedCall(numbered("e", i), {"part:common", numbered("request:", i)}), now);
+    }
+    CHECK(attribution.check({"part:common"}, now) == Verdict::Contained);
+    CHECK(attribution.timeUntilTrial("part:common", now) <= Millis(5000));
+    now += Millis(5000);
+    CHECK(attribution.check({"part:common"}, now) == Verdict::Trial);
+    attribution.recordServed({"part:common"}, now + CallTime);
+    CHECK(isAllowed(attribution, {"part:common"}, now + CallTime));
+}
+
 TEST_CASE("Containments known from the store hold, explain further crashes, and end when the store has them no more")
 {
     // Guards against a restarted router that lets the same requests crash engines again.
