Review case 3: watchers without a response from the store blind the others

A router believes in a peer that watches the store for up to 2.8 s after the store has stopped responding to it, so that requests reach a leaving engine later than DrainMs.

--- a/review/3/run.py
+++ b/review/3/run.py
@@ -1,5 +1,5 @@
-"""Open connections to the store that carry nothing for a while go silent for good, once; new ones work. Three seconds
-later an engine leaves. Rule DRAIN is checked on the requests that still reach it."""
+"""The store leaves the calls of one zone's machines without a response and serves all others. At the same time an
+engine leaves. Rule DRAIN is checked on the requests that still reach it from the other machines."""
 import asyncio
 import json
 import os
@@ -11,10 +11,12 @@
 import standplatform as stand  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-CONTACT_S = 3.0  # ContactMs
 DRAIN_S = 2.0  # DrainMs
-IDLE_S = 1.2  # connections that have been idle for longer go silent
-SERVE_S = 3.4  # how long the leaving engine serves after its report: DrainMs and a little longer
+REJECTED = ["front-zilina-a-1", "front-zilina-a-2", "front-zilina-a-3"]
+OTHERS = ["front-martin-b-1", "front-martin-b-2", "front-martin-b-3", "front-trencin-c-1", "front-trencin-c-2",
+          "front-trencin-c-5"]
+REJECT_S = 4.5  # platform_down with `nodes` lasts up to 9 s in the site files in force
+SERVE_S = 3.0  # how long the leaving engine serves after its report: DrainMs and a little longer
 TOKENS = (2000, 69)  # prompt and output of a draft
 
 
@@ -43,39 +45,42 @@
     try:
         await deployment.begin(stand.configuration(7, routes))
         engines = {}
-        for name, stage in (("i-p1", "prefill"), ("i-p2", "prefill"), ("i-d1", "decode"), ("i-d2", "decode"),
-                            ("i-d3", "decode"), ("i-d4", "decode")):
-            engines[name] = await deployment.add_engine(name, "llm", stage, "zilina-a")
+        for name, stage, zone in (("i-p1", "prefill", "martin-b"), ("i-p2", "prefill", "trencin-c"),
+                                  ("i-d1", "decode", "martin-b"), ("i-d2", "decode", "trencin-c"),
+                                  ("i-d3", "decode", "zilina-a")):
+            engines[name] = await deployment.add_engine(name, "llm", stage, zone)
             engines[name].on_arrival = lambda engine, request: arrivals.append((record.now(), engine.name, request))
-        for name in ("front-zilina-a-1", "front-zilina-a-2", "front-martin-b-1", "front-trencin-c-1"):
-            await deployment.add_router(name)
+        for name in REJECTED + OTHERS:
+            await deployment.add_router(name, name[6:-2])
         for router in deployment.routers.values():
             await router.wait_ready()
         await asyncio.sleep(4)
-        load = asyncio.ensure_future(traffic(deployment, attempts, record.now() + 15))
-        await asyncio.sleep(1)
-        # The operator changes the configuration: routes that nobody uses.
-        routes.append(stand.route("idle", "/idle/", "idempotent", "llm", 1500, 300, 1))
-        deployment.store.put("op/config", json.dumps(stand.configuration(9, routes)).encode())
-        await asyncio.sleep(0.9 + IDLE_S + 0.1)
+        load = asyncio.ensure_future(traffic(deployment, attempts, record.now() + 10))
+        await asyncio.sleep(3)
         if TROUBLE:
-            for name, gate in deployment.gates.items():
-                record.add("silent", router=name, connections=gate.silence_idle(IDLE_S), of=len(gate.connections))
-        await asyncio.sleep(CONTACT_S + 0.1)
+            record.add("store-rejects", routers=",".join(REJECTED))
+            for name in REJECTED:
+                deployment.gates[name].mute = True
+        await asyncio.sleep(0.1)
         acknowledged = record.now()
         leaving = asyncio.ensure_future(engines["i-d1"].leave(SERVE_S))
+        await asyncio.sleep(REJECT_S)
+        for name in REJECTED:
+            deployment.gates[name].mute = False
         await load
         await leaving
     finally:
         await deployment.end()
+    by_machine = {attempt.request: attempt.router for attempt in attempts}
     late = {request: when - acknowledged for when, engine, request in arrivals
-            if engine == "i-d1" and when > acknowledged + DRAIN_S}
+            if engine == "i-d1" and when > acknowledged + DRAIN_S and by_machine[request] not in REJECTED}
     whole = {attempt.request for attempt in attempts if attempt.complete and attempt.status == 200}
     print(f"{len(attempts)} sent, {len(whole)} whole")
     for request, after in late.items():
         lost = "" if request in whole else ", not answered whole"
-        record.add("BROKEN", request=request, after_s=round(after, 3), whole=request in whole)
-        print(f"DRAIN broken: {request} reached the leaving engine {after:.3f} s after the acknowledgement{lost}")
+        record.add("BROKEN", request=request, router=by_machine[request], after_s=round(after, 3), whole=request in whole)
+        print(f"DRAIN broken: {request} reached the leaving engine from {by_machine[request]} {after:.3f} s after the "
+              f"acknowledgement{lost}")
     return not late
 
 
--- a/review/standins/standplatform.py
+++ b/review/standins/standplatform.py
@@ -47,11 +47,11 @@
 
 class Gate:
     """The address at which one machine reaches the store. `busy` rejects all its calls with 503, those that wait
-    too."""
+    too; `mute` leaves them all without a response."""
 
     def __init__(self, store, name):
         self.store, self.name, self.port = store, name, 0
-        self.busy = False
+        self.busy = self.mute = False
         self.connections = {}  # writer -> time of the last bytes
         self.dark = set()  # writers whose connection has gone silent for good
         self.turned = asyncio.Event()
@@ -80,7 +80,7 @@
         try:
             while head := await wirehttp.read_head(reader):
                 raw = await wirehttp.read_body(reader, head[1])
-                if writer in self.dark:
+                if self.mute or writer in self.dark:
                     continue  # What is sent on a silent connection arrives nowhere.
                 self.connections[writer] = time.monotonic()
                 method, target, _ = head[0].split()
@@ -88,7 +88,7 @@
                 query = dict(urllib.parse.parse_qsl(url.query))
                 status, content = await self.answer(method, url.path, query, json.loads(raw or b"{}"))
                 await asyncio.sleep(self.store.answer_s)
-                if writer in self.dark:
+                if self.mute or writer in self.dark:
                     continue
                 self.connections[writer] = time.monotonic()
                 text = json.dumps(content).encode()
