Review case 5: removed entries are kept for too long after an outage

A router that the store has rejected keeps the entries that were removed meanwhile for 2 s from its own first success, up to 4 s after the store's return.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0 leaves the disruption out.
+cd "$(dirname "$0")/../.." && exec python3 review/5/run.py
--- a/review/standins/standplatform.py
+++ b/review/standins/standplatform.py
@@ -254,7 +254,7 @@
         self.address, self.state, self.born = "", "ready", int(time.time() * 1000)
         self.sequence, self.used_tokens = 0, 0
         self.running = set()
-        self.order_pending = False
+        self.order_pending = self.leaving = False
         self.handles, self.holds = {}, {}
         self.reading = asyncio.Lock()
         self.writers = set()
@@ -277,7 +277,7 @@
                  "Slots": self.slots, "State": self.state, "ColdLeftMs": 0, "Sequence": 1, "born": self.born}
         if self.stage:
             entry.update({"Stage": self.stage, "Models": [{"Name": "m", "Version": 1, "Adapters": []}]})
-        if entry == self.registered:
+        if entry == self.registered or self.leaving:
             return False
         self.registered = entry
         self.store.put(f"servers/{self.name}", json.dumps(entry).encode())
@@ -290,16 +290,22 @@
             if self.server:
                 self.register()
 
-    async def leave(self, serve_s):
-        """Reports `draining`, serves on for `serve_s` after the store's acknowledgement, and exits."""
-        self.state = "draining"
-        self.register()
-        self.record.add("draining-acknowledged", engine=self.name)
+    async def leave(self, serve_s, report=True):
+        """Reports `draining`, serves on for `serve_s` after the store's acknowledgement, and exits. Without `report`,
+        its entry is removed instead, as with engines that never report it."""
+        if report:
+            self.state = "draining"
+            self.register()
+        else:
+            self.leaving = True
+            self.store.put(f"servers/{self.name}", None)
+        self.record.add("leaving-acknowledged", engine=self.name, draining=report)
         await asyncio.sleep(serve_s)
         self.record.add("exits", engine=self.name, running=len(self.running))
         server, self.server = self.server, None
         server.close()
-        self.store.put(f"servers/{self.name}", None)
+        if report:
+            self.store.put(f"servers/{self.name}", None)
         for writer in list(self.writers):
             writer.transport.abort()
 
