--- a/review/2/run.py
+++ b/review/2/run.py
@@ -83,8 +83,8 @@
         except TimeoutError:
             router.send(signal.SIGKILL)
             await router.process.wait()
-        deployment.record.add("ended", router=router.name, after=round(deployment.record.now() - stops[router.name], 3),
-                              code=router.process.returncode)
+        after = round(deployment.record.now() - stops[router.name], 3)
+        deployment.record.add("ended", router=router.name, after=after, code=router.process.returncode)
         await asyncio.sleep(0.5)
         await router.start()
 
@@ -134,7 +134,8 @@
         if attempt.sent_at - stop <= EXCUSED_S:
             excused += 1
         else:
-            lost.append(f"{attempt.request}: sent to {attempt.router} {attempt.sent_at - stop:.2f} s after its SIGTERM, "
+            after = attempt.sent_at - stop
+            lost.append(f"{attempt.request}: sent to {attempt.router} {after:.2f} s after its SIGTERM, "
                         f"cut after {took:.2f} s and {attempt.events} of {TOKENS[1]} events")
     print(f"{len(attempts)} sent, {complete} whole, {excused} cut and excused, {len(lost)} lost")
     for line in lost:
--- a/review/5/run.py
+++ b/review/5/run.py
@@ -1,6 +1,6 @@
-"""The store leaves the calls of two machines of six without a response for some seconds and serves all others. Meanwhile
-an engine leaves that doesn't report `draining`: its entry is removed. Three times, one after the other. Rule DRAIN is
-checked on the requests that reach such an engine from the two machines once they are in touch again."""
+"""The store leaves the calls of two machines of six without a response for some seconds and serves all others.
+Meanwhile an engine leaves that doesn't report `draining`: its entry is removed. Three times, one after the other.
+Rule DRAIN is checked on the requests that reach such an engine from the two machines once they are in touch again."""
 import asyncio
 import os
 import random
@@ -99,8 +99,8 @@
                 whole = attempt.complete and attempt.status == 200
                 record.add("BROKEN", request=request, router=attempt.router, engine=engine,
                            after_s=round(when - acknowledged, 3), whole=whole)
-                print(f"DRAIN broken: {request} reached {engine} from {attempt.router} {when - acknowledged:.3f} s after "
-                      f"the acknowledgement, {when - in_touch:.3f} s after the machine was in touch again"
+                print(f"DRAIN broken: {request} reached {engine} from {attempt.router} {when - acknowledged:.3f} s "
+                      f"after the acknowledgement, {when - in_touch:.3f} s after the machine was in touch again"
                       f"{'' if whole else ', not answered whole'}")
     return held
 
