Leadership: a leader whose lease has expired gives no orders under a new lease

Cause: the leader's record ends with the lease of the router's registration, but isLeader() compared only the router and its incarnation. After seconds of rejection by the store, the former leader registered under a new lease, which made isLeaseConfirmed() true again, and led on the record that it had read last, until it read the store up to a second later.

Change: the record names its lease, and a router leads only by a record under the newest lease that it was granted. The belief ends when the new lease is granted, whatever was read until then.

--- a/src/gateway/fleetsync.h
+++ b/src/gateway/fleetsync.h
@@ -149,7 +149,6 @@
     /// Revision up to which changes were read; unset before the first complete read.
     std::optional<std::uint64_t> watchRevision;
     StoreContact contact;
-    std::uint64_t lease = 0;
     Clock::duration leaseConfirmedAt{0}; ///< On the boot-time clock: start of the last call that confirmed the lease.
     bool registered = false;
 };
--- a/src/gateway/fleetsyncitems.cpp
+++ b/src/gateway/fleetsyncitems.cpp
@@ -191,7 +191,7 @@
 {
     if (key == leaderKey() && revision >= this->state.leadership.revision) {
         const bool known = !this->state.leadership.router.empty();
-        this->state.leadership = Leadership{"", 0, revision};
+        this->state.leadership = Leadership{"", 0, 0, revision};
         return known;
     }
     if (key == containmentsKey()) {
--- a/src/gateway/fleetsyncwrites.cpp
+++ b/src/gateway/fleetsyncwrites.cpp
@@ -39,7 +39,7 @@
             continue;
         }
         const Clock::duration renewalStart = bootTime();
-        const StoreResult<std::uint64_t> renewed = co_await this->store.renewLease(this->lease);
+        const StoreResult<std::uint64_t> renewed = co_await this->store.renewLease(this->state.registrationLease);
         if (const auto *failure = std::get_if<StoreFailure>(&renewed)) {
             this->recordFailure("renew", *failure);
             if (failure->kind == StoreFailure::Kind::LeaseExpired) {
@@ -64,13 +64,13 @@
         this->recordFailure("lease", *failure);
         co_return false;
     }
-    this->lease = std::get<std::uint64_t>(granted);
+    this->state.registrationLease = std::get<std::uint64_t>(granted);
     this->leaseConfirmedAt = start;
     const RouterSettings &settings = this->state.settings;
     const RouterMember member{settings.name, this->state.incarnation, settings.zone, settings.callerAddress,
                               settings.peerAddress};
     const StoreResult<std::uint64_t> written =
-        co_await this->store.write(memberPrefix() + settings.name, encodeMember(member), this->lease);
+        co_await this->store.write(memberPrefix() + settings.name, encodeMember(member), this->state.registrationLease);
     if (const auto *failure = std::get_if<StoreFailure>(&written)) {
         this->recordFailure("register", *failure);
         co_return false;
@@ -79,7 +79,10 @@
     this->registered = true;
     this->state.members.put(settings.name, member, std::get<std::uint64_t>(written));
     this->state.regroup();
-    LogLine("registered").add("lease", this->lease).add("revision", std::get<std::uint64_t>(written)).write();
+    LogLine("registered")
+        .add("lease", this->state.registrationLease)
+        .add("revision", std::get<std::uint64_t>(written))
+        .write();
     co_return true;
 }
 
@@ -88,9 +91,10 @@
     if (!this->isLeaseConfirmed()) {
         co_return;
     }
-    const Leadership record{this->state.settings.name, this->state.incarnation, 0};
+    const std::uint64_t lease = this->state.registrationLease;
+    const Leadership record{this->state.settings.name, this->state.incarnation, lease, 0};
     const StoreResult<std::uint64_t> written =
-        co_await this->store.writeIf(leaderKey(), encodeLeadership(record), this->lease, leaderKey(), 0);
+        co_await this->store.writeIf(leaderKey(), encodeLeadership(record), lease, leaderKey(), 0);
     if (const auto *failure = std::get_if<StoreFailure>(&written)) {
         if (failure->kind != StoreFailure::Kind::Conflict) {
             this->recordFailure("claim-leadership", *failure);
@@ -131,10 +135,10 @@
 
 boost::asio::awaitable<void> FleetSync::unregister()
 {
-    if (this->lease == 0) {
+    if (this->state.registrationLease == 0) {
         co_return;
     }
-    const StoreResult<std::uint64_t> ended = co_await this->store.endLease(this->lease);
+    const StoreResult<std::uint64_t> ended = co_await this->store.endLease(this->state.registrationLease);
     if (const auto *failure = std::get_if<StoreFailure>(&ended)) {
         this->recordFailure("end-lease", *failure);
     }
--- a/src/gateway/leadership.cpp
+++ b/src/gateway/leadership.cpp
@@ -7,7 +7,9 @@
 
 std::string encodeLeadership(const Leadership &leadership)
 {
-    return nlohmann::json{{"router", leadership.router}, {"incarnation", leadership.incarnation}}.dump();
+    return nlohmann::json{
+        {"router", leadership.router}, {"incarnation", leadership.incarnation}, {"lease", leadership.lease}}
+        .dump();
 }
 
 std::optional<Leadership> decodeLeadership(const std::string &text, std::uint64_t revision)
@@ -22,7 +24,11 @@
         || !incarnation->is_number_unsigned()) {
         return std::nullopt;
     }
-    return Leadership{router->get<std::string>(), incarnation->get<std::uint64_t>(), revision};
+    // Records of earlier versions name no lease. No router leads by such a record.
+    const auto lease = record.find("lease");
+    const bool namesLease = lease != record.end() && lease->is_number_unsigned();
+    return Leadership{router->get<std::string>(), incarnation->get<std::uint64_t>(),
+                      namesLease ? lease->get<std::uint64_t>() : 0, revision};
 }
 
 }
--- a/src/gateway/pieces_test.cpp
+++ b/src/gateway/pieces_test.cpp
@@ -58,8 +58,9 @@
 
 TEST_CASE("The leader's record and the stage plan round-trip; malformed ones are rejected")
 {
-    const Leadership leadership{"r1", 7, 42};
+    const Leadership leadership{"r1", 7, 5, 42};
     CHECK(decodeLeadership(encodeLeadership(leadership), 42) == leadership);
+    CHECK(decodeLeadership(R"({"router":"r1","incarnation":7})", 1) == Leadership{"r1", 7, 0, 1});
     CHECK_FALSE(decodeLeadership("[]", 1).has_value());
     CHECK_FALSE(decodeLeadership(R"({"router":1,"incarnation":7})", 1).has_value());
     CHECK_FALSE(decodeLeadership(R"({"router":"r1","incarnation":-7})", 1).has_value());
--- a/src/gateway/routerstate.cpp
+++ b/src/gateway/routerstate.cpp
@@ -276,7 +276,8 @@
 
 bool RouterState::isLeader() const
 {
-    return this->leadership.router == this->settings.name && this->leadership.incarnation == this->incarnation;
+    return this->leadership.router == this->settings.name && this->leadership.incarnation == this->incarnation
+        && this->leadership.lease != 0 && this->leadership.lease == this->registrationLease;
 }
 
 void RouterState::recordOutcome(const std::string &backend, CallOutcome outcome, TimePoint now)
--- a/src/gateway/routerstate.h
+++ b/src/gateway/routerstate.h
@@ -72,7 +72,8 @@
     /// Returns the load of the engines of each model service that has engines of both stages. Extrapolates from the
     /// engines of this router's group to all.
     std::map<std::string, StageLoad> stageLoads() const;
-    /// Returns whether this router is the leader.
+    /// Returns whether this router is the leader, by a record under its newest lease. A record under an earlier lease
+    /// is gone from the store even if this router has not read that yet, and another router may lead.
     bool isLeader() const;
     /// Records the outcome of a call for this router's health data and its next report to peers.
     void recordOutcome(const std::string &backend, CallOutcome outcome, TimePoint now);
@@ -146,6 +147,8 @@
     ConnectionPool connections;
     Metrics metrics;
     Leadership leadership; ///< As recorded in the store.
+    /// Newest lease that the store has granted for the registration of this router; 0 if there is none.
+    std::uint64_t registrationLease = 0;
     StagePlan stagePlan; ///< As recorded in the store.
     std::uint64_t stagePlanRevision = 0;
     TimePoint stagePlanSince; ///< When this router learned of the plan.
