Stop: requests are refused before callers may count on their end

Cause: new requests were refused from 3.5 s before the end of the grace period, which is 4.5 s after the signal. Callers may count on the answer to what they sent later than 3 s after it.

Change: StopSchedule accepts requests for at most 2.5 s; the rest of the 3 s is for the delays of the signal, of the request and of the event loop. The process also waits for connections that are being read or closed: exiting with unread bytes resets them, and the caller could lose its last response.

--- a/src/gateway/router.cpp
+++ b/src/gateway/router.cpp
@@ -6,6 +6,7 @@
 
 #include "cyclamencross/base/hash.h"
 #include "cyclamencross/base/logline.h"
+#include "cyclamencross/route/stopschedule.h"
 
 #include <algorithm>
 #include <csignal>
@@ -316,13 +317,10 @@
 
 boost::asio::awaitable<void> Router::stop()
 {
-    const TimePoint startTime = Clock::now();
-    const Millis grace = this->state.settings.stopGrace;
-    const TimePoint refuseAt = startTime + std::max(Millis(0), grace - RefusePeriod);
-    const TimePoint endAt = startTime + std::max(Millis(0), grace - ShutdownMargin);
+    const StopSchedule schedule(Clock::now(), this->state.settings.stopGrace);
     this->state.stopping = true;
     boost::asio::co_spawn(this->context, this->sync.unregister(), boost::asio::detached);
-    while (Clock::now() < refuseAt) {
+    while (Clock::now() < schedule.refuseAt()) {
         co_await sleepFor(StopPollPeriod);
     }
     this->refusing = true;
@@ -333,7 +331,9 @@
     for (const auto &session : this->sessions) {
         session->closeIfIdle();
     }
-    while (Clock::now() < endAt && this->state.activeRequests > 0) {
+    // The sessions that remain read a request, which will be refused, or wait until their caller has received the last
+    // response. Exiting with unread bytes would reset the connection, and the caller could lose that response.
+    while (Clock::now() < schedule.endAt() && (this->state.activeRequests > 0 || !this->sessions.empty())) {
         co_await sleepFor(StopPollPeriod);
     }
     LogLine("stopped").add("unfinished", this->state.activeRequests).write();
--- a/src/gateway/router.h
+++ b/src/gateway/router.h
@@ -30,10 +30,6 @@
     static constexpr int AddressTtlSeconds = 1;
     /// Maximum number of addresses in one directory response.
     static constexpr std::size_t MaxAddresses = 64;
-    /// How long new requests are refused before the end of the grace period, so that running requests can finish.
-    static constexpr Millis RefusePeriod{3500};
-    /// How long before the end of the grace period, when the platform kills the process, it exits by itself.
-    static constexpr Millis ShutdownMargin{400};
 
     Router(boost::asio::io_context &context, const RouterSettings &settings, std::string settingsPath,
            PlatformAdapter platform);
@@ -58,8 +54,8 @@
                                         std::string reason);
     boost::asio::awaitable<void> runHousekeeping();
     boost::asio::awaitable<void> waitForSignals();
-    /// Unregisters the router, serves requests for most of the grace period, then refuses new ones and ends the event
-    /// loop once the running ones have finished or shortly before the grace period ends.
+    /// Unregisters the router, accepts and refuses requests as StopSchedule says, and ends the event loop once the
+    /// running ones have finished or the schedule ends.
     boost::asio::awaitable<void> stop();
     /// Applies those settings that can change at runtime.
     void reload();
--- /dev/null
+++ b/src/include/cyclamencross/route/stopschedule.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "cyclamencross/base/timing.h"
+
+namespace Cyclamen
+{
+
+/// The phases of a planned stop of a router. It first accepts requests, since callers still use its address, then
+/// refuses new ones while the running ones finish, and ends before the platform kills it.
+class StopSchedule
+{
+public:
+    /// Longest time for which a stopping router accepts requests. Callers may count on the whole answer to a request
+    /// that they sent three seconds after the stop signal or later, unless it is refused. The rest of these three
+    /// seconds is for the delays of the signal and of the event loop on a busy host.
+    static constexpr Millis MaxAcceptPeriod{2500};
+    /// Shortest time for which requests that were accepted last can run.
+    static constexpr Millis MinFinishPeriod{3500};
+    /// How long before the end of the grace period, when the platform kills the process, it exits by itself.
+    static constexpr Millis ShutdownMargin{400};
+
+    /// @param begin time of the stop signal.
+    /// @param grace time from the stop signal until the platform kills the process.
+    StopSchedule(TimePoint begin, Millis grace);
+
+    /// Returns the time from which new requests are refused.
+    TimePoint refuseAt() const;
+    /// Returns the time at which the process exits, whatever is running.
+    TimePoint endAt() const;
+
+    bool operator==(const StopSchedule &) const = default;
+
+private:
+    TimePoint begin;
+    Millis grace;
+};
+
+}
--- /dev/null
+++ b/src/route/stopschedule.cpp
@@ -0,0 +1,24 @@
+#include "cyclamencross/route/stopschedule.h"
+
+#include <algorithm>
+
+namespace Cyclamen
+{
+
+StopSchedule::StopSchedule(TimePoint begin, Millis grace)
+    : begin(begin)
+    , grace(grace)
+{
+}
+
+TimePoint StopSchedule::refuseAt() const
+{
+    return this->begin + std::clamp(this->grace - MinFinishPeriod, Millis(0), MaxAcceptPeriod);
+}
+
+TimePoint StopSchedule::endAt() const
+{
+    return this->begin + std::max(Millis(0), this->grace - ShutdownMargin);
+}
+
+}
