Store changes: routers know how old their certainty is, and read when it is too old

Cause: a router took "I watch the store" of a peer for "I know all changes". With all watchers of a group left without a response, the renewal period, the timeout of a call and the life of a report followed one another.

Change: StoreFreshness holds until when a router is certain to know all changes, from an answer of the store or the report of a peer with the same revision; reports carry the age of that certainty. At 1 s (standby watchers earlier) the router reads the changes itself. The primary watcher asks for an answer every 0.35 s. Watchers renew their leases like others again, since nothing depends on it, and the backoff and the head start after an outage are shorter, since their sum with the other delays passed the 3 s after it.

Two tests of the same content, written for the code before, failed there; "A router reads the store itself if its watchers cannot show that they know all changes" and the tests of StoreFreshness pass now.

--- a/src/gateway/fleetsync.cpp
+++ b/src/gateway/fleetsync.cpp
@@ -15,9 +15,6 @@
 namespace
 {
 
-// Duration of an outage of the store from which entries may have expired: shorter than three heartbeats of a backend
-// server.
-constexpr Millis MinLapseOutage{1000};
 constexpr Millis PollPeriod{100};
 
 std::string failureName(StoreFailure::Kind kind)
@@ -92,13 +89,21 @@
         }
         const bool lostBefore = this->contact.lost;
         this->state.watching = !lostBefore;
-        const Millis wait = this->state.groupPeers().empty() ? SoloWatchTimeout : WatchTimeout;
+        const TimePoint start = Clock::now();
+        const Millis wait = this->state.isPrimaryWatcher() ? this->state.freshness.watchWait(start) : StandbyWatchWait;
         const StoreResult<StorePage> result = co_await this->store.watch(prefix, *this->watchRevision, wait);
         if (const auto *page = std::get_if<StorePage>(&result)) {
             this->recordSuccess();
             failures = 0;
             const std::uint64_t before = this->state.storeRevision;
+            const bool hidesChanges = page->items.empty() && page->revision > before;
             this->applyAll(page->items, page->revision);
+            if (hidesChanges) {
+                this->contact.resyncNeeded = true; // A store that drops its history may leave out changes.
+            } else {
+                // Without changes, the store has answered after the wait; with changes, at any time since the call.
+                this->state.confirmChanges(page->items.empty() ? std::min(start + wait, Clock::now()) : start);
+            }
             if (!page->items.empty()) {
                 this->state.queueChangesForPeers(StoreChanges{before, this->state.storeRevision, false, page->items});
                 co_await sleepFor(this->state.isPrimaryWatcher() ? BatchDelay : StandbyBatchDelay);
@@ -138,26 +143,62 @@
         if (!this->watchRevision || this->contact.lost || (!overdue && !this->contact.resyncNeeded)) {
             continue;
         }
-        LogLine("catching-up")
-            .add("revision", this->state.storeRevision)
-            .add("peers_revision", this->state.newestPeerRevision)
-            .add("regained", this->contact.resyncNeeded)
-            .write();
+        this->logCatchUp(this->contact.resyncNeeded ? "regained" : "behind-peers");
         const bool resync = std::exchange(this->contact.resyncNeeded, false);
         lastInSync = Clock::now();
-        if (!resync && !this->state.watching) {
-            const bool inSync = co_await this->readChanges(prefix);
-            if (inSync) {
-                continue;
-            }
+        if (resync || this->state.watching) {
+            co_await this->readAllAgain(prefix);
+        } else {
+            co_await this->readMissing(prefix);
         }
-        const auto revision = co_await this->readAll(prefix);
-        if (revision) {
-            this->watchRevision = std::max(this->watchRevision.value_or(0), *revision);
-            // A revision that a peer reports beyond the store's own would cause reads forever.
-            this->state.newestPeerRevision = this->state.storeRevision;
-            this->store.cancelWatch();
+    }
+}
+
+boost::asio::awaitable<void> FleetSync::keepFresh(std::string prefix)
+{
+    while (true) {
+        co_await sleepFor(StoreFreshness::CheckPeriod);
+        const TimePoint now = Clock::now();
+        // After an outage, the watchers read the whole store and report the changes.
+        const bool resyncing = this->contact.resyncNeeded && now - this->contact.foundAt < WatcherHeadStart;
+        // While the store is away, the lease renewals detect its return.
+        if (!this->watchRevision || this->contact.lost || resyncing
+            || !this->state.freshness.isReadDue(this->state.watcherRank(), now)) {
+            continue;
         }
+        this->logCatchUp("not-certain");
+        co_await this->readMissing(prefix);
+    }
+}
+
+void FleetSync::logCatchUp(const std::string &reason) const
+{
+    const auto confirmedAt = this->state.freshness.confirmedAt();
+    LogLine("catching-up")
+        .add("reason", reason)
+        .add("revision", this->state.storeRevision)
+        .add("peers_revision", this->state.newestPeerRevision)
+        .add("certainty_age_ms",
+             confirmedAt ? std::int64_t(toSeconds(Clock::now() - *confirmedAt) * 1000) : std::int64_t(-1))
+        .write();
+}
+
+boost::asio::awaitable<void> FleetSync::readMissing(std::string prefix)
+{
+    const ReadResult result = co_await this->readChanges(prefix);
+    if (result == ReadResult::Incomplete) {
+        co_await this->readAllAgain(prefix);
+    }
+}
+
+boost::asio::awaitable<void> FleetSync::readAllAgain(std::string prefix)
+{
+    const auto revision = co_await this->readAll(prefix);
+    if (revision) {
+        this->watchRevision = std::max(this->watchRevision.value_or(0), *revision);
+        // A revision that a peer reports beyond the store's own would cause reads forever.
+        this->state.newestPeerRevision = this->state.storeRevision;
+        this->store.cancelWatch();
     }
 }
 
@@ -205,26 +246,43 @@
     return this->state.isDesignatedWatcher() || !this->state.hasLiveWatcher(Clock::now());
 }
 
-boost::asio::awaitable<bool> FleetSync::readChanges(std::string prefix)
+boost::asio::awaitable<FleetSync::ReadResult> FleetSync::readChanges(std::string prefix)
 {
+    bool failedBefore = false;
     for (int reads = 0; reads < MaxChangeReads; ++reads) {
-        const StoreResult<StorePage> result =
-            co_await this->store.watch(prefix, this->state.storeRevision, ChangeReadWait);
-        const auto *page = std::get_if<StorePage>(&result);
-        if (page == nullptr || page->items.empty()) {
-            co_return false; // A store that drops its history may return a newer revision without the changes.
+        const TimePoint start = Clock::now();
+        const StoreResult<StorePage> result = co_await this->store.readChanges(prefix, this->state.storeRevision);
+        if (const auto *failure = std::get_if<StoreFailure>(&result)) {
+            if (failure->kind == StoreFailure::Kind::HistoryCompacted) {
+                this->recordSuccess();
+                co_return ReadResult::Incomplete;
+            }
+            if (!std::exchange(failedBefore, true)) {
+                continue;
+            }
+            this->recordFailure("read-changes", *failure);
+            co_return ReadResult::Failed;
         }
+        const StorePage &page = std::get<StorePage>(result);
         this->recordSuccess();
-        this->applyAll(page->items, page->revision);
+        if (page.items.empty() && page.revision > this->state.storeRevision) {
+            co_return ReadResult::Incomplete; // A store that drops its history may leave out changes.
+        }
+        this->applyAll(page.items, page.revision);
+        this->state.confirmChanges(start);
         if (this->state.storeRevision >= this->state.newestPeerRevision) {
-            co_return true;
+            co_return ReadResult::InSync;
+        }
+        if (page.items.empty()) {
+            co_return ReadResult::Incomplete;
         }
     }
-    co_return false;
+    co_return ReadResult::Incomplete;
 }
 
 boost::asio::awaitable<std::optional<std::uint64_t>> FleetSync::readAll(std::string prefix)
 {
+    const TimePoint start = Clock::now();
     const StoreResult<StorePage> result = co_await this->store.list(prefix);
     if (const auto *failure = std::get_if<StoreFailure>(&result)) {
         this->recordFailure("list", *failure);
@@ -246,6 +304,7 @@
     // The list holds every change up to its revision, even if the last ones were removals or were overwritten and no
     // item has that revision. Items on later pages may be newer, but not all changes before them are in the list.
     this->state.storeRevision = std::max(changes.after, page.revision);
+    this->state.confirmChanges(start);
     this->state.regroup();
     if (changes.after > 0 && changes.upTo > changes.after && this->state.isDesignatedWatcher()) {
         this->state.queueChangesForPeers(changes);
@@ -272,6 +331,7 @@
     const TimePoint now = Clock::now();
     if (this->contact.lost) {
         this->contact.lost = false;
+        this->contact.foundAt = now;
         if (now - this->contact.lastAnswer > MinLapseOutage) {
             this->contact.regainedAt = now;
         }
--- a/src/gateway/fleetsync.h
+++ b/src/gateway/fleetsync.h
@@ -23,10 +23,9 @@
 class FleetSync
 {
 public:
-    /// Timeout of one watch call of a router without peers. A dead connection goes unnoticed for this long.
-    static constexpr Millis SoloWatchTimeout{2000};
-    /// Timeout of one watch call of a router with peers, whose reported revisions reveal a dead connection earlier.
-    static constexpr Millis WatchTimeout{8000};
+    /// Longest wait of a watch of a router that is not the primary watcher. Its watch delivers changes early if the
+    /// primary fails, but nothing depends on its connection: see StoreFreshness.
+    static constexpr Millis StandbyWatchWait{8000};
     /// Delay after changes during which further ones accumulate, since each watch that returns costs another call of
     /// every watching router.
     static constexpr Millis BatchDelay{150};
@@ -36,30 +35,30 @@
     /// The store is read anew if this router is behind a revision that peers have reported for this long, whatever the
     /// watch does.
     static constexpr Millis CatchUpDelay{800};
+    /// Duration of an outage of the store from which entries may have expired: shorter than three heartbeats of a
+    /// backend server.
+    static constexpr Millis MinLapseOutage{1000};
     /// How long an entry that expired during an outage of the store is kept: live servers register again within two
     /// seconds.
     static constexpr Millis LapseGracePeriod{2000};
     /// Lifetime of this router's registration. Up to three renewals may fail.
     static constexpr Millis LeaseLifetime{3000};
     static constexpr Millis RenewPeriod{900};
-    /// Renewal period of a router that watches for others, which must notice quickly that the store is unreachable.
-    static constexpr Millis WatcherRenewPeriod{500};
-    /// Backoff after failed calls: doubles with each failure up to MaxBackoff.
+    /// Backoff after failed calls: doubles with each failure up to MaxBackoff. A timeout of a call, this backoff,
+    /// WatcherHeadStart and a read follow one another after an outage.
     static constexpr Millis BaseBackoff{50};
-    static constexpr Millis MaxBackoff{1000};
+    static constexpr Millis MaxBackoff{700};
     /// Interval between reads while other calls fail, so that a store that refuses only writes still delivers a new
     /// configuration in time.
     static constexpr Millis OutageReadInterval{2000};
     /// Age of the last confirmation up to which the lease counts as certain. The rest of the lifetime is for the work
     /// that depends on it.
     static constexpr Millis LeaseTrust{1800};
-    /// Wait of a watch call that reads changes which are known to exist.
-    static constexpr Millis ChangeReadWait{100};
     /// Calls after which readChanges() gives up, since new changes may follow each other without end.
     static constexpr int MaxChangeReads = 4;
     /// How long other routers wait, after an outage of the store, for the watchers of the group to read it and report
     /// the changes: a few periods of their reports.
-    static constexpr Millis WatcherHeadStart{600};
+    static constexpr Millis WatcherHeadStart{500};
 
     FleetSync(RouterState &state, StateStore store, FleetCodec codec);
 
@@ -70,6 +69,9 @@
     /// Reads all items under @p prefix anew, until the process ends, whenever the watch may have missed changes: peers
     /// have reported a newer revision for CatchUpDelay, or the store has recovered from an outage.
     boost::asio::awaitable<void> catchUp(std::string prefix);
+    /// Reads the changes of the store, until the process ends, whenever StoreFreshness demands it: neither an answer of
+    /// the store nor a report of a peer has shown lately that this router knows all changes.
+    boost::asio::awaitable<void> keepFresh(std::string prefix);
     /// Registers this router and renews the registration until RouterState::stopping is set.
     boost::asio::awaitable<void> keepRegistered();
     /// Removes this router's registration.
@@ -102,15 +104,29 @@
         TimePoint lastAnswer; ///< Time of the last response of the store.
         bool lost = false; ///< A call was refused or not answered, and none has succeeded since.
         bool resyncNeeded = false; ///< The store has recovered and must be read anew.
+        TimePoint foundAt; ///< End of the last outage, however short.
         TimePoint regainedAt; ///< End of the last outage that was long enough for entries to expire.
     };
 
+    /// Result of readChanges().
+    enum class ReadResult {
+        InSync, ///< All changes up to the newest revision that peers have reported are known now.
+        Incomplete, ///< Changes may be missing, for example because the store has dropped its history.
+        Failed, ///< The store did not answer, or refused the call.
+    };
     /// Reads and applies the changes since the newest known revision, which costs far less than a read of all items.
-    /// @return whether all changes up to the newest revision that peers have reported are known now.
-    boost::asio::awaitable<bool> readChanges(std::string prefix);
+    /// Repeats a call that fails once, since an idle connection may have gone silent; the failure is recorded only
+    /// then.
+    boost::asio::awaitable<ReadResult> readChanges(std::string prefix);
+    /// Reads the changes since the newest known revision, or all items if changes may be missing.
+    boost::asio::awaitable<void> readMissing(std::string prefix);
     /// Reads and applies all items under @p prefix and queues the differences for peers.
     /// @return the revision of the read, or std::nullopt if it failed.
     boost::asio::awaitable<std::optional<std::uint64_t>> readAll(std::string prefix);
+    /// Reads all items under @p prefix and restarts the watch.
+    boost::asio::awaitable<void> readAllAgain(std::string prefix);
+    /// Logs why this router reads the store although it watches it or is told of its changes.
+    void logCatchUp(const std::string &reason) const;
     /// Takes out a lease and writes this router's registration under it.
     /// @return whether both calls succeeded.
     boost::asio::awaitable<bool> registerOnce();
--- a/src/gateway/fleetsync_test.cpp
+++ b/src/gateway/fleetsync_test.cpp
@@ -40,6 +40,9 @@
     {
         this->store.watch = blockingWatch;
         this->store.cancelWatch = [] {};
+        this->store.readChanges = [](std::string /*prefix*/, std::uint64_t after) -> StoreAwaitable<StorePage> {
+            co_return StorePage{{}, after};
+        };
     }
 
     void follow(Millis duration, bool catchUp = false)
@@ -48,6 +51,7 @@
         boost::asio::co_spawn(this->context, this->sync->follow(""), boost::asio::detached);
         if (catchUp) {
             boost::asio::co_spawn(this->context, this->sync->catchUp(""), boost::asio::detached);
+            boost::asio::co_spawn(this->context, this->sync->keepFresh(""), boost::asio::detached);
         }
         this->context.run_for(duration);
     }
@@ -57,6 +61,29 @@
     RouterState state{context.get_executor(), RouterSettings(), 1};
     StateStore store;
 };
+
+std::string numbered(int number)
+{
+    std::string name = "r";
+    name += std::to_string(number);
+    return name;
+}
+
+// Gives the router a group of 23 in which it is not a watcher.
+void makeFollower(TestRouter &router)
+{
+    // Registrations newer than the lists of the tests are not taken for removed.
+    constexpr std::uint64_t Newer = 1000;
+    for (int i = 0; i < 23; ++i) {
+        const std::string name = numbered(i);
+        router.state.members.put(name, RouterMember{name, 1, "z", "10.0.0.1:1", "10.0.0.1:2"}, Newer);
+    }
+    for (int i = 0; i < 23 && (i == 0 || router.state.isDesignatedWatcher()); ++i) {
+        router.state.settings.name = numbered(i);
+        router.state.regroup();
+    }
+}
+
 }
 
 TEST_CASE("Changes from a peer are applied only if no earlier change is missing")
@@ -164,10 +191,7 @@
     {
         emptyPage = true;
     }
-    router.store.watch = [&](std::string prefix, std::uint64_t after, Millis wait) -> StoreAwaitable<StorePage> {
-        if (wait != FleetSync::ChangeReadWait) {
-            co_return co_await blockingWatch(prefix, after, wait);
-        }
+    router.store.readChanges = [&](std::string /*prefix*/, std::uint64_t after) -> StoreAwaitable<StorePage> {
         reads.push_back(after);
         StorePage page{{}, 12};
         if (!emptyPage) {
@@ -175,18 +199,7 @@
         }
         co_return page;
     };
-    // Registrations newer than the list are not taken for removed.
-    constexpr std::uint64_t Newer = 1000;
-    for (int i = 0; i < 23; ++i) {
-        std::string name = "r";
-        name += std::to_string(i);
-        router.state.members.put(name, RouterMember{name, 1, "z", "10.0.0.1:1", "10.0.0.1:2"}, Newer);
-    }
-    router.state.settings.name = "r0";
-    for (int i = 0; i < 23 && router.state.isDesignatedWatcher(); ++i) {
-        router.state.settings.name = "r" + std::to_string(i);
-        router.state.regroup();
-    }
+    makeFollower(router);
     REQUIRE_FALSE(router.state.isDesignatedWatcher());
     for (int i = 1; i <= 12; ++i) {
         boost::asio::co_spawn(
@@ -216,3 +229,137 @@
     CHECK(lists == (emptyPage ? 2 : 1));
     CHECK((router.state.backends.find("b") != nullptr) == !emptyPage);
 }
+
+namespace
+{
+
+// Delivers the reports of a watcher that knows nothing newer than revision 10, each 100 ms.
+boost::asio::awaitable<void> reportAsWatcher(TestRouter &router, Millis changesKnownAge)
+{
+    for (std::uint64_t number = 1;; ++number) {
+        PeerReport report;
+        report.router = "watcher";
+        report.sequence = number;
+        report.watching = true;
+        report.storeRevision = 10;
+        report.changesKnownAge = changesKnownAge;
+        router.state.applyReport(report, Clock::now());
+        co_await sleepFor(Millis(100));
+    }
+}
+
+// A store that holds one backend server at revision 10 and another one since revision 12.
+StoreAwaitable<StorePage> readNewBackend(std::string /*prefix*/, std::uint64_t after)
+{
+    StorePage page{{}, 12};
+    if (after < 12) {
+        page.items.push_back(StoreItem{"servers/b", "x", 12, false});
+    }
+    co_return page;
+}
+
+StoreAwaitable<StorePage> listOldBackend(std::string /*prefix*/)
+{
+    co_return StorePage{{StoreItem{"servers/a", "x", 5, false}}, 10};
+}
+
+}
+
+TEST_CASE("A router reads the store itself if its watchers cannot show that they know all changes")
+{
+    // Guards against routers that believe in watchers which the store does not answer any more and that say for
+    // seconds that they watch (review case 3): a new route got 404 and a leaving engine got work for 2.6 s.
+    TestRouter router;
+    makeFollower(router);
+    int reads = 0;
+    router.store.list = listOldBackend;
+    router.store.readChanges = [&reads](std::string prefix, std::uint64_t after) {
+        ++reads;
+        return readNewBackend(std::move(prefix), after);
+    };
+    SECTION("Watchers that are not certain of any time")
+    {
+        boost::asio::co_spawn(router.context, reportAsWatcher(router, Millis(-1)), boost::asio::detached);
+        router.follow(StoreFreshness::ChangeBound, true);
+        CHECK(router.state.backends.find("b") != nullptr);
+        CHECK(reads == 1);
+    }
+    SECTION("Watchers that are certain")
+    {
+        boost::asio::co_spawn(router.context, reportAsWatcher(router, Millis(300)), boost::asio::detached);
+        router.follow(StoreFreshness::ChangeBound, true);
+        CHECK(reads == 0);
+    }
+    SECTION("The connection of the first read has gone silent")
+    {
+        router.store.readChanges = [&reads](std::string prefix, std::uint64_t after) -> StoreAwaitable<StorePage> {
+            if (++reads == 1) {
+                co_await sleepFor(StoreFreshness::ReadTimeout);
+                co_return StoreFailure{StoreFailure::Kind::Unreachable, "no answer"};
+            }
+            co_return co_await readNewBackend(std::move(prefix), after);
+        };
+        boost::asio::co_spawn(router.context, reportAsWatcher(router, Millis(-1)), boost::asio::detached);
+        router.follow(StoreFreshness::ChangeBound, true);
+        CHECK(router.state.backends.find("b") != nullptr);
+    }
+}
+
+TEST_CASE("A watch on a connection that has gone silent does not delay changes")
+{
+    // Guards against watchers that notice a dead connection after their longest wait only (review case 4): 8.5 s in
+    // which a leaving engine got work.
+    TestRouter router;
+    router.store.list = listOldBackend;
+    router.store.readChanges = readNewBackend;
+    const bool hasPeers = GENERATE(false, true);
+    if (hasPeers) {
+        makeFollower(router); // It watches the store since no other router reports that it does.
+    }
+    router.follow(StoreFreshness::ChangeBound, true);
+    CHECK(router.state.backends.find("b") != nullptr);
+}
+
+TEST_CASE("An answer of the store without changes shows that none are missing, unless it names a newer revision")
+{
+    // Guards against changes that a store leaves out of an answer while it drops its history.
+    TestRouter router;
+    int lists = 0;
+    router.store.list = [&lists](std::string /*prefix*/) -> StoreAwaitable<StorePage> {
+        ++lists;
+        co_return StorePage{{StoreItem{"servers/a", "x", 5, false}}, lists == 1 ? 10U : 12U};
+    };
+    const std::uint64_t named = GENERATE(10, 12);
+    router.store.watch = [named](std::string /*prefix*/, std::uint64_t /*after*/,
+                                 Millis wait) -> StoreAwaitable<StorePage> {
+        co_await sleepFor(wait);
+        co_return StorePage{{}, named};
+    };
+    router.store.readChanges = [named](std::string /*prefix*/, std::uint64_t /*after*/) -> StoreAwaitable<StorePage> {
+        co_return StorePage{{}, named};
+    };
+    router.follow(Millis(900), true);
+    CHECK(lists == (named == 10 ? 1 : 2));
+    REQUIRE(router.state.freshness.confirmedAt());
+    CHECK(Clock::now() - *router.state.freshness.confirmedAt() < Millis(500));
+}
+
+TEST_CASE("A peer's certainty counts only for a router that knows the same changes")
+{
+    TestRouter router;
+    router.store.list = listOldBackend;
+    router.follow(Millis(20));
+    const auto before = router.state.freshness.confirmedAt();
+    PeerReport report;
+    report.router = "peer";
+    report.sequence = 1;
+    report.storeRevision = 11;
+    report.changesKnownAge = Millis(0);
+    const TimePoint later = Clock::now() + Millis(100);
+    router.state.applyReport(report, later);
+    CHECK(router.state.freshness.confirmedAt() == before);
+    report.sequence = 2;
+    report.changes = StoreChanges{10, 11, false, {StoreItem{"servers/b", "x", 11, false}}};
+    router.state.applyReport(report, later);
+    CHECK(router.state.freshness.confirmedAt() == later);
+}
--- a/src/gateway/fleetsyncwrites.cpp
+++ b/src/gateway/fleetsyncwrites.cpp
@@ -28,11 +28,9 @@
             continue;
         }
         // Sleeps in short steps, so that a registration that was removed by others is written again soon.
-        const TimePoint next = Clock::now()
-            + (this->contact.lost         ? Millis(0)
-                   : this->state.watching ? WatcherRenewPeriod
-                                          : RenewPeriod);
-        while (this->registered && !this->state.stopping && Clock::now() < next) {
+        // After a failed call of another kind, the next renewal shows at once whether the store is away.
+        const TimePoint next = Clock::now() + RenewPeriod;
+        while (this->registered && !this->state.stopping && !this->contact.lost && Clock::now() < next) {
             co_await sleepFor(Millis(100));
         }
         if (!this->registered || this->state.stopping) {
--- a/src/gateway/peerreport.cpp
+++ b/src/gateway/peerreport.cpp
@@ -85,6 +85,7 @@
 void serialize(Archive &archive, PeerReport &report)
 {
     archive(report.watching, report.changes);
+    archiveMillis(archive, report.changesKnownAge);
     archive(report.isCrashNews, report.isGroupReport, report.groupWork, report.knowsOtherGroups,
             report.otherGroupsWork);
     archive(report.router, report.incarnation, report.sequence, report.storeRevision, report.work, report.waiting,
--- a/src/gateway/peerreport.h
+++ b/src/gateway/peerreport.h
@@ -2,6 +2,7 @@
 
 #include "storechanges.h"
 
+#include "cyclamencross/base/timing.h"
 #include "cyclamencross/route/backendwork.h"
 #include "cyclamencross/route/crashedcall.h"
 #include "cyclamencross/route/namedlimit.h"
@@ -37,6 +38,9 @@
     std::uint64_t sequence = 0; ///< Increases with each report of an incarnation.
     std::uint64_t storeRevision = 0; ///< Newest store revision that the router has seen.
     bool watching = false; ///< The router watches the store and can reach it.
+    /// Time since which the router may not know all changes of the store, before this report; negative if it is not
+    /// certain of any time.
+    Millis changesKnownAge{-1};
     StoreChanges changes; ///< Changes read from the store since the last report.
     std::map<std::string, BackendWork> work; ///< By backend server; replaces that of earlier reports.
     /// Work of the sender's whole group on the backend servers that all groups share. Only sent between the delegates
--- a/src/gateway/router.cpp
+++ b/src/gateway/router.cpp
@@ -77,6 +77,7 @@
     };
     spawn(this->sync.follow(""));
     spawn(this->sync.catchUp(""));
+    spawn(this->sync.keepFresh(""));
     spawn(this->sync.keepRegistered());
     spawn(this->stages.run());
     spawn(this->containments.run());
@@ -272,6 +273,9 @@
         this->state.metrics.set("cyclamencross_active_requests", this->state.activeRequests);
         this->state.metrics.set("cyclamencross_caller_connections", double(this->sessions.size()));
         this->state.metrics.set("cyclamencross_routers", double(this->state.members.size()));
+        if (const auto confirmedAt = this->state.freshness.confirmedAt()) {
+            this->state.metrics.set("cyclamencross_store_certainty_seconds", toSeconds(now - *confirmedAt));
+        }
     }
 }
 
--- a/src/gateway/routerstate.cpp
+++ b/src/gateway/routerstate.cpp
@@ -119,12 +119,17 @@
 
 bool RouterState::isDesignatedWatcher() const
 {
-    return this->watcherRank < WatchersPerGroup;
+    return this->rankInGroup < WatchersPerGroup;
 }
 
 bool RouterState::isPrimaryWatcher() const
 {
-    return this->watcherRank == 0;
+    return this->rankInGroup == 0;
+}
+
+std::size_t RouterState::watcherRank() const
+{
+    return this->rankInGroup;
 }
 
 bool RouterState::hasLiveWatcher(TimePoint now) const
@@ -190,7 +195,7 @@
     const std::uint64_t ownHash = hash64(this->settings.name);
     const auto lowerRanked = std::count_if(this->peersOfGroup.begin(), this->peersOfGroup.end(),
                                            [ownHash](const RouterMember &peer) { return hash64(peer.name) < ownHash; });
-    this->watcherRank = std::size_t(lowerRanked);
+    this->rankInGroup = std::size_t(lowerRanked);
     this->pools.clear();
     this->sharedBackends.clear();
     this->foreignBackends.clear();
--- a/src/gateway/routerstate.h
+++ b/src/gateway/routerstate.h
@@ -21,6 +21,7 @@
 #include "cyclamencross/route/routetable.h"
 #include "cyclamencross/route/stageload.h"
 #include "cyclamencross/route/stageplan.h"
+#include "cyclamencross/route/storefreshness.h"
 
 #include <cstdint>
 #include <functional>
@@ -63,6 +64,11 @@
     bool isPrimaryWatcher() const;
     /// Returns whether a report of a peer that watches the store was received within WatcherLifetime.
     bool hasLiveWatcher(TimePoint now) const;
+    /// Returns the rank of this router among those of its group that watch the store: 0 for the primary watcher.
+    std::size_t watcherRank() const;
+    /// Records that an answer of the store shows that this router knows all changes made until @p at, for itself and
+    /// its next report to peers.
+    void confirmChanges(TimePoint at);
     /// Adds changes that this router has read from the store to its next report to peers.
     void queueChangesForPeers(const StoreChanges &added);
     /// Returns whether @p server is still registered at the same address, not draining and not changing its stage.
@@ -157,6 +163,7 @@
     bool backendsKnown = false; ///< The backend servers were read from the store at least once.
     std::uint64_t storeRevision = 0; ///< Newest store revision that this router has seen.
     bool watching = false; ///< This router watches the store and can reach it.
+    StoreFreshness freshness; ///< Until when this router knows all changes of the store.
     /// Called with the store changes in a peer's report.
     std::function<void(const StoreChanges &changes)> onPeerChanges;
     std::uint64_t newestPeerRevision = 0; ///< Newest store revision that a peer has reported.
@@ -234,7 +241,8 @@
     TimePoint lastGroupReport;
     std::uint64_t groupReportSequence = 0;
     std::map<std::string, PeerSequence> groupReportSequences; ///< Newest group report by delegate.
-    std::size_t watcherRank = 0; ///< Rank of this router in its group; the first WatchersPerGroup watch the store.
+    std::size_t rankInGroup = 0; ///< The first WatchersPerGroup routers of a group watch the store.
+    bool confirmationPending = false; ///< An answer of the store was confirmed since the last report.
     TimePoint lastWatcherReport;
     StoreChanges pendingChanges; ///< To be sent with the next report.
     std::map<PoolKey, Pool> pools;
--- a/src/gateway/routerstatereports.cpp
+++ b/src/gateway/routerstatereports.cpp
@@ -37,6 +37,12 @@
     }
 }
 
+void RouterState::confirmChanges(TimePoint at)
+{
+    this->freshness.confirm(at);
+    this->confirmationPending = true;
+}
+
 StoreChanges RouterState::takeChanges()
 {
     StoreChanges &pending = this->pendingChanges;
@@ -77,7 +83,7 @@
     const bool changed = this->work->own() != this->lastReportedWork
         || this->waiting->own() != this->lastReportedWaiting || !this->pendingOutcomes.empty()
         || !this->pendingLimits.empty() || !this->recentCrashes.empty() || !this->recentlyServed.empty()
-        || this->pendingChanges.upTo != 0;
+        || this->pendingChanges.upTo != 0 || this->confirmationPending;
     const bool due = now - this->lastReport >= ReportPeriod;
     if (!changed && !due) {
         return std::nullopt;
@@ -88,6 +94,10 @@
     report.sequence = ++this->reportSequence;
     report.storeRevision = this->storeRevision;
     report.watching = this->watching;
+    if (const auto confirmedAt = this->freshness.confirmedAt()) {
+        report.changesKnownAge = std::chrono::ceil<Millis>(now - *confirmedAt);
+    }
+    this->confirmationPending = false;
     report.changes = this->takeChanges();
     report.work = this->work->own();
     report.waiting = this->waiting->own();
@@ -226,6 +236,9 @@
     if (report.changes.upTo != 0 && this->onPeerChanges) {
         this->onPeerChanges(report.changes);
     }
+    if (report.changesKnownAge >= Millis(0) && this->storeRevision >= report.storeRevision) {
+        this->freshness.confirm(now - report.changesKnownAge);
+    }
     this->work->setPeerWork(report.router, report.work, now);
     this->waiting->setPeerWork(report.router, report.waiting, now);
     for (const auto &[backend, calls] : report.reportedCalls) {
--- a/src/include/cyclamencross/gateway/statestore.h
+++ b/src/include/cyclamencross/gateway/statestore.h
@@ -27,6 +27,8 @@
     std::function<StoreAwaitable<StorePage>(std::string prefix)> list;
     /// Waits up to @p wait for changes after revision @p after. The page is empty if there were none.
     std::function<StoreAwaitable<StorePage>(std::string prefix, std::uint64_t after, Millis wait)> watch;
+    /// Reads the changes after revision @p after without waiting for any, and fails soon if the connection is dead.
+    std::function<StoreAwaitable<StorePage>(std::string prefix, std::uint64_t after)> readChanges;
     /// Cancels a pending watch, whose connection may be dead.
     std::function<void()> cancelWatch;
     /// Creates a lease and returns its id. Items written under a lease are removed when it ends.
--- /dev/null
+++ b/src/route/storefreshness.cpp
@@ -0,0 +1,43 @@
+#include "cyclamencross/route/storefreshness.h"
+
+#include <algorithm>
+#include <array>
+
+namespace Cyclamen
+{
+
+namespace
+{
+
+// Ages at which the primary watcher and its standbys read. Each standby has time for a read and a report before the
+// next one begins.
+constexpr std::array<Millis, 3> WatcherAges{StoreFreshness::MaxAge, Millis(700), Millis(850)};
+
+}
+
+void StoreFreshness::confirm(TimePoint at)
+{
+    this->knownUntil = std::max(this->knownUntil.value_or(at), at);
+}
+
+std::optional<TimePoint> StoreFreshness::confirmedAt() const
+{
+    return this->knownUntil;
+}
+
+bool StoreFreshness::isReadDue(std::size_t watcherRank, TimePoint now) const
+{
+    const Millis limit = watcherRank < WatcherAges.size() ? WatcherAges[watcherRank] : MaxAge;
+    return !this->knownUntil || now - *this->knownUntil >= limit;
+}
+
+Millis StoreFreshness::watchWait(TimePoint now) const
+{
+    if (!this->knownUntil) {
+        return MinWatchWait;
+    }
+    const auto age = std::chrono::duration_cast<Millis>(now - *this->knownUntil);
+    return std::clamp(WatchWait - age, MinWatchWait, WatchWait);
+}
+
+}
--- /dev/null
+++ b/src/route/storefreshness_test.cpp
@@ -0,0 +1,48 @@
+#include "cyclamencross/route/storefreshness.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Cyclamen;
+
+TEST_CASE("A router reads the store once its certainty is too old, standby watchers first")
+{
+    // Guards against routers that trust a watcher which the store does not answer any more (review case 3).
+    StoreFreshness freshness;
+    const TimePoint start = Clock::now();
+    CHECK(freshness.isReadDue(5, start));
+    freshness.confirm(start);
+    for (const std::size_t rank : {0U, 1U, 2U, 3U, 20U}) {
+        CHECK_FALSE(freshness.isReadDue(rank, start + Millis(600)));
+        CHECK(freshness.isReadDue(rank, start + StoreFreshness::MaxAge));
+    }
+    CHECK(freshness.isReadDue(1, start + Millis(700)));
+    CHECK_FALSE(freshness.isReadDue(2, start + Millis(700)));
+    CHECK(freshness.isReadDue(2, start + Millis(850)));
+    CHECK_FALSE(freshness.isReadDue(3, start + Millis(850)));
+}
+
+TEST_CASE("An older confirmation does not replace a newer one")
+{
+    StoreFreshness freshness;
+    const TimePoint start = Clock::now();
+    freshness.confirm(start);
+    freshness.confirm(start - Millis(500));
+    CHECK(freshness.confirmedAt() == start);
+}
+
+TEST_CASE("The watches of a primary watcher keep its group certain although changes end them early")
+{
+    // Guards against standbys that read the store again and again because each change ends a watch long before the
+    // time that its answer confirms: all that is known is when the call began.
+    StoreFreshness freshness;
+    const TimePoint start = Clock::now();
+    freshness.confirm(start);
+    CHECK(freshness.watchWait(start) == StoreFreshness::WatchWait);
+    const Millis batchDelay{150};
+    const Millis report{100};
+    for (const Millis changeAfter : {Millis(1), Millis(100), Millis(349)}) {
+        const TimePoint next = start + changeAfter + batchDelay;
+        const TimePoint confirmed = next + freshness.watchWait(next) + report;
+        CHECK_FALSE(freshness.isReadDue(1, confirmed));
+    }
+}
