--- a/src/gateway/fleetsync.cpp
+++ b/src/gateway/fleetsync.cpp
@@ -332,7 +332,7 @@
     if (this->contact.lost) {
         this->contact.lost = false;
         this->contact.foundAt = now;
-        if (now - this->contact.lastAnswer > MinLapseOutage) {
+        if (now - this->contact.lastAnswer > MinLapseOutage && now - this->contact.lostAt > MinFailingTime) {
             this->contact.regainedAt = now;
         }
         this->contact.resyncNeeded = true;
@@ -352,6 +352,7 @@
         this->state.watching = false;
     }
     if (lost && !std::exchange(this->contact.lost, true)) {
+        this->contact.lostAt = Clock::now();
         LogLine("store-lost")
             .add("call", call)
             .add("reason", failureName(failure.kind))
--- a/src/gateway/fleetsync.h
+++ b/src/gateway/fleetsync.h
@@ -35,9 +35,12 @@
     /// The store is read anew if this router is behind a revision that peers have reported for this long, whatever the
     /// watch does.
     static constexpr Millis CatchUpDelay{800};
-    /// Duration of an outage of the store from which entries may have expired: shorter than three heartbeats of a
-    /// backend server.
+    /// Time since the last answer of the store after which entries may have expired, if it was an outage: shorter than
+    /// three heartbeats of a backend server.
     static constexpr Millis MinLapseOutage{1000};
+    /// Time for which calls must have failed to count as an outage. A single connection that has gone silent also takes
+    /// a second to be noticed, but the next call succeeds at once, and no entry has expired meanwhile.
+    static constexpr Millis MinFailingTime{300};
     /// How long an entry that expired during an outage of the store is kept: live servers register again within two
     /// seconds.
     static constexpr Millis LapseGracePeriod{2000};
@@ -104,6 +107,7 @@
         TimePoint lastAnswer; ///< Time of the last response of the store.
         bool lost = false; ///< A call was refused or not answered, and none has succeeded since.
         bool resyncNeeded = false; ///< The store has recovered and must be read anew.
+        TimePoint lostAt; ///< Begin of the last outage, however short.
         TimePoint foundAt; ///< End of the last outage, however short.
         TimePoint regainedAt; ///< End of the last outage that was long enough for entries to expire.
     };
