Outages: a router that alone is rejected by the store does not keep removed entries

Cause: the routers took their own rejection for an outage of the store, after which removed entries are kept for 2 s, and heard nothing from their peers: their registrations had lapsed, and reports go to registered routers.

Change: reports also go to routers whose registration was removed within 20 s; a router stays in its own list; only a time without an answer of the store to anybody counts as an outage. The removal of an earlier registration that is read late causes no further registration.

The soak has rolling stops of all routers, streams of 4.5 s, chunked requests and connections that go silent for good, checks planned stops as the rule says, and can be limited to some faults.

--- a/src/gateway/fleetsync.cpp
+++ b/src/gateway/fleetsync.cpp
@@ -332,15 +332,13 @@
     if (this->contact.lost) {
         this->contact.lost = false;
         this->contact.foundAt = now;
-        if (now - this->contact.lastAnswer > MinLapseOutage && now - this->contact.lostAt > MinFailingTime) {
-            this->contact.regainedAt = now;
-        }
         this->contact.resyncNeeded = true;
         LogLine("store-regained")
             .add("silent_ms", std::int64_t(toSeconds(now - this->contact.lastAnswer) * 1000))
             .write();
     }
     this->contact.lastAnswer = now;
+    this->state.freshness.recordAnswer(now);
 }
 
 void FleetSync::recordFailure(const std::string &call, const StoreFailure &failure)
@@ -352,7 +350,6 @@
         this->state.watching = false;
     }
     if (lost && !std::exchange(this->contact.lost, true)) {
-        this->contact.lostAt = Clock::now();
         LogLine("store-lost")
             .add("call", call)
             .add("reason", failureName(failure.kind))
@@ -363,11 +360,11 @@
 
 std::optional<TimePoint> FleetSync::keepUntil() const
 {
-    const TimePoint end = this->contact.regainedAt + LapseGracePeriod;
-    if (this->contact.regainedAt == TimePoint() || Clock::now() >= end) {
+    const auto outageEnd = this->state.freshness.outageEndedAt();
+    if (!outageEnd || Clock::now() >= *outageEnd + LapseGracePeriod) {
         return std::nullopt;
     }
-    return end;
+    return *outageEnd + LapseGracePeriod;
 }
 
 Millis FleetSync::backoff(int failures)
--- a/src/gateway/fleetsync.h
+++ b/src/gateway/fleetsync.h
@@ -35,12 +35,6 @@
     /// The store is read anew if this router is behind a revision that peers have reported for this long, whatever the
     /// watch does.
     static constexpr Millis CatchUpDelay{800};
-    /// Time since the last answer of the store after which entries may have expired, if it was an outage: shorter than
-    /// three heartbeats of a backend server.
-    static constexpr Millis MinLapseOutage{1000};
-    /// Time for which calls must have failed to count as an outage. A single connection that has gone silent also takes
-    /// a second to be noticed, but the next call succeeds at once, and no entry has expired meanwhile.
-    static constexpr Millis MinFailingTime{300};
     /// How long an entry that expired during an outage of the store is kept: live servers register again within two
     /// seconds.
     static constexpr Millis LapseGracePeriod{2000};
@@ -107,9 +101,7 @@
         TimePoint lastAnswer; ///< Time of the last response of the store.
         bool lost = false; ///< A call was refused or not answered, and none has succeeded since.
         bool resyncNeeded = false; ///< The store has recovered and must be read anew.
-        TimePoint lostAt; ///< Begin of the last outage, however short.
         TimePoint foundAt; ///< End of the last outage, however short.
-        TimePoint regainedAt; ///< End of the last outage that was long enough for entries to expire.
     };
 
     /// Result of readChanges().
@@ -158,7 +150,8 @@
     void recordSuccess();
     /// Counts a failed call and logs the start of an outage.
     void recordFailure(const std::string &call, const StoreFailure &failure);
-    /// Returns until when removed entries are kept; std::nullopt if no outage has ended within LapseGracePeriod.
+    /// Returns until when removed entries are kept; std::nullopt if no outage of the store has ended within
+    /// LapseGracePeriod.
     std::optional<TimePoint> keepUntil() const;
     /// Returns the delay after a number of failures in a row, with jitter.
     Millis backoff(int failures);
@@ -171,6 +164,7 @@
     StoreContact contact;
     Clock::duration leaseConfirmedAt{0}; ///< On the boot-time clock: start of the last call that confirmed the lease.
     bool registered = false;
+    std::uint64_t registrationRevision = 0; ///< Revision of the last write of this router's registration.
 };
 
 }
--- a/src/gateway/fleetsync_test.cpp
+++ b/src/gateway/fleetsync_test.cpp
@@ -363,3 +363,38 @@
     router.state.applyReport(report, later);
     CHECK(router.state.freshness.confirmedAt() == later);
 }
+
+TEST_CASE("A backend server that is removed while the store rejects only this router is not kept")
+{
+    // Guards against work for a leaving engine by a router that takes its own rejection for an outage of the store, in
+    // which registrations expire although their owners are alive (review case 5).
+    const bool peersHaveAnswers = GENERATE(true, false);
+    TestRouter router;
+    const TimePoint start = Clock::now();
+    const auto isRejected = [start] {
+        const auto time = Clock::now() - start;
+        return time > Millis(100) && time < Millis(1600);
+    };
+    router.store.list = [&](std::string prefix) -> StoreAwaitable<StorePage> {
+        if (isRejected()) {
+            co_return StoreFailure{StoreFailure::Kind::Refused, "503"};
+        }
+        if (Clock::now() - start > Millis(1000)) {
+            co_return StorePage{{}, 11};
+        }
+        co_return co_await listOldBackend(std::move(prefix));
+    };
+    router.store.watch = [&](std::string prefix, std::uint64_t after, Millis wait) -> StoreAwaitable<StorePage> {
+        co_await sleepFor(Millis(110));
+        if (isRejected()) {
+            co_return StoreFailure{StoreFailure::Kind::Refused, "503"};
+        }
+        co_return co_await blockingWatch(std::move(prefix), after, wait);
+    };
+    if (peersHaveAnswers) {
+        boost::asio::co_spawn(router.context, reportAsWatcher(router, Millis(100)), boost::asio::detached);
+    }
+    // The router reads the store again two seconds after the failure.
+    router.follow(FleetSync::OutageReadInterval + Millis(700));
+    CHECK((router.state.backends.find("a") == nullptr) == peersHaveAnswers);
+}
--- a/src/gateway/fleetsyncitems.cpp
+++ b/src/gateway/fleetsyncitems.cpp
@@ -213,14 +213,17 @@
         return false;
     }
     const std::string name = key.substr(memberPrefix().size());
+    if (name == this->state.settings.name) {
+        // This router stays in its own list, so that it remains in its group, and registers again. The removal of an
+        // earlier registration may be read after the new one was written.
+        this->registered = this->registered && revision < this->registrationRevision;
+        return false;
+    }
     const bool known = this->state.members.find(name) != nullptr;
     if (known) {
         LogLine("router-removed").add("router", name).write();
     }
     this->state.members.remove(name, revision, until);
-    if (name == this->state.settings.name) {
-        this->registered = false;
-    }
     return known;
 }
 
--- a/src/gateway/fleetsyncwrites.cpp
+++ b/src/gateway/fleetsyncwrites.cpp
@@ -75,11 +75,12 @@
     }
     this->recordSuccess();
     this->registered = true;
-    this->state.members.put(settings.name, member, std::get<std::uint64_t>(written));
+    this->registrationRevision = std::get<std::uint64_t>(written);
+    this->state.members.put(settings.name, member, this->registrationRevision);
     this->state.regroup();
     LogLine("registered")
         .add("lease", this->state.registrationLease)
-        .add("revision", std::get<std::uint64_t>(written))
+        .add("revision", this->registrationRevision)
         .write();
     co_return true;
 }
--- a/src/gateway/peersocket.cpp
+++ b/src/gateway/peersocket.cpp
@@ -70,7 +70,9 @@
         if (!report) {
             continue;
         }
-        this->sendTo(this->state.groupPeers(), encodePeerReport(*report));
+        const std::string bytes = encodePeerReport(*report);
+        this->sendTo(this->state.groupPeers(), bytes);
+        this->sendTo(this->state.lapsedPeers(Clock::now()), bytes);
         if (const auto news = RouterState::crashNews(*report)) {
             this->sendTo(this->state.otherGroupsRouters(), encodePeerReport(*news));
         }
--- a/src/gateway/routerstate.cpp
+++ b/src/gateway/routerstate.cpp
@@ -156,6 +156,18 @@
     return this->peersOfGroup;
 }
 
+std::vector<RouterMember> RouterState::lapsedPeers(TimePoint now)
+{
+    std::erase_if(this->lapsed, [this, now](const auto &item) {
+        return now >= item.second.second || this->members.find(item.first) != nullptr;
+    });
+    std::vector<RouterMember> result;
+    for (const auto &[name, peer] : this->lapsed) {
+        result.push_back(peer.first);
+    }
+    return result;
+}
+
 const std::vector<RouterMember> &RouterState::otherGroupsRouters() const
 {
     return this->routersOfOtherGroups;
@@ -171,6 +183,11 @@
     const auto groupOfRouter = Subsetting::assignGroups(names, this->groupCount);
     const auto own = groupOfRouter.find(this->settings.name);
     const std::size_t ownGroup = own == groupOfRouter.end() ? 0 : own->second;
+    for (const RouterMember &peer : this->peersOfGroup) {
+        if (this->members.find(peer.name) == nullptr) {
+            this->lapsed[peer.name] = {peer, Clock::now() + LapsedPeerLifetime};
+        }
+    }
     this->peersOfGroup.clear();
     this->routersOfOtherGroups.clear();
     this->members.forEach([&](const std::string &name, const RouterMember &member) {
--- a/src/gateway/routerstate.h
+++ b/src/gateway/routerstate.h
@@ -56,6 +56,10 @@
                                                       const std::set<std::string> &excluded, TimePoint now);
     /// Returns the other routers of this router's group.
     const std::vector<RouterMember> &groupPeers() const;
+    /// Returns the routers that were in this router's group until their registration was removed, for
+    /// LapsedPeerLifetime. They still get reports: a router that the store rejects loses its registration but serves
+    /// on.
+    std::vector<RouterMember> lapsedPeers(TimePoint now);
     /// Returns the routers of the other groups.
     const std::vector<RouterMember> &otherGroupsRouters() const;
     /// Returns whether this router is one of the routers of its group that watch the store for the others.
@@ -177,6 +181,8 @@
     static constexpr Millis GroupReportPeriod{100};
     /// How long the reported work of another group counts: a few periods.
     static constexpr Millis GroupWorkLifetime{1000};
+    /// How long a router gets reports after its registration was removed: longer than most outages of one router.
+    static constexpr Millis LapsedPeerLifetime{20000};
     /// Number of routers in a group that watch the store. One of them may lose the store and another be stopped.
     static constexpr std::size_t WatchersPerGroup = 3;
     /// How long after its last report a watching peer counts as live: two of its reports may be lost.
@@ -232,6 +238,8 @@
     std::vector<std::pair<TimePoint, CrashedCall>> recentCrashes; ///< With the time to which their age refers.
     std::vector<std::pair<TimePoint, std::string>> recentlyServed; ///< Crash suspects that were served, and when.
     std::vector<RouterMember> peersOfGroup;
+    /// See lapsedPeers(); by name, with the time until which they get reports.
+    std::map<std::string, std::pair<RouterMember, TimePoint>> lapsed;
     std::vector<RouterMember> routersOfOtherGroups;
     std::vector<RouterMember> delegates; ///< Of the other groups.
     /// Work of the other groups on shared backend servers by delegate, if this router is the delegate of its group.
--- a/src/gateway/routerstate_test.cpp
+++ b/src/gateway/routerstate_test.cpp
@@ -110,6 +110,26 @@
     CHECK(first == 2);
 }
 
+TEST_CASE("A router whose registration has lapsed gets reports for a while")
+{
+    // Guards against a router that the store rejects and that learns nothing from its peers any more (review case 5).
+    boost::asio::io_context context;
+    RouterState state(context.get_executor(), named("r0"), 1);
+    state.members.put("r0", RouterMember{"r0", 1, "z", "10.0.0.1:1", "10.0.0.1:2"}, 1);
+    const RouterMember peer{"r1", 1, "z", "10.0.0.2:1", "10.0.0.2:2"};
+    state.members.put("r1", peer, 2);
+    state.regroup();
+    CHECK(state.lapsedPeers(Clock::now()).empty());
+    state.members.remove("r1", 3, std::nullopt);
+    state.regroup();
+    CHECK(state.groupPeers().empty());
+    CHECK(state.lapsedPeers(Clock::now() + std::chrono::seconds(10)) == std::vector<RouterMember>{peer});
+    CHECK(state.lapsedPeers(Clock::now() + std::chrono::seconds(60)).empty());
+    state.members.put("r1", peer, 4);
+    state.regroup();
+    CHECK(state.groupPeers() == std::vector<RouterMember>{peer});
+}
+
 TEST_CASE("A peer counts as a live watcher only while it reports that it watches")
 {
     // Guards against a group that receives no changes because its watchers have lost the store.
--- a/src/gateway/routerstatereports.cpp
+++ b/src/gateway/routerstatereports.cpp
@@ -233,6 +233,9 @@
     if (report.watching) {
         this->lastWatcherReport = now;
     }
+    if (report.changesKnownAge >= Millis(0)) {
+        this->freshness.recordAnswer(now - report.changesKnownAge);
+    }
     if (report.changes.upTo != 0 && this->onPeerChanges) {
         this->onPeerChanges(report.changes);
     }
--- a/src/include/cyclamencross/route/storefreshness.h
+++ b/src/include/cyclamencross/route/storefreshness.h
@@ -34,6 +34,16 @@
     /// Shortest wait of such a watch.
     static constexpr Millis MinWatchWait{50};
 
+    /// Shortest time without any known answer of the store that counts as an outage of the store itself: longer than a
+    /// single silent connection takes to be noticed, shorter than three heartbeats of a backend server.
+    static constexpr Millis MinOutage{1200};
+
+    /// Records that the store has answered this router or a peer at @p at.
+    void recordAnswer(TimePoint at);
+    /// Returns the end of the last time of at least MinOutage in which no answer of the store is known, neither to this
+    /// router nor to a peer; std::nullopt if there was none. Registrations may have expired in that time although their
+    /// owners are alive. While the store rejects this router only, its peers show that there is no outage.
+    std::optional<TimePoint> outageEndedAt() const;
     /// Records that all changes made until @p at are known. Earlier times than the known one are ignored.
     void confirm(TimePoint at);
     /// Returns the time until which all changes are known; std::nullopt if there was no confirmation.
@@ -47,6 +57,8 @@
 
 private:
     std::optional<TimePoint> knownUntil;
+    std::optional<TimePoint> lastAnswer;
+    std::optional<TimePoint> outageEnd;
 };
 
 }
--- a/src/route/storefreshness.cpp
+++ b/src/route/storefreshness.cpp
@@ -15,6 +15,19 @@
 
 }
 
+void StoreFreshness::recordAnswer(TimePoint at)
+{
+    if (this->lastAnswer && at - *this->lastAnswer >= MinOutage) {
+        this->outageEnd = at;
+    }
+    this->lastAnswer = std::max(this->lastAnswer.value_or(at), at);
+}
+
+std::optional<TimePoint> StoreFreshness::outageEndedAt() const
+{
+    return this->outageEnd;
+}
+
 void StoreFreshness::confirm(TimePoint at)
 {
     this->knownUntil = std::max(this->knownUntil.value_or(at), at);
--- a/src/route/storefreshness_test.cpp
+++ b/src/route/storefreshness_test.cpp
@@ -46,3 +46,18 @@
         CHECK_FALSE(freshness.isReadDue(1, confirmed));
     }
 }
+
+TEST_CASE("The store counts as away only if neither this router nor a peer had an answer")
+{
+    // Guards against removed backend servers that are kept although only this router was rejected (review case 5).
+    const TimePoint start = Clock::now();
+    StoreFreshness freshness;
+    freshness.recordAnswer(start);
+    for (int i = 1; i <= 6; ++i) {
+        freshness.recordAnswer(start + Millis(1000) * i); // Told by a peer.
+    }
+    freshness.recordAnswer(start + Millis(3000));
+    CHECK_FALSE(freshness.outageEndedAt());
+    freshness.recordAnswer(start + Millis(6000) + StoreFreshness::MinOutage);
+    CHECK(freshness.outageEndedAt() == start + Millis(6000) + StoreFreshness::MinOutage);
+}
--- a/testsuite/harness.py
+++ b/testsuite/harness.py
@@ -12,9 +12,10 @@
 
 import argparse
 import base64
+import itertools
 import json
+import os
 import pathlib
-import random
 import re
 import shutil
 import signal
@@ -27,12 +28,14 @@
 from process import WAIT_LIMIT_S, Entry, Process, Timeout, wait_until  # noqa: F401
 
 FIRST_PORT = 10000
-LAST_PORT = 30000
+PORT_COUNT = 20000
+PORTS_PER_PROCESS = 977  # test programs that run at the same time begin at different ports
+port_numbers = itertools.count(os.getpid() % PORT_COUNT * PORTS_PER_PROCESS)
 SHARED_KEY = "loopback-test-key-0123456789abcdef"
 
 
 def free_ports(count, kind=socket.SOCK_STREAM):
-    """Returns distinct loopback ports that are currently free.
+    """Returns distinct loopback ports that are currently free and that this process has not returned before.
 
     They lie below the range from which the kernel takes the ports of outgoing connections. Otherwise a connection of
     another process could take a port before the process that is meant to listen on it starts or restarts.
@@ -42,7 +45,7 @@
         while len(sockets) < count:
             one = socket.socket(socket.AF_INET, kind)
             try:
-                one.bind(("127.0.0.1", random.SystemRandom().randrange(FIRST_PORT, LAST_PORT)))
+                one.bind(("127.0.0.1", FIRST_PORT + next(port_numbers) % PORT_COUNT))
                 sockets.append(one)
             except OSError:
                 one.close()
--- a/testsuite/soak/backend.py
+++ b/testsuite/soak/backend.py
@@ -17,6 +17,7 @@
 
 DRAIN_SECONDS = 2.6  # slightly longer than the time after which routers must not send new requests
 EVENTS = 12
+LONG_EVENTS = 150  # events of a stream of the route /long/: 4.5 s
 CAPACITY = 60000  # tokens
 LIMIT = 2.0
 BAD_PART = "bad"
@@ -117,7 +118,8 @@
         complete = False
         try:
             if STAGE == "decode":
-                complete = await self.stream(writer, answer_headers, headers, disconnect)
+                count = LONG_EVENTS if target.startswith("/long/") else EVENTS
+                complete = await self.stream(writer, answer_headers, headers, disconnect, count)
             else:
                 await asyncio.wait([disconnect], timeout=self.random.uniform(0.005, 0.06))
                 if not disconnect.done():
@@ -130,12 +132,12 @@
             disconnect.cancel()
         return False
 
-    async def stream(self, writer, answer_headers, headers, disconnect):
+    async def stream(self, writer, answer_headers, headers, disconnect, count):
         """Sends the events of a stream. Returns whether all of them were sent."""
         start = int(headers.get("last-event-id", "0"))
         lines = [f"{name}: {value}" for name, value in answer_headers.items()]
         writer.write(("HTTP/1.1 200 OK\r\n" + "\r\n".join(lines) + "\r\nTransfer-Encoding: chunked\r\n\r\n").encode())
-        for number in range(start + 1, EVENTS + 1):
+        for number in range(start + 1, count + 1):
             await asyncio.wait([disconnect], timeout=0.03)
             if disconnect.done():
                 return False
--- a/testsuite/soak/callers.py
+++ b/testsuite/soak/callers.py
@@ -7,9 +7,9 @@
 
 import wirehttp
 
-DEADLINE_MS = {"once": 1500, "read": 1500, "stream": 6000, "stream-once": 6000, "bad-part": 6000}
+DEADLINE_MS = {"once": 1500, "read": 1500, "stream": 6000, "stream-once": 6000, "stream-long": 14000, "bad-part": 6000}
 PATHS = {"once": ("POST", "/plain/"), "read": ("GET", "/read/"), "stream": ("POST", "/stream/"),
-         "stream-once": ("POST", "/once/"), "bad-part": ("POST", "/stream/")}
+         "stream-once": ("POST", "/once/"), "stream-long": ("POST", "/long/"), "bad-part": ("POST", "/stream/")}
 BAD_PART_SHARE = 0.2  # share of the streams that contain the part, while there is one
 
 
@@ -61,7 +61,7 @@
     async def run(self):
         """Sends requests until `stopping` is set."""
         while not self.stopping:
-            kind = self.random.choices(("once", "read", "stream", "stream-once"), (4, 4, 2, 2))[0]
+            kind = self.random.choices(("once", "read", "stream", "stream-once", "stream-long"), (4, 4, 2, 2, 0.5))[0]
             if kind.startswith("stream") and self.fleet.bad_part and self.random.random() < BAD_PART_SHARE:
                 kind = "bad-part"
             leave = self.random.random() < 0.08
@@ -78,8 +78,8 @@
                 "deadline_ms": DEADLINE_MS[kind], "sent_at": time.time()}
         headers = {"Host": "h.example", "Request-Id": request, "Deadline-Ms": str(DEADLINE_MS[kind]),
                    "Kv-Backup": "127.0.0.1:9"}
-        if path in ("/stream/", "/once/"):
-            headers["Token-Count"] = f"{self.random.randrange(50, 4000)},100"
+        if path in ("/stream/", "/once/", "/long/"):
+            headers["Token-Count"] = f"{self.random.randrange(50, 4000)},{200 if kind == 'stream-long' else 100}"
             bad_part = f"{self.fleet.bad_part}:3," if kind == "bad-part" else ""
             headers["Prompt-Prefix"] = f"shared{self.random.randrange(3)}:5,{bad_part}{request}:40"
         status, answer, whole = 0, b"", False
@@ -88,7 +88,8 @@
             sent["router"] = self.router
             self.guarantees.sent[request] = sent
             async with asyncio.timeout(self.random.uniform(0.01, 0.3) if leave else DEADLINE_MS[kind] / 1000):
-                self.writer.write(wirehttp.message(f"{method} {sent['target']} HTTP/1.1", headers, body.encode()))
+                encode = wirehttp.chunked_message if body and self.random.random() < 0.3 else wirehttp.message
+                self.writer.write(encode(f"{method} {sent['target']} HTTP/1.1", headers, body.encode()))
                 head = await wirehttp.read_head(self.reader)
                 if head is None:
                     raise wirehttp.ConnectionBroken("closed")
--- a/testsuite/soak/faultproxy.py
+++ b/testsuite/soak/faultproxy.py
@@ -8,6 +8,8 @@
     pass, delay (each block of data is delayed), refuse (new connections are reset), silent (all data is dropped),
     to-target or to-caller (data in that direction is dropped).
 
+    silence_open() lets the open connections go silent for good while new ones work.
+
     While the target refuses connections, as after a crash, the proxy refuses them too.
     """
 
@@ -20,6 +22,7 @@
         self.port = 0
         self.server = None
         self.writers = set()
+        self.silenced = set()
 
     async def start(self):
         """Starts listening on a free port, which is set as `port`."""
@@ -54,19 +57,23 @@
         for writer in list(self.writers):
             writer.transport.abort()
 
+    def silence_open(self):
+        """Drops all further data of the open connections without a reset."""
+        self.silenced |= self.writers
+
     async def pump(self, reader, writer, direction):
         """Forwards the data of one direction until the end of the stream."""
         try:
             while data := await reader.read(65536):
                 if self.mode == "delay":
                     await asyncio.sleep(self.DELAY_SECONDS)
-                if self.mode == "silent" or self.mode == direction:
+                if self.mode in ("silent", direction) or writer in self.silenced:
                     continue
                 writer.write(data)
                 await writer.drain()
             if direction == "to-caller":
                 await self.follow_target()
-            if self.mode == "pass":
+            if self.mode == "pass" and writer not in self.silenced:
                 writer.close()
         except (ConnectionError, OSError):
             if direction == "to-caller":
@@ -88,5 +95,6 @@
         await asyncio.gather(self.pump(reader, target_writer, "to-target"),
                              self.pump(target_reader, writer, "to-caller"))
         self.writers -= {writer, target_writer}
+        self.silenced -= {writer, target_writer}
         for end in (writer, target_writer):
             end.close()
--- a/testsuite/soak/fleet.py
+++ b/testsuite/soak/fleet.py
@@ -124,7 +124,7 @@
                                               store=proxy.port))
         router = Process(name, [self.binary, "router", "--settings", path], self.log)
         router.front, router.ready, router.directory = front, ready, directory
-        router.stopped_at = 0.0
+        router.stopping = False
         self.routers[name] = router
         await router.start()
 
--- a/testsuite/soak/guarantees.py
+++ b/testsuite/soak/guarantees.py
@@ -8,6 +8,11 @@
 RETRY_WINDOW, RETRY_RATIO, RETRY_SLACK = 10, 0.2, 30
 CONTACT_SECONDS = 3.0  # time in which routers without faults learn of crashes and limits
 LIMIT_WINDOW, LIMIT_FACTOR, LIMIT_SLACK = 4.0, 1.5, 5
+ONCE_KINDS = ("once", "stream-once", "stream-long")  # kinds of requests that may run at most once
+EVENTS = {"stream-long": 150}  # events of a stream; 12 of the other kinds
+GRACE_SECONDS, LAST_SHARE = 8.0, 1 / 6  # grace time of a stop, and the part of it in which running work may be cut
+ACCEPTED_SECONDS = 3.0  # time after a stop signal from which what a router accepts must not be cut
+LOSS_SECONDS = 0.2  # time in which a router that has not passed a request on may close its connection
 CRASHES, RUNS_AFTER_CRASHES = 5, 3  # crashes by a part after which only so many requests with it may be run
 
 
@@ -66,17 +71,34 @@
                 if event != f"id: {number}\ndata: {request}":
                     self.fail("stream order", f"{request}: event {number} is {event!r}")
                     break
-            if whole and len(events) != 12:
+            if whole and len(events) != EVENTS.get(sent["kind"], 12):
                 self.fail("stream end", f"{request} looks complete after {len(events)} events")
 
+    def check_stop(self, router, begin, end):
+        """Checks that the planned stop of a router cut no request but those that still ran at its end."""
+        for request, sent in self.sent.items():
+            cut = sent.get("cut_at", 0)
+            if not sent.get("router", "").endswith(f":{router.front}") or not begin <= cut <= end + 1:
+                continue
+            runs = self.runs.get(request)
+            if runs is None:
+                if cut > sent["sent_at"] + LOSS_SECONDS + SLACK_SECONDS:
+                    self.fail("planned stop", f"{request} got no answer from {router.name}, which was stopped")
+                continue
+            work_end = runs[-1]["end"] or cut
+            ran_at_end = work_end >= begin + GRACE_SECONDS * (1 - LAST_SHARE)
+            if sent["sent_at"] > begin + ACCEPTED_SECONDS or not ran_at_end:
+                self.fail("planned stop", f"{request} ({sent['kind']}), sent {sent['sent_at'] - begin:.2f} s after the "
+                          f"stop signal of {router.name}, was cut at {cut - begin:.2f} s")
+
     def check_all(self, is_fault_free):
         """Performs the checks that need all observations. `is_fault_free(begin, end)` returns whether no fault was
         injected in or shortly before an interval; guarantees with a time limit are only checked then."""
         for request, sent in self.sent.items():
             runs = self.runs.get(request, [])
-            if sent["kind"] in ("once", "stream-once") and len(runs) > 1:
+            if sent["kind"] in ONCE_KINDS and len(runs) > 1:
                 self.fail("executed twice", f"{request} at {[run['backend'] for run in runs]}")
-            if sent["kind"] in ("once", "stream-once") and sent.get("status") in (429, 503) and runs:
+            if sent["kind"] in ONCE_KINDS and sent.get("status") in (429, 503) and runs:
                 self.fail("false refusal", f"{request} was answered {sent['status']} and ran at {runs[0]['backend']}")
             left = sent.get("left_at")
             for run in runs:
@@ -124,7 +146,7 @@
 
     def check_retries(self):
         """Checks the retry budget over sliding windows."""
-        for kinds in (("once", "read"), ("stream", "stream-once")):
+        for kinds in (("once", "read"), ("stream", "stream-once", "stream-long")):
             request_times = sorted(sent["sent_at"] for sent in self.sent.values() if sent["kind"] in kinds)
             retry_times = sorted(run["begin"] for request, runs in self.runs.items()
                                  if self.sent.get(request, {}).get("kind") in kinds for run in runs[1:])
--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -35,6 +35,7 @@
     return {"Version": version,
             "Routes": [route("/plain/", "non_idempotent", "app", False), route("/read/", "idempotent", "app", False),
                        route("/stream/", "streaming", "llm", True), route("/once/", "streaming", "llm", False),
+                       {**route("/long/", "streaming", "llm", False), "TimeoutMs": 14000},
                        route(f"/v{version}/", "idempotent", "app", False)],
             "Services": [{"Name": "app", "HealthPath": "/health", "MaxConnections": 200},
                          {"Name": "llm", "HealthPath": "/health", "MaxConnections": 200, "Engine": engine}],
@@ -73,9 +74,12 @@
 
     async def inject_fault(self):
         """Injects one random fault and waits until it is over."""
-        kinds = [self.pause, self.kill, self.proxy, self.proxy, self.store_mode, self.stop_router, self.replace_backend,
+        kinds = [self.pause, self.kill, self.proxy, self.proxy, self.store_mode, self.stop_router, self.roll, self.replace_backend,
                  self.reconfigure, self.restart_all, self.name_limit, self.use_bad_part]
-        kind = self.random.choices(kinds, (2, 2, 3, 3, 2, 3, 2, 3, 0.5, 2, 1))[0]
+        weights = (2, 2, 3, 3, 2, 3, 0.5, 2, 3, 0.5, 2, 1)
+        chosen = [(kind, weight) for kind, weight in zip(kinds, weights)
+                  if not self.options.faults or kind.__name__ in self.options.faults.split(",")]
+        kind = self.random.choices([kind for kind, _ in chosen], [weight for _, weight in chosen])[0]
         await kind(self.random.uniform(0.3, 4.0))
 
     async def pause(self, seconds):
@@ -101,11 +105,14 @@
         """Disturbs the connections to one backend server, or those of one router to the store."""
         name = self.random.choice(sorted(self.fleet.proxies))
         proxy = self.fleet.proxies[name]
-        mode = self.random.choice(("delay", "refuse", "silent", "to-target", "to-caller", "reset"))
+        mode = self.random.choice(("delay", "refuse", "silent", "to-target", "to-caller", "reset", "silence-open"))
         self.record_fault(time.time(), time.time() + seconds, f"{mode} {name}")
         if mode == "reset":
             proxy.reset()
             return
+        if mode == "silence-open":
+            proxy.silence_open()
+            return
         proxy.mode = mode
         await asyncio.sleep(seconds)
         proxy.mode = "pass"
@@ -126,10 +133,22 @@
 
     async def stop_router(self, _seconds):
         """Stops a router gracefully and restarts it. Without other faults this must not break any request."""
-        router = self.random.choice(list(self.fleet.routers.values()))
-        if not router.running() or router.paused:
+        await self.stop_and_restart(self.random.choice(list(self.fleet.routers.values())))
+
+    async def roll(self, seconds):
+        """Stops all routers in turn, without waiting for one to be back before the next."""
+        stops = []
+        for router in list(self.fleet.routers.values()):
+            stops.append(asyncio.ensure_future(self.stop_and_restart(router)))
+            await asyncio.sleep(seconds / 4)
+        await asyncio.gather(*stops)
+
+    async def stop_and_restart(self, router):
+        """Stops a router gracefully, checks the stop and starts the router again."""
+        if not router.running() or router.paused or router.stopping:
             return
         begin = time.time()
+        router.stopping = True
         self.fleet.log.write(f"{begin:.3f} soak stop {router.name}\n".encode())
         router.send(signal.SIGTERM)
         child = router.child
@@ -140,12 +159,9 @@
                 self.guarantees.fail("planned stop", f"{router.name} did not end within its grace time")
             await router.end()
         end = time.time()
-        if self.is_fault_free(begin - FAULT_FREE_SECONDS, end):
-            for request, sent in self.guarantees.sent.items():
-                cut = sent.get("cut_at", 0)
-                if sent.get("router", "").endswith(f":{router.front}") and begin < sent["sent_at"] and cut \
-                        and self.guarantees.runs.get(request):
-                    self.guarantees.fail("planned stop", f"{request} was broken off by the stop of {router.name}")
+        router.stopping = False
+        if self.is_fault_free(begin, end):
+            self.guarantees.check_stop(router, begin, end)
         await router.start()
 
     async def replace_backend(self, _seconds):
@@ -243,7 +259,8 @@
         await self.fleet.call_store("/standin/put", {"key": "op/config", "value": json.dumps(config(1))}, tries=20)
         await asyncio.sleep(1.5)
         end = time.time() + self.options.minutes * 60
-        callers = [Caller(self.fleet, self.guarantees, self.options.seed * 1000 + number) for number in range(12)]
+        callers = [Caller(self.fleet, self.guarantees, self.options.seed * 1000 + number)
+                   for number in range(self.options.callers)]
         work = [asyncio.ensure_future(caller.run()) for caller in callers]
         await asyncio.sleep(3.0)
         running = set()
@@ -273,6 +290,8 @@
     parser.add_argument("--seed", type=int, required=True)
     parser.add_argument("--minutes", type=float, default=0.3)
     parser.add_argument("--routers", type=int, default=4)
+    parser.add_argument("--callers", type=int, default=12)
+    parser.add_argument("--faults", default="", help="names of the faults to inject, separated by commas; default: all")
     options = parser.parse_args()
     options.binary = os.path.abspath(options.binary)
     folder = tempfile.mkdtemp(prefix=f"soak-{options.seed}-")
--- a/testsuite/soak/wirehttp.py
+++ b/testsuite/soak/wirehttp.py
@@ -60,6 +60,14 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode("latin1") + body
 
 
+def chunked_message(first_line, headers, body):
+    """Returns the bytes of a message whose body is sent in two chunks."""
+    lines = [first_line] + [f"{name}: {value}" for name, value in headers.items()] + ["Transfer-Encoding: chunked"]
+    parts = [body[:len(body) // 2], body[len(body) // 2:]]
+    chunks = b"".join(f"{len(part):x}\r\n".encode() + part + b"\r\n" for part in parts if part) + b"0\r\n\r\n"
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin1") + chunks
+
+
 async def exchange(address, method, target, headers=None, body=b"", timeout=2.0):
     """Sends one request on a new connection and returns status, headers and body. Raises ConnectionBroken."""
     host, port = address.split(":")
