Store watches: one watcher of a group, standbys only while it fails

Change: standbys watch only without a report of a watcher; nothing depends on their watches any more. Leases are renewed each 1.2 s: a renewal that times out on a silent connection and its repetition still fit into the lease. The primary asks for an answer each 0.45 s.

--- a/src/gateway/fleetsync.cpp
+++ b/src/gateway/fleetsync.cpp
@@ -90,7 +90,7 @@
         const bool lostBefore = this->contact.lost;
         this->state.watching = !lostBefore;
         const TimePoint start = Clock::now();
-        const Millis wait = this->state.isPrimaryWatcher() ? this->state.freshness.watchWait(start) : StandbyWatchWait;
+        const Millis wait = this->state.freshness.watchWait(start);
         const StoreResult<StorePage> result = co_await this->store.watch(prefix, *this->watchRevision, wait);
         if (const auto *page = std::get_if<StorePage>(&result)) {
             this->recordSuccess();
@@ -106,7 +106,7 @@
             }
             if (!page->items.empty()) {
                 this->state.queueChangesForPeers(StoreChanges{before, this->state.storeRevision, false, page->items});
-                co_await sleepFor(this->state.isPrimaryWatcher() ? BatchDelay : StandbyBatchDelay);
+                co_await sleepFor(BatchDelay);
             }
             continue;
         }
@@ -137,7 +137,7 @@
         if (this->contact.resyncNeeded && !this->state.isDesignatedWatcher()) {
             co_await sleepFor(WatcherHeadStart);
         }
-        if (!this->shouldWatch()) {
+        if (!this->state.isDesignatedWatcher()) {
             this->contact.resyncNeeded = false; // The watchers of the group read the store and report the changes.
         }
         if (!this->watchRevision || this->contact.lost || (!overdue && !this->contact.resyncNeeded)) {
@@ -243,7 +243,8 @@
 
 bool FleetSync::shouldWatch() const
 {
-    return this->state.isDesignatedWatcher() || !this->state.hasLiveWatcher(Clock::now());
+    return this->state.isPrimaryWatcher()
+        || (this->state.isDesignatedWatcher() && !this->state.hasLiveWatcher(Clock::now()));
 }
 
 boost::asio::awaitable<FleetSync::ReadResult> FleetSync::readChanges(std::string prefix)
--- a/src/gateway/fleetsync.h
+++ b/src/gateway/fleetsync.h
@@ -23,24 +23,18 @@
 class FleetSync
 {
 public:
-    /// Longest wait of a watch of a router that is not the primary watcher. Its watch delivers changes early if the
-    /// primary fails, but nothing depends on its connection: see StoreFreshness.
-    static constexpr Millis StandbyWatchWait{8000};
     /// Delay after changes during which further ones accumulate, since each watch that returns costs another call of
     /// every watching router.
     static constexpr Millis BatchDelay{150};
-    /// BatchDelay of the standby watchers, which receive the changes in the reports of the primary one meanwhile. Well
-    /// below the time in which changes must be known, in case the primary fails.
-    static constexpr Millis StandbyBatchDelay{900};
     /// The store is read anew if this router is behind a revision that peers have reported for this long, whatever the
     /// watch does.
     static constexpr Millis CatchUpDelay{800};
     /// How long an entry that expired during an outage of the store is kept: live servers register again within two
     /// seconds.
     static constexpr Millis LapseGracePeriod{2000};
-    /// Lifetime of this router's registration. Up to three renewals may fail.
+    /// Lifetime of this router's registration. A renewal may time out and be repeated on a new connection.
     static constexpr Millis LeaseLifetime{3000};
-    static constexpr Millis RenewPeriod{900};
+    static constexpr Millis RenewPeriod{1200};
     /// Backoff after failed calls: doubles with each failure up to MaxBackoff. A timeout of a call, this backoff,
     /// WatcherHeadStart and a read follow one another after an outage.
     static constexpr Millis BaseBackoff{50};
@@ -59,9 +53,9 @@
 
     FleetSync(RouterState &state, StateStore store, FleetCodec codec);
 
-    /// Applies the items under @p prefix and their changes until the process ends. A few routers of each group watch
-    /// the store and send changes to their peers, so that the number of calls grows with the number of groups. A router
-    /// that receives no reports of such a watcher watches the store itself.
+    /// Applies the items under @p prefix and their changes until the process ends. One router of each group watches the
+    /// store and sends changes to its peers, so that the number of calls grows with the number of groups. Two standbys
+    /// watch the store while they receive no reports of such a watcher.
     boost::asio::awaitable<void> follow(std::string prefix);
     /// Reads all items under @p prefix anew, until the process ends, whenever the watch may have missed changes: peers
     /// have reported a newer revision for CatchUpDelay, or the store has recovered from an outage.
--- a/src/include/cyclamencross/route/storefreshness.h
+++ b/src/include/cyclamencross/route/storefreshness.h
@@ -28,9 +28,9 @@
     /// Time for the second read, on a new connection, and for the event loop of a busy host.
     static constexpr Millis Margin{400};
     static_assert(MaxAge + CheckPeriod + ReadTimeout + Margin <= ChangeBound);
-    /// Longest wait of a watch whose answers keep a group of routers certain. Two answers and the reports about them
+    /// Longest wait of a watch whose answers keep a group of routers certain. An answer, the next one and its report
     /// fit into the age at which the first standby reads.
-    static constexpr Millis WatchWait{350};
+    static constexpr Millis WatchWait{450};
     /// Shortest wait of such a watch.
     static constexpr Millis MinWatchWait{50};
 
--- a/src/route/storefreshness.cpp
+++ b/src/route/storefreshness.cpp
@@ -11,7 +11,7 @@
 
 // Ages at which the primary watcher and its standbys read. Each standby has time for a read and a report before the
 // next one begins.
-constexpr std::array<Millis, 3> WatcherAges{StoreFreshness::MaxAge, Millis(700), Millis(850)};
+constexpr std::array<Millis, 3> WatcherAges{StoreFreshness::MaxAge, Millis(800), Millis(900)};
 
 }
 
