Connections: the Keep-Alive header is read from text that lives long enough

What callers saw: nothing that broke a rule is known; a router used a connection after the idle timeout of its server, or closed it early.

Change: the text is a variable, and the list is read to its end: only a timeout that came first was found, since the header separates by commas.

--- a/src/gateway/httpclientconnection.cpp
+++ b/src/gateway/httpclientconnection.cpp
@@ -4,6 +4,7 @@
 
 #include "cyclamencross/base/number.h"
 
+#include <algorithm>
 #include <optional>
 
 #include <boost/asio/write.hpp>
@@ -247,8 +248,11 @@
 
 Millis HttpClientConnection::keepAlive() const
 {
-    const std::string value(this->impl->headers.find("Keep-Alive"));
-    for (const auto &parameter : http::param_list(";" + value)) {
+    // The list keeps a view of its text. It separates parameters by semicolons, the header by commas.
+    std::string parameters(";");
+    parameters += this->impl->headers.find("Keep-Alive");
+    std::replace(parameters.begin(), parameters.end(), ',', ';');
+    for (const auto &parameter : http::param_list(parameters)) {
         if (boost::beast::iequals(parameter.first, "timeout")) {
             return Millis(1000 * std::int64_t(parseNumber(std::string(parameter.second)).value_or(0)));
         }
