Stop: a stream that is expected to outlast the router is refused at once

What callers saw: a stream that a stopping router accepted early in its grace period, and whose expected output does not fit into the rest of it, was cut at the end although other routers could have served it whole.

Change: StopSchedule::canFinish() decides by the expected output and the pace of the service, when the request arrives and again after it has waited for capacity.

--- a/src/gateway/router.cpp
+++ b/src/gateway/router.cpp
@@ -6,7 +6,6 @@
 
 #include "cyclamencross/base/hash.h"
 #include "cyclamencross/base/logline.h"
-#include "cyclamencross/route/stopschedule.h"
 
 #include <algorithm>
 #include <csignal>
@@ -323,6 +322,7 @@
 {
     const StopSchedule schedule(Clock::now(), this->state.settings.stopGrace);
     this->state.stopping = true;
+    this->state.stopSchedule = schedule;
     boost::asio::co_spawn(this->context, this->sync.unregister(), boost::asio::detached);
     while (Clock::now() < schedule.refuseAt()) {
         co_await sleepFor(StopPollPeriod);
--- a/src/gateway/routerstate.h
+++ b/src/gateway/routerstate.h
@@ -21,6 +21,7 @@
 #include "cyclamencross/route/routetable.h"
 #include "cyclamencross/route/stageload.h"
 #include "cyclamencross/route/stageplan.h"
+#include "cyclamencross/route/stopschedule.h"
 #include "cyclamencross/route/storefreshness.h"
 
 #include <cstdint>
@@ -172,6 +173,7 @@
     std::function<void(const StoreChanges &changes)> onPeerChanges;
     std::uint64_t newestPeerRevision = 0; ///< Newest store revision that a peer has reported.
     bool stopping = false;
+    std::optional<StopSchedule> stopSchedule; ///< Set while the router stops.
     int activeRequests = 0;
 
 private:
--- a/src/gateway/streamrequesthandler.cpp
+++ b/src/gateway/streamrequesthandler.cpp
@@ -71,7 +71,16 @@
         this->route.name, this->request.timeLeft.value_or(timeout), timeout, Clock::now());
     this->estimate = this->state.outputEstimator.estimate(
         this->route.name, this->service, this->request.expectedOutputTokens, this->request.maxOutputTokens);
+    if (this->isCutByStop()) {
+        co_await this->finishWithFailure("stopping");
+        co_return;
+    }
     const bool reserved = co_await this->reserveDecodeEngine();
+    if (reserved && this->isCutByStop()) {
+        this->releaseReservation(); // The request has waited for capacity for too long.
+        co_await this->finishWithFailure("stopping");
+        co_return;
+    }
     if (reserved) {
         co_await this->prefill();
     }
--- a/src/gateway/streamrequesthandler.h
+++ b/src/gateway/streamrequesthandler.h
@@ -55,6 +55,8 @@
     /// unset.
     boost::asio::awaitable<bool> acquireReservation();
     void logDecodePlacement() const;
+    /// Returns whether this router is stopping and is expected to exit before the stream ends.
+    bool isCutByStop() const;
     /// Releases a capacity reservation that was not used.
     void releaseReservation();
     /// Makes a call in the background and ignores its result.
--- a/src/gateway/streamrequestplacement.cpp
+++ b/src/gateway/streamrequestplacement.cpp
@@ -105,6 +105,13 @@
     return CapacityWait(this->request.received, onTimeFor, maxWait);
 }
 
+bool StreamRequestHandler::isCutByStop() const
+{
+    const Millis generation(std::int64_t(double(this->estimate.tokens) * this->estimate.millisPerToken * OutputMargin));
+    return this->state.stopSchedule
+        && !this->state.stopSchedule->canFinish(Clock::now(), this->route.targetLatency + generation);
+}
+
 void StreamRequestHandler::logDecodePlacement() const
 {
     LogLine("placement")
--- a/src/include/cyclamencross/route/stopschedule.h
+++ b/src/include/cyclamencross/route/stopschedule.h
@@ -28,6 +28,10 @@
     /// Returns the time at which the process exits, whatever is running.
     TimePoint endAt() const;
 
+    /// Returns whether a request that is expected to take @p duration from @p now on ends before the process exits. The
+    /// others are refused, so that another router can serve them whole.
+    bool canFinish(TimePoint now, Millis duration) const;
+
     bool operator==(const StopSchedule &) const = default;
 
 private:
--- a/src/route/stopschedule.cpp
+++ b/src/route/stopschedule.cpp
@@ -16,6 +16,11 @@
     return this->begin + std::clamp(this->grace - MinFinishPeriod, Millis(0), MaxAcceptPeriod);
 }
 
+bool StopSchedule::canFinish(TimePoint now, Millis duration) const
+{
+    return now + duration <= this->endAt();
+}
+
 TimePoint StopSchedule::endAt() const
 {
     return this->begin + std::max(Millis(0), this->grace - ShutdownMargin);
--- a/src/route/stopschedule_test.cpp
+++ b/src/route/stopschedule_test.cpp
@@ -24,3 +24,12 @@
     CHECK(StopSchedule(begin, Millis(0)).refuseAt() == begin);
     CHECK(StopSchedule(begin, Millis(0)).endAt() == begin);
 }
+
+TEST_CASE("A request that is expected to outlast the stop is not accepted")
+{
+    // Guards against long streams that are accepted early in the grace period and cut at its end.
+    const TimePoint begin = Clock::now();
+    const StopSchedule schedule(begin, Millis(8000));
+    CHECK(schedule.canFinish(begin + Millis(2000), Millis(5000)));
+    CHECK_FALSE(schedule.canFinish(begin + Millis(2000), Millis(6000)));
+}
