Store reads: a standby's read serves its group; refused reads are not repeated

A read that the store had refused was repeated at once, and again after each renewal that succeeded.

Change: a designated watcher queues what it has read for its peers. Only a read without an answer is repeated, and failed reads are followed by a backoff.

--- a/src/gateway/fleetsync.cpp
+++ b/src/gateway/fleetsync.cpp
@@ -156,6 +156,7 @@
 
 boost::asio::awaitable<void> FleetSync::keepFresh(std::string prefix)
 {
+    int failures = 0;
     while (true) {
         co_await sleepFor(StoreFreshness::CheckPeriod);
         const TimePoint now = Clock::now();
@@ -167,7 +168,11 @@
             continue;
         }
         this->logCatchUp("not-certain");
-        co_await this->readMissing(prefix);
+        const ReadResult result = co_await this->readMissing(prefix);
+        failures = result == ReadResult::Failed ? failures + 1 : 0;
+        if (failures > 0) {
+            co_await sleepFor(this->backoff(failures)); // Renewals may succeed while the store refuses reads.
+        }
     }
 }
 
@@ -183,23 +188,26 @@
         .write();
 }
 
-boost::asio::awaitable<void> FleetSync::readMissing(std::string prefix)
+boost::asio::awaitable<FleetSync::ReadResult> FleetSync::readMissing(std::string prefix)
 {
-    const ReadResult result = co_await this->readChanges(prefix);
+    ReadResult result = co_await this->readChanges(prefix);
     if (result == ReadResult::Incomplete) {
-        co_await this->readAllAgain(prefix);
+        result = co_await this->readAllAgain(prefix);
     }
+    co_return result;
 }
 
-boost::asio::awaitable<void> FleetSync::readAllAgain(std::string prefix)
+boost::asio::awaitable<FleetSync::ReadResult> FleetSync::readAllAgain(std::string prefix)
 {
     const auto revision = co_await this->readAll(prefix);
-    if (revision) {
-        this->watchRevision = std::max(this->watchRevision.value_or(0), *revision);
-        // A revision that a peer reports beyond the store's own would cause reads forever.
-        this->state.newestPeerRevision = this->state.storeRevision;
-        this->store.cancelWatch();
+    if (!revision) {
+        co_return ReadResult::Failed;
     }
+    this->watchRevision = std::max(this->watchRevision.value_or(0), *revision);
+    // A revision that a peer reports beyond the store's own would cause reads forever.
+    this->state.newestPeerRevision = this->state.storeRevision;
+    this->store.cancelWatch();
+    co_return ReadResult::InSync;
 }
 
 boost::asio::awaitable<void> FleetSync::waitForStore(Millis maxWait)
@@ -258,7 +266,8 @@
                 this->recordSuccess();
                 co_return ReadResult::Incomplete;
             }
-            if (!std::exchange(failedBefore, true)) {
+            const bool mayBeSilent = failure->kind == StoreFailure::Kind::Unreachable;
+            if (mayBeSilent && !std::exchange(failedBefore, true)) {
                 continue;
             }
             this->recordFailure("read-changes", *failure);
@@ -269,8 +278,12 @@
         if (page.items.empty() && page.revision > this->state.storeRevision) {
             co_return ReadResult::Incomplete; // A store that drops its history may leave out changes.
         }
+        const std::uint64_t before = this->state.storeRevision;
         this->applyAll(page.items, page.revision);
         this->state.confirmChanges(start);
+        if (!page.items.empty() && this->state.isDesignatedWatcher()) {
+            this->state.queueChangesForPeers(StoreChanges{before, this->state.storeRevision, false, page.items});
+        }
         if (this->state.storeRevision >= this->state.newestPeerRevision) {
             co_return ReadResult::InSync;
         }
--- a/src/gateway/fleetsync.h
+++ b/src/gateway/fleetsync.h
@@ -105,16 +105,16 @@
         Failed, ///< The store did not answer, or refused the call.
     };
     /// Reads and applies the changes since the newest known revision, which costs far less than a read of all items.
-    /// Repeats a call that fails once, since an idle connection may have gone silent; the failure is recorded only
-    /// then.
+    /// Repeats a call that gets no answer once, since an idle connection may have gone silent. A designated watcher
+    /// queues the changes for its peers.
     boost::asio::awaitable<ReadResult> readChanges(std::string prefix);
     /// Reads the changes since the newest known revision, or all items if changes may be missing.
-    boost::asio::awaitable<void> readMissing(std::string prefix);
+    boost::asio::awaitable<ReadResult> readMissing(std::string prefix);
     /// Reads and applies all items under @p prefix and queues the differences for peers.
     /// @return the revision of the read, or std::nullopt if it failed.
     boost::asio::awaitable<std::optional<std::uint64_t>> readAll(std::string prefix);
     /// Reads all items under @p prefix and restarts the watch.
-    boost::asio::awaitable<void> readAllAgain(std::string prefix);
+    boost::asio::awaitable<ReadResult> readAllAgain(std::string prefix);
     /// Logs why this router reads the store although it watches it or is told of its changes.
     void logCatchUp(const std::string &reason) const;
     /// Takes out a lease and writes this router's registration under it.
--- a/src/gateway/fleetsync_test.cpp
+++ b/src/gateway/fleetsync_test.cpp
@@ -398,3 +398,41 @@
     router.follow(FleetSync::OutageReadInterval + Millis(700));
     CHECK((router.state.backends.find("a") == nullptr) == peersHaveAnswers);
 }
+
+TEST_CASE("A standby watcher that reads changes reports them to its peers")
+{
+    // Guards against a read of the store by every router of a group when its primary watcher has become deaf.
+    TestRouter router;
+    router.store.list = listOldBackend;
+    router.store.readChanges = readNewBackend;
+    router.follow(StoreFreshness::ChangeBound, true);
+    const auto report = router.state.takeReport(Clock::now());
+    REQUIRE(report);
+    CHECK(report->changes == StoreChanges{10, 12, false, {StoreItem{"servers/b", "x", 12, false}}});
+}
+
+TEST_CASE("A store that refuses reads while it renews leases is not asked again and again")
+{
+    // Guards against routers that each send dozens of calls a second to a store that is over its rate.
+    TestRouter router;
+    int reads = 0;
+    router.store.list = listOldBackend;
+    router.store.readChanges = [&reads](std::string /*prefix*/, std::uint64_t /*after*/) -> StoreAwaitable<StorePage> {
+        ++reads;
+        co_return StoreFailure{StoreFailure::Kind::Refused, "429"};
+    };
+    router.store.grantLease = [](Millis /*lifetime*/) -> StoreAwaitable<std::uint64_t> { co_return std::uint64_t(1); };
+    router.store.renewLease = [](std::uint64_t lease) -> StoreAwaitable<std::uint64_t> { co_return lease; };
+    router.store.write = [](std::string /*key*/, std::string /*value*/,
+                            std::uint64_t /*lease*/) -> StoreAwaitable<std::uint64_t> { co_return std::uint64_t(11); };
+    router.state.settings.name = "r0";
+    router.state.settings.callerAddress = "10.0.0.1:1";
+    router.state.settings.peerAddress = "10.0.0.1:2";
+    router.sync = std::make_unique<FleetSync>(router.state, router.store, makeTestCodec());
+    boost::asio::co_spawn(router.context, router.sync->keepRegistered(), boost::asio::detached);
+    boost::asio::co_spawn(router.context, router.sync->follow(""), boost::asio::detached);
+    boost::asio::co_spawn(router.context, router.sync->keepFresh(""), boost::asio::detached);
+    router.context.run_for(Millis(5000));
+    CHECK(reads >= 2);
+    CHECK(reads <= 14);
+}
--- a/src/gateway/httpclientconnection_test.cpp
+++ b/src/gateway/httpclientconnection_test.cpp
@@ -43,12 +43,11 @@
     boost::asio::co_spawn(context, answerOnce(acceptor, value), boost::asio::detached);
     const auto call = [](std::shared_ptr<HttpClientConnection> client, Millis &timeout) -> awaitable<void> {
         const bool open = co_await client->connect(Millis(1000));
-        std::string request = "GET /";
-        const auto status = open
-            ? co_await client->performRequest(std::move(request), std::nullopt, Clock::now() + Millis(1000))
-            : ConnectionStatus::Broken;
-        if (status == ConnectionStatus::Ok) {
-            timeout = client->keepAlive();
+        if (open) {
+            std::string request = "GET /";
+            const auto status =
+                co_await client->performRequest(std::move(request), std::nullopt, Clock::now() + Millis(1000));
+            timeout = status == ConnectionStatus::Ok ? client->keepAlive() : timeout;
         }
         client->close();
     };
