Streams: a probe that times out does not show that an engine is gone

Callers saw streams end in the middle although their engine was at work. watchForStall() closed the connection to a silent engine when a probe was not accepted within 200 ms, and the stream ended if no other engine had room. A full queue of new connections drops the opening packet, so the probe of a busy engine times out too. The same conclusion was drawn in probeForCrash(): a timeout counted as a crash and could contain sound requests.

A silent engine now keeps its stream unless another engine has room for it and the retry budget allows the move; the decision is logged as stream-moved. Only a refused probe counts as a crash.

--- a/src/gateway/connectionpool.cpp
+++ b/src/gateway/connectionpool.cpp
@@ -30,13 +30,21 @@
 boost::asio::awaitable<std::shared_ptr<HttpClientConnection>> ConnectionPool::open(std::string address, Millis timeout)
 {
     auto connection = std::make_shared<HttpClientConnection>(this->executor, std::move(address));
-    const bool isOpen = co_await connection->connect(timeout);
-    if (!isOpen) {
+    const ConnectionStatus status = co_await connection->connect(timeout);
+    if (status != ConnectionStatus::Ok) {
         connection = nullptr;
     }
     co_return connection;
 }
 
+boost::asio::awaitable<ConnectionStatus> ConnectionPool::probe(std::string address, Millis timeout)
+{
+    const auto connection = std::make_shared<HttpClientConnection>(this->executor, std::move(address));
+    const ConnectionStatus status = co_await connection->connect(timeout);
+    connection->close();
+    co_return status;
+}
+
 void ConnectionPool::release(const std::string &key, const std::shared_ptr<HttpClientConnection> &connection)
 {
     const Millis serverTimeout = connection->isReusable() ? connection->keepAlive() : Millis(0);
--- a/src/gateway/connectionpool.h
+++ b/src/gateway/connectionpool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cyclamencross/base/timing.h"
+#include "cyclamencross/gateway/connectionstatus.h"
 
 #include <cstddef>
 #include <deque>
@@ -35,6 +36,10 @@
     std::shared_ptr<HttpClientConnection> takeIdle(const std::string &key);
     /// Opens a new connection to @p address; nullptr if that fails.
     boost::asio::awaitable<std::shared_ptr<HttpClientConnection>> open(std::string address, Millis timeout);
+    /// Opens a connection to @p address and closes it again.
+    /// @return as HttpClientConnection::connect(). TimedOut does not show that the server is gone: the opening packet
+    /// is dropped while the server's queue of new connections is full.
+    boost::asio::awaitable<ConnectionStatus> probe(std::string address, Millis timeout);
     /// Adds a connection to the pool, or closes it if it is not reusable or there are enough idle ones for @p key.
     void release(const std::string &key, const std::shared_ptr<HttpClientConnection> &connection);
     /// Closes the connections whose idle time is over.
--- a/src/gateway/httpclientconnection.cpp
+++ b/src/gateway/httpclientconnection.cpp
@@ -81,23 +81,24 @@
 
 HttpClientConnection::~HttpClientConnection() = default;
 
-boost::asio::awaitable<bool> HttpClientConnection::connect(Millis timeout)
+boost::asio::awaitable<ConnectionStatus> HttpClientConnection::connect(Millis timeout)
 {
     const auto self = this->shared_from_this();
     const auto endpoint = toTcpEndpoint(this->impl->address);
     if (!endpoint) {
-        co_return false;
+        co_return ConnectionStatus::Malformed;
     }
     this->impl->stream.expires_after(timeout);
     boost::system::error_code error;
     co_await this->impl->stream.async_connect(*endpoint, awaitableWithError(error));
     if (error || this->impl->closed) {
+        const bool cancelled = this->impl->closed;
         this->close();
-        co_return false;
+        co_return cancelled ? ConnectionStatus::Cancelled : toStatus(error);
     }
     this->impl->stream.expires_never();
     this->impl->stream.socket().set_option(tcp::no_delay(true), error);
-    co_return true;
+    co_return ConnectionStatus::Ok;
 }
 
 void HttpClientConnection::startRequest(std::string bytes, bool headRequest)
--- a/src/gateway/httpclientconnection_test.cpp
+++ b/src/gateway/httpclientconnection_test.cpp
@@ -42,7 +42,7 @@
     Millis result{-1};
     boost::asio::co_spawn(context, answerOnce(acceptor, value), boost::asio::detached);
     const auto call = [](std::shared_ptr<HttpClientConnection> client, Millis &timeout) -> awaitable<void> {
-        const bool open = co_await client->connect(Millis(1000));
+        const bool open = co_await client->connect(Millis(1000)) == ConnectionStatus::Ok;
         if (open) {
             std::string request = "GET /";
             const auto status =
--- a/src/gateway/requesthandler.cpp
+++ b/src/gateway/requesthandler.cpp
@@ -25,7 +25,8 @@
 namespace
 {
 
-// A crashed process refuses connections at once; one that only aborted a response accepts them.
+// A crashed process refuses connections at once; one that only aborted a response accepts them, or drops them while its
+// queue of new connections is full.
 constexpr Millis CrashCheckTimeout{300};
 // Number of late responses to other requests that are skipped before the connection counts as malformed.
 constexpr int MaxStrayResponses = 3;
@@ -37,9 +38,8 @@
                                            std::string requestId, bool hadOutput)
 {
     const TimePoint brokenAt = Clock::now();
-    const auto connection = co_await state.connections.open(server.address, CrashCheckTimeout);
-    if (connection) {
-        connection->close();
+    const ConnectionStatus probe = co_await state.connections.probe(server.address, CrashCheckTimeout);
+    if (probe != ConnectionStatus::Broken) {
         co_return;
     }
     const TimePoint now = Clock::now();
--- a/src/gateway/streamrequesthandler.cpp
+++ b/src/gateway/streamrequesthandler.cpp
@@ -36,30 +36,6 @@
 constexpr Millis MinStallTimeout{700};
 constexpr Millis StallCheckPeriod{100};
 
-// Probes the engine of a stream that can be resumed elsewhere whenever it is silent for longer than stallTimeout. If
-// the engine accepts no connection any more, it is gone and the connection is closed. An engine that still accepts
-// connections is kept, since silence alone does not show that it failed.
-boost::asio::awaitable<void> watchForStall(RouterState &state, std::shared_ptr<HttpClientConnection> connection,
-                                           std::shared_ptr<StreamProgress> progress, Millis stallTimeout)
-{
-    while (!progress->finished) {
-        co_await sleepFor(StallCheckPeriod);
-        if (progress->finished || Clock::now() - progress->lastActivity < stallTimeout) {
-            continue;
-        }
-        const auto probe = co_await state.connections.open(connection->address(), RequestHandler::ConnectTimeout);
-        if (probe) {
-            probe->close();
-            progress->lastActivity = Clock::now();
-            continue;
-        }
-        if (!progress->finished) {
-            connection->close();
-        }
-        co_return;
-    }
-}
-
 }
 
 boost::asio::awaitable<void> StreamRequestHandler::serve()
@@ -232,8 +208,7 @@
     this->progress = std::make_shared<StreamProgress>();
     if (this->route.mayRepeat() && this->hasAttemptsLeft()) {
         const Millis stallTimeout = std::max(MinStallTimeout, this->route.eventGapTarget * StallTimeoutFactor);
-        boost::asio::co_spawn(this->state.executor,
-                              watchForStall(this->state, this->connection, this->progress, stallTimeout),
+        boost::asio::co_spawn(this->state.executor, this->watchForStall(this->connection, this->progress, stallTimeout),
                               boost::asio::detached);
     }
     const AttemptResult result = co_await this->readResponse(server);
@@ -241,6 +216,43 @@
     co_return result;
 }
 
+boost::asio::awaitable<void> StreamRequestHandler::watchForStall(std::shared_ptr<HttpClientConnection> watched,
+                                                                 std::shared_ptr<StreamProgress> callProgress,
+                                                                 Millis stallTimeout)
+{
+    // This object may be gone whenever `finished` is set, so that is checked after each wait.
+    if (callProgress->finished) {
+        co_return;
+    }
+    RouterState &sharedState = this->state;
+    while (!callProgress->finished) {
+        co_await sleepFor(StallCheckPeriod);
+        if (callProgress->finished || Clock::now() - callProgress->lastActivity < stallTimeout) {
+            continue;
+        }
+        const ConnectionStatus probe = co_await sharedState.connections.probe(watched->address(), ConnectTimeout);
+        if (probe == ConnectionStatus::Ok) {
+            callProgress->lastActivity = Clock::now();
+            continue;
+        }
+        if (callProgress->finished || Clock::now() - callProgress->lastActivity < stallTimeout) {
+            continue;
+        }
+        std::size_t candidates = 0;
+        if (!this->findDecodeEngine(candidates) || !this->reserveRetry()) {
+            continue;
+        }
+        LogLine("stream-moved")
+            .add("request", this->request.id)
+            .add("backend", this->decodeEngine->id)
+            .add("reason", "silent, accepts no connection")
+            .add("last_event", this->lastEventId.value_or(-1))
+            .write();
+        watched->close();
+        co_return;
+    }
+}
+
 boost::asio::awaitable<StreamRequestHandler::AttemptResult> StreamRequestHandler::readResponse(BackendServer server)
 {
     const TimePoint until = this->deadline;
--- a/src/gateway/streamrequesthandler.h
+++ b/src/gateway/streamrequesthandler.h
@@ -55,8 +55,17 @@
     /// unset.
     boost::asio::awaitable<bool> acquireReservation();
     void logDecodePlacement() const;
-    /// Returns whether this router is stopping and is expected to exit before the stream ends.
+    /// Returns whether this router is stopping and may exit before the stream ends. While other routers can serve the
+    /// request, it must fit even if it is as long as the longest of the latest streams of its route.
     bool isCutByStop() const;
+    /// Returns the decode engine to which the request would be sent now; std::nullopt if none has capacity as far as
+    /// this router knows.
+    std::optional<PlacementCandidate> findDecodeEngine(std::size_t &candidateCount) const;
+    /// Watches the stream of the current call while the engine is silent for longer than @p stallTimeout. An engine
+    /// that accepts no connection may be gone, or its queue of new connections is full: its stream is moved, but only
+    /// if another engine has room for it.
+    boost::asio::awaitable<void> watchForStall(std::shared_ptr<HttpClientConnection> watched,
+                                               std::shared_ptr<StreamProgress> callProgress, Millis stallTimeout);
     /// Releases a capacity reservation that was not used.
     void releaseReservation();
     /// Makes a call in the background and ignores its result.
--- a/src/gateway/streamrequestplacement.cpp
+++ b/src/gateway/streamrequestplacement.cpp
@@ -190,11 +190,8 @@
     boost::asio::co_spawn(this->state.executor, sendAndForget(this->state, address, call), boost::asio::detached);
 }
 
-bool StreamRequestHandler::chooseDecodeEngine()
+std::optional<PlacementCandidate> StreamRequestHandler::findDecodeEngine(std::size_t &candidateCount) const
 {
-    this->workReservation = nullptr;
-    this->permit = nullptr;
-    this->decodeEngine = std::nullopt;
     const ServiceConfig *config = this->table->service(this->service);
     const double capacity = config != nullptr && config->engine ? double(config->engine->kvCacheTokens) : 0;
     const EngineStage stage = capacity > 0 ? EngineStage::Decode : EngineStage::None;
@@ -209,15 +206,23 @@
         candidates = this->state.sampleOtherGroups(this->service, stage, this->excluded, now);
         choice = choose(candidates);
     }
-    if (!choice) {
+    candidateCount = candidates.size();
+    return choice ? std::optional<PlacementCandidate>(candidates[*choice]) : std::nullopt;
+}
+
+bool StreamRequestHandler::chooseDecodeEngine()
+{
+    this->workReservation = nullptr;
+    this->permit = nullptr;
+    this->decodeEngine = std::nullopt;
+    const std::optional<PlacementCandidate> chosen = this->findDecodeEngine(this->candidateCount);
+    if (!chosen) {
         return false;
     }
-    const PlacementCandidate &chosen = candidates[*choice];
-    this->decodeEngine = chosen.server;
-    this->workReservation = std::make_unique<WorkReservation>(this->state.work, chosen.server.id, this->requestWork());
-    this->permit = std::make_unique<RequestPermit>(this->state.namedLimits, chosen.server.id);
-    this->decodeCandidate = chosen;
-    this->candidateCount = candidates.size();
+    this->decodeEngine = chosen->server;
+    this->workReservation = std::make_unique<WorkReservation>(this->state.work, chosen->server.id, this->requestWork());
+    this->permit = std::make_unique<RequestPermit>(this->state.namedLimits, chosen->server.id);
+    this->decodeCandidate = *chosen;
     return true;
 }
 
--- a/src/include/cyclamencross/gateway/httpclientconnection.h
+++ b/src/include/cyclamencross/gateway/httpclientconnection.h
@@ -26,8 +26,9 @@
     HttpClientConnection &operator=(const HttpClientConnection &) = delete;
 
     /// Opens the connection.
-    /// @return whether it was established within @p timeout.
-    boost::asio::awaitable<bool> connect(Millis timeout);
+    /// @return ConnectionStatus::Ok if it was established, TimedOut if that took longer than @p timeout, Broken if it
+    /// was refused.
+    boost::asio::awaitable<ConnectionStatus> connect(Millis timeout);
     /// Starts sending a request. The response may be read before the request is sent completely.
     /// @param bytes the complete request.
     /// @param headRequest whether this is a HEAD request, whose response has no body whatever its headers say.
