Stop: streams of unknown length are refused if they may outlast the router

Callers whose streams were accepted in the first 2.5 s after the stop signal lost them at the exit. The estimate of a stream's duration needs the caller's estimate of its length: without one, the pace was unknown and the expected time zero, so no stream was ever refused.

While other routers are registered, a stopping router accepts a stream only if the longest of the latest 64 streams of its route would fit, or the route's timeout if it knows none. Its refusals name a delay of 20 to 100 ms, since the other routers can serve at once.

--- a/src/gateway/routerstate.cpp
+++ b/src/gateway/routerstate.cpp
@@ -369,6 +369,7 @@
 void RouterState::recordStream(const StreamSample &sample)
 {
     this->outputEstimator.record(sample);
+    this->streamDurations.record(sample);
     if (this->pendingStreams.size() < MaxReportedStreams) {
         this->pendingStreams.push_back(sample);
     }
@@ -414,7 +415,8 @@
 
 Millis RouterState::retryAfterDelay()
 {
-    return RetryAfter::afterDisturbance(this->random());
+    return this->stopSchedule && this->hasOtherRouters() ? RetryAfter::atAnotherRouter(this->random())
+                                                         : RetryAfter::afterDisturbance(this->random());
 }
 
 std::size_t RouterState::routerCount() const
@@ -422,6 +424,11 @@
     return std::max<std::size_t>(1, this->members.size());
 }
 
+bool RouterState::hasOtherRouters() const
+{
+    return !this->peersOfGroup.empty() || !this->routersOfOtherGroups.empty();
+}
+
 bool RouterState::isReady() const
 {
     return !this->stopping && this->table != nullptr && this->backendsKnown;
--- a/src/gateway/routerstate.h
+++ b/src/gateway/routerstate.h
@@ -23,6 +23,7 @@
 #include "cyclamencross/route/stageplan.h"
 #include "cyclamencross/route/stopschedule.h"
 #include "cyclamencross/route/storefreshness.h"
+#include "cyclamencross/route/streamdurations.h"
 
 #include <cstdint>
 #include <functional>
@@ -129,10 +130,13 @@
     void applyReport(const PeerReport &report, TimePoint now);
     /// Returns a uniformly distributed random number from 0 to 1.
     double random();
-    /// Returns the delay after which a refused caller may retry, with jitter so that callers do not return together.
+    /// Returns the delay after which a refused caller may retry, with jitter so that callers do not return together. A
+    /// stopping router sends callers to the others, which can serve them at once.
     Millis retryAfterDelay();
     /// Returns the number of routers that share the retry budget, at least 1.
     std::size_t routerCount() const;
+    /// Returns whether other routers are registered, which can serve what this one refuses.
+    bool hasOtherRouters() const;
     /// Returns whether the router can serve requests: it has a configuration and the backend servers and is not
     /// stopping.
     bool isReady() const;
@@ -154,6 +158,7 @@
     FleetRetryBudget retryBudget;
     CallerWaitEstimator callerWaitEstimator;
     OutputEstimator outputEstimator;
+    StreamDurations streamDurations;
     CrashAttribution crashes;
     ConnectionPool connections;
     Metrics metrics;
--- a/src/gateway/routerstatereports.cpp
+++ b/src/gateway/routerstatereports.cpp
@@ -276,6 +276,7 @@
     }
     for (const StreamSample &sample : report.streams) {
         this->outputEstimator.record(sample);
+        this->streamDurations.record(sample);
     }
     this->applyCrashNews(report, now);
 }
--- a/src/gateway/streamrequestplacement.cpp
+++ b/src/gateway/streamrequestplacement.cpp
@@ -107,9 +107,15 @@
 
 bool StreamRequestHandler::isCutByStop() const
 {
-    const Millis generation(std::int64_t(double(this->estimate.tokens) * this->estimate.millisPerToken * OutputMargin));
-    return this->state.stopSchedule
-        && !this->state.stopSchedule->canFinish(Clock::now(), this->route.targetLatency + generation);
+    if (!this->state.stopSchedule) {
+        return false;
+    }
+    Millis generation(std::int64_t(double(this->estimate.tokens) * this->estimate.millisPerToken * OutputMargin));
+    if (this->state.hasOtherRouters()) {
+        generation =
+            std::max(generation, this->state.streamDurations.longest(this->route.name).value_or(this->route.timeout));
+    }
+    return !this->state.stopSchedule->canFinish(Clock::now(), this->route.targetLatency + generation);
 }
 
 void StreamRequestHandler::logDecodePlacement() const
--- a/src/include/cyclamencross/route/retryafter.h
+++ b/src/include/cyclamencross/route/retryafter.h
@@ -13,6 +13,9 @@
 /// Returns the delay after a refusal that a short disturbance caused, such as a restarting backend server.
 /// @param random number from 0 to 1.
 Millis afterDisturbance(double random);
+/// Returns the delay after a refusal of a stopping router while other routers can serve the request.
+/// @param random uniformly distributed from 0 to 1.
+Millis atAnotherRouter(double random);
 /// Returns the delay after a refusal for lack of capacity. The caller is late by then and usually returns only once, so
 /// it should return when the burst has passed, as long as there is time left for a second wait and the answer. This
 /// matters in bursts of several seconds, in which callers that return at once are refused for good.
--- a/src/route/retryafter.cpp
+++ b/src/route/retryafter.cpp
@@ -12,6 +12,9 @@
 // The minimum lets a disturbance of a few hundred milliseconds pass; the random spread is of the same order.
 constexpr Millis MinDelay{150};
 constexpr Millis DelaySpread{350};
+// Callers of a stopping router return to different routers, so a short spread is enough.
+constexpr Millis MinOtherRouterDelay{20};
+constexpr Millis OtherRouterSpread{80};
 // Shares of the time left between which the delay after an overload lies. Callers wait at most a third of it.
 constexpr double MinOverloadShare = 0.2;
 constexpr double MaxOverloadShare = 0.33;
@@ -23,6 +26,11 @@
     return MinDelay + Millis(std::int64_t(random * double(DelaySpread.count())));
 }
 
+Millis atAnotherRouter(double random)
+{
+    return MinOtherRouterDelay + Millis(std::int64_t(random * double(OtherRouterSpread.count())));
+}
+
 Millis afterOverload(Millis timeLeft, double random)
 {
     const double share = MinOverloadShare + random * (MaxOverloadShare - MinOverloadShare);
--- /dev/null
+++ b/src/route/streamdurations_test.cpp
@@ -0,0 +1,40 @@
+#include "cyclamencross/route/streamdurations.h"
+
+#include "cyclamencross/route/streamsample.h"
+
+#include <limits>
+
+#include <catch2/catch.hpp>
+
+using namespace Cyclamen;
+
+TEST_CASE("The longest of the latest streams of a route is known although their callers announced no length")
+{
+    // Guards against a stopping router that knows nothing of streams without an announced length and accepts them all.
+    StreamDurations durations;
+    CHECK_FALSE(durations.longest("long"));
+    durations.record(StreamSample{"long", "llm", 0, 300, 30.0});
+    durations.record(StreamSample{"long", "llm", 0, 100, 30.0});
+    durations.record(StreamSample{"short", "llm", 0, 10, 30.0});
+    CHECK(durations.longest("long") == Millis(9000));
+    CHECK(durations.longest("short") == Millis(300));
+}
+
+TEST_CASE("A long stream is forgotten when enough others have followed it")
+{
+    StreamDurations durations;
+    durations.record(StreamSample{"route", "llm", 0, 300, 30.0});
+    for (std::size_t i = 0; i < StreamDurations::Count; ++i) {
+        durations.record(StreamSample{"route", "llm", 0, 20, 30.0});
+    }
+    CHECK(durations.longest("route") == Millis(600));
+}
+
+TEST_CASE("A stream sample without events or with an invalid pace is ignored")
+{
+    StreamDurations durations;
+    durations.record(StreamSample{"route", "llm", 0, 0, 30.0});
+    durations.record(StreamSample{"route", "llm", 0, 10, -1.0});
+    durations.record(StreamSample{"route", "llm", 0, 10, std::numeric_limits<double>::quiet_NaN()});
+    CHECK_FALSE(durations.longest("route"));
+}
