Stop: requests are answered before the router exits, whatever they wait for

Callers saw their connections close without an answer around a planned stop. No log line named these requests.

- Requests that wait for capacity are refused when the router stops accepting; another router can serve them.
- One second before the end of the grace period, all requests without a response are answered: 503 if nothing has run, else 502.
Incomplete bodies are refused.
Streams that have begun run on until the exit.
- Connections in the queues are accepted before the ports are closed.
Idle connections stay open for another second and get 503; one that has an unread request is read and answered.
- Each request that the exit ends has a request-end line, with its age at the signal (after_stop_ms).

--- a/src/gateway/capacitywaiter.cpp
+++ b/src/gateway/capacitywaiter.cpp
@@ -6,17 +6,22 @@
 namespace Cyclamen
 {
 
-CapacityWaiter::CapacityWaiter(RouterState &state, std::string service, const CapacityWait &wait)
+CapacityWaiter::CapacityWaiter(RouterState &state, std::string service, const CapacityWait &wait, bool endsWithStop)
     : state(state)
     , service(std::move(service))
     , wait(wait)
+    , endsWithStop(endsWithStop)
 {
 }
 
 CapacityWait::Action CapacityWaiter::nextAction() const
 {
+    const TimePoint now = Clock::now();
+    if (this->endsWithStop && this->state.stopSchedule && now >= this->state.stopSchedule->refuseAt()) {
+        return CapacityWait::Action::TryLast;
+    }
     const bool othersOnTime = this->state.waiting->total(this->service).requests > (this->reservation ? 1 : 0);
-    return this->wait.nextAction(Clock::now(), othersOnTime);
+    return this->wait.nextAction(now, othersOnTime);
 }
 
 boost::asio::awaitable<void> CapacityWaiter::pause()
--- a/src/gateway/capacitywaiter.h
+++ b/src/gateway/capacitywaiter.h
@@ -19,7 +19,9 @@
 class CapacityWaiter
 {
 public:
-    CapacityWaiter(RouterState &state, std::string service, const CapacityWait &wait);
+    /// @param endsWithStop whether the wait ends when the router is stopping and refuses requests: another router can
+    /// serve the request whole.
+    CapacityWaiter(RouterState &state, std::string service, const CapacityWait &wait, bool endsWithStop);
 
     /// Returns whether the request tries to get capacity now, yields to others or stops waiting.
     CapacityWait::Action nextAction() const;
@@ -30,6 +32,7 @@
     RouterState &state;
     std::string service;
     CapacityWait wait;
+    bool endsWithStop;
     /// Counts this request in RouterState::waiting while it can be on time.
     std::unique_ptr<WorkReservation> reservation;
 };
--- a/src/gateway/httpsession.cpp
+++ b/src/gateway/httpsession.cpp
@@ -137,6 +137,8 @@
     std::function<void()> callerDisconnectHook;
     bool gone = false;
     bool busy = false;
+    bool handling = false; ///< A complete request is being handled.
+    bool refusingIncomplete = false; ///< The request that is being read is refused.
     bool responseStarted = false;
     bool closing = false;
     bool headRequest = false;
@@ -168,7 +170,9 @@
             break;
         }
         this->watchCaller();
+        this->impl->handling = true;
         co_await this->impl->handler(*this, request);
+        this->impl->handling = false;
         this->stopWatchingCaller();
         this->impl->busy = false;
         this->impl->callerDisconnectHook = nullptr;
@@ -189,7 +193,8 @@
         co_await session.stream.async_read_some(session.buffer.prepare(ReadBytes), awaitableWithError(error));
     session.buffer.commit(count);
     session.busy = !error;
-    session.gone = session.gone || (error && error != boost::beast::error::timeout);
+    const bool cancelled = session.closing && error == boost::asio::error::operation_aborted;
+    session.gone = session.gone || (error && error != boost::beast::error::timeout && !cancelled);
     co_return !error;
 }
 
@@ -226,7 +231,8 @@
     }
     readTimeout.stop();
     if (error) {
-        const int status = readTimeout.hasExpired() ? 408 : refusalStatus(error);
+        const int failure = readTimeout.hasExpired() ? 408 : refusalStatus(error);
+        const int status = session.refusingIncomplete ? 503 : failure;
         if (status != 0) {
             co_await this->refuse(status);
         }
@@ -406,11 +412,20 @@
 void HttpSession::closeIfIdle()
 {
     this->impl->closing = true;
-    if (!this->impl->busy) {
+    boost::system::error_code error;
+    if (!this->impl->busy && this->impl->stream.socket().available(error) == 0) {
         this->impl->stream.cancel();
     }
 }
 
+void HttpSession::refuseIncompleteRequest()
+{
+    if (this->impl->busy && !this->impl->handling) {
+        this->impl->refusingIncomplete = true;
+        this->impl->stream.socket().cancel();
+    }
+}
+
 bool HttpSession::isResponseStarted() const
 {
     return this->impl->responseStarted;
--- a/src/gateway/httpsession.h
+++ b/src/gateway/httpsession.h
@@ -51,8 +51,10 @@
     void onCallerDisconnect(std::function<void()> hook);
     /// Closes the connection after the current response.
     void closeAfterResponse();
-    /// Closes the connection if no request is being read or handled.
+    /// Closes the connection if no request is being read or handled and none waits to be read.
     void closeIfIdle();
+    /// Refuses a request that is being read and has not been received completely yet.
+    void refuseIncompleteRequest();
     /// Returns whether sending the response to the current request has begun.
     bool isResponseStarted() const;
 
--- a/src/gateway/plainrequesthandler.cpp
+++ b/src/gateway/plainrequesthandler.cpp
@@ -35,7 +35,7 @@
     while (!this->shouldStop() && this->unreachableCount < MaxUnreachable) {
         const auto candidates = co_await this->waitForCapacity();
         if (!candidates) {
-            this->failure = "no-room";
+            this->failure = this->noCapacityReason();
             break;
         }
         const auto choice = Placement::choosePlain(*candidates, std::numeric_limits<double>::infinity(),
@@ -74,7 +74,7 @@
     const Millis target = this->route.targetLatency;
     const auto maxWait = std::chrono::duration_cast<Millis>((this->deadline - start) * MaxWaitShare);
     const auto onTimeFor = std::chrono::duration_cast<Millis>(target * OnTimeShare);
-    CapacityWaiter waiter(this->state, this->service, CapacityWait(this->request.received, onTimeFor, maxWait));
+    CapacityWaiter waiter(this->state, this->service, CapacityWait(this->request.received, onTimeFor, maxWait), true);
     std::optional<std::vector<PlacementCandidate>> availableCandidates;
     while (!this->shouldStop()) {
         const CapacityWait::Action action = waiter.nextAction();
--- a/src/gateway/requesthandler.cpp
+++ b/src/gateway/requesthandler.cpp
@@ -107,6 +107,19 @@
     this->logEnd();
 }
 
+void RequestHandler::cancel()
+{
+    this->cancelled = true;
+    if (this->connection) {
+        this->connection->close();
+    }
+}
+
+bool RequestHandler::isResponseStarted() const
+{
+    return this->session.isResponseStarted();
+}
+
 boost::asio::awaitable<bool> RequestHandler::openConnection(const BackendServer &server, bool fresh)
 {
     this->connection = fresh ? nullptr : this->state.connections.takeIdle(server.id + server.address);
@@ -210,8 +223,8 @@
 
 void RequestHandler::recordOutcome(const BackendServer &server, CallOutcome outcome)
 {
-    if (this->session.isCallerDisconnected()) {
-        return; // The call was ended by the caller and says nothing about the backend server.
+    if (this->session.isCallerDisconnected() || this->cancelled) {
+        return; // The call was ended on this side and says nothing about the backend server.
     }
     this->state.recordOutcome(server.id, outcome, Clock::now());
 }
@@ -272,6 +285,9 @@
     if (this->timeLeft() <= Millis(0)) {
         reason += ",deadline";
     }
+    if (this->cancelled) {
+        reason += ",stopped";
+    }
     if (this->session.isResponseStarted()) {
         this->outcome = "broken-off:" + reason;
         this->session.abort();
@@ -305,10 +321,17 @@
 
 bool RequestHandler::shouldStop() const
 {
-    return this->session.isCallerDisconnected() || this->timeLeft() <= Millis(0)
+    return this->session.isCallerDisconnected() || this->cancelled || this->timeLeft() <= Millis(0)
         || (!this->isCrashTrial && this->state.crashes.findContained(this->suspects) != nullptr);
 }
 
+std::string RequestHandler::noCapacityReason()
+{
+    const bool stopping = this->state.stopSchedule && Clock::now() >= this->state.stopSchedule->refuseAt();
+    this->overloaded = !stopping;
+    return stopping ? "stopping" : "no-room";
+}
+
 bool RequestHandler::hasAttemptsLeft() const
 {
     return this->attempts < this->route.maxAttempts;
@@ -342,8 +365,11 @@
         "cyclamencross_requests_total",
         {{"service", this->service}, {"outcome", this->outcome.substr(0, this->outcome.find(':'))}});
     this->state.metrics.observe("cyclamencross_request_seconds", seconds, {{"service", this->service}});
-    LogLine("request-end")
-        .add("request", this->request.id)
+    LogLine line("request-end");
+    if (this->state.stopSchedule) {
+        line.add("after_stop_ms", std::int64_t(this->state.stopSchedule->sinceBegin(this->request.received).count()));
+    }
+    line.add("request", this->request.id)
         .add("route", this->route.name)
         .add("config", this->table->version())
         .add("service", this->service)
--- a/src/gateway/requesthandler.h
+++ b/src/gateway/requesthandler.h
@@ -44,6 +44,11 @@
 
     /// Handles the request until it is answered, refused or abandoned by the caller, and logs the outcome.
     boost::asio::awaitable<void> handle();
+    /// Ends the call to the backend server, so that the request ends soon: with a failure, or with the connection of a
+    /// caller that has received part of a response.
+    void cancel();
+    /// Returns whether the caller has received part of a response.
+    bool isResponseStarted() const;
 
 protected:
     /// Sends the request to backend servers and responds to the caller; sets `outcome`.
@@ -90,9 +95,11 @@
     /// Sends the caller the response on the current connection with the given body.
     boost::asio::awaitable<void> forwardResponse(std::string body);
 
-    /// Returns whether the caller has disconnected, the deadline has passed, or the request must not be sent because of
-    /// crashes.
+    /// Returns whether the caller has disconnected, the deadline has passed, the request was cancelled, or it must not
+    /// be sent because of crashes.
     bool shouldStop() const;
+    /// Returns why no backend server with capacity was found, and sets `overloaded`.
+    std::string noCapacityReason();
     /// Returns whether the route allows another attempt.
     bool hasAttemptsLeft() const;
     Millis timeLeft() const;
@@ -139,6 +146,7 @@
     std::vector<std::string> findSuspects() const;
     void logEnd() const;
 
+    bool cancelled = false;
     std::vector<std::string> suspects; ///< From the most general to the most specific.
     bool isCrashTrial = false; ///< The request is sent in spite of crashes, to see whether they go on.
 };
--- a/src/gateway/router.cpp
+++ b/src/gateway/router.cpp
@@ -108,35 +108,57 @@
         LogLine("listen-failed").add("port", what).add("address", address).add("detail", error.message()).error();
         return false;
     }
-    this->acceptors.push_back(acceptor);
-    boost::asio::co_spawn(this->context, this->accept(acceptor, handler), boost::asio::detached);
+    this->listeners.push_back(Listener{acceptor, handler});
+    boost::asio::co_spawn(this->context, this->accept(this->listeners.back()), boost::asio::detached);
     return true;
 }
 
-boost::asio::awaitable<void> Router::accept(std::shared_ptr<Acceptor> acceptor, HttpSession::Handler handler)
+boost::asio::awaitable<void> Router::accept(Listener listener)
 {
-    const RouterSettings &settings = this->state.settings;
-    const std::size_t byDescriptors = settings.descriptors - std::min(settings.descriptors / 2, ReservedDescriptors);
-    const std::size_t byMemory =
-        std::size_t(double(settings.memoryMiB << 20U) * SessionMemoryShare / double(SessionBytes));
-    const std::size_t maxSessions = std::min(byDescriptors, byMemory);
-    while (acceptor->is_open()) {
+    while (listener.acceptor->is_open()) {
         boost::system::error_code error;
-        auto socket = co_await acceptor->async_accept(awaitableWithError(error));
+        auto socket = co_await listener.acceptor->async_accept(awaitableWithError(error));
         if (error == boost::asio::error::operation_aborted || error == boost::asio::error::bad_descriptor) {
             co_return;
         }
-        if (error || this->sessions.size() >= maxSessions) {
+        if (error) {
             this->state.metrics.count("cyclamencross_connections_refused_total");
-            if (error) {
-                co_await sleepFor(HousekeepingPeriod);
+            co_await sleepFor(HousekeepingPeriod);
+            continue;
+        }
+        this->startSession(std::move(socket), listener.handler);
+    }
+}
+
+void Router::startSession(boost::asio::ip::tcp::socket socket, const HttpSession::Handler &handler)
+{
+    const RouterSettings &settings = this->state.settings;
+    const std::size_t byDescriptors = settings.descriptors - std::min(settings.descriptors / 2, ReservedDescriptors);
+    const std::size_t byMemory =
+        std::size_t(double(settings.memoryMiB << 20U) * SessionMemoryShare / double(SessionBytes));
+    if (this->sessions.size() >= std::min(byDescriptors, byMemory)) {
+        this->state.metrics.count("cyclamencross_connections_refused_total");
+        return; // The socket is closed unread, so the caller can safely retry at another router.
+    }
+    auto session = std::make_shared<HttpSession>(
+        std::move(socket), [this] { return this->limits(); }, handler);
+    this->sessions.insert(session);
+    boost::asio::co_spawn(this->context, this->serveSession(std::move(session)), boost::asio::detached);
+}
+
+void Router::closePorts()
+{
+    for (const Listener &listener : this->listeners) {
+        boost::system::error_code error;
+        listener.acceptor->non_blocking(true, error);
+        while (!error) {
+            boost::asio::ip::tcp::socket socket(this->context);
+            listener.acceptor->accept(socket, error);
+            if (!error) {
+                this->startSession(std::move(socket), listener.handler);
             }
-            continue; // The socket is closed unread, so the caller can safely retry at another router.
         }
-        auto session = std::make_shared<HttpSession>(
-            std::move(socket), [this] { return this->limits(); }, handler);
-        this->sessions.insert(session);
-        boost::asio::co_spawn(this->context, this->serveSession(std::move(session)), boost::asio::detached);
+        listener.acceptor->close(error);
     }
 }
 
@@ -167,16 +189,17 @@
         co_return;
     }
     const std::string service = this->chooseService(*route);
-    ++this->state.activeRequests;
+    std::unique_ptr<RequestHandler> handler;
     if (route->kind == RequestKind::Stream) {
-        StreamRequestHandler handler(this->state, this->platform.backendCodec, session, request, table, *route,
-                                     service);
-        co_await handler.handle();
+        handler = std::make_unique<StreamRequestHandler>(this->state, this->platform.backendCodec, session, request,
+                                                         table, *route, service);
     } else {
-        PlainRequestHandler handler(this->state, this->platform.backendCodec, session, request, table, *route, service);
-        co_await handler.handle();
+        handler = std::make_unique<PlainRequestHandler>(this->state, this->platform.backendCodec, session, request,
+                                                        table, *route, service);
     }
-    --this->state.activeRequests;
+    this->running.insert(handler.get());
+    co_await handler->handle();
+    this->running.erase(handler.get());
 }
 
 boost::asio::awaitable<void> Router::refuse(HttpSession &session, const RouterRequest &request, int status,
@@ -273,7 +296,7 @@
         this->state.health.retain(isRegistered);
         this->state.namedLimits->retain(isRegistered);
         this->state.namedLimits->advance(now, unixMillis());
-        this->state.metrics.set("cyclamencross_active_requests", this->state.activeRequests);
+        this->state.metrics.set("cyclamencross_active_requests", double(this->running.size()));
         this->state.metrics.set("cyclamencross_caller_connections", double(this->sessions.size()));
         this->state.metrics.set("cyclamencross_routers", double(this->state.members.size()));
         if (const auto confirmedAt = this->state.freshness.confirmedAt()) {
@@ -296,7 +319,7 @@
         }
         LogLine("stop-begun")
             .add("signal", signal)
-            .add("active", this->state.activeRequests)
+            .add("active", std::uint64_t(this->running.size()))
             .add("handled_late_ms_at_most", toSeconds(Clock::now() - this->loopMonitor.earliestArrival()) * 1000)
             .write();
         boost::asio::co_spawn(this->context, this->stop(), boost::asio::detached);
@@ -351,20 +374,40 @@
         co_await sleepFor(StopPollPeriod);
     }
     this->refusing = true;
-    for (const auto &acceptor : this->acceptors) {
-        boost::system::error_code error;
-        acceptor->close(error);
-    }
+    this->closePorts();
+    co_await this->waitForRequests(schedule.closeIdleAt());
     for (const auto &session : this->sessions) {
         session->closeIfIdle();
     }
     // The sessions that remain read a request, which will be refused, or wait until their caller has received the last
     // response. Exiting with unread bytes would reset the connection, and the caller could lose that response.
-    while (Clock::now() < schedule.endAt() && (this->state.activeRequests > 0 || !this->sessions.empty())) {
-        co_await sleepFor(StopPollPeriod);
+    co_await this->waitForRequests(schedule.answerAt());
+    for (const auto &session : this->sessions) {
+        session->refuseIncompleteRequest();
     }
-    LogLine("stopped").add("unfinished", this->state.activeRequests).write();
+    for (RequestHandler *handler : this->running) {
+        if (!handler->isResponseStarted()) {
+            handler->cancel();
+        }
+    }
+    co_await this->waitForRequests(schedule.endAt());
+    const std::size_t unfinished = this->running.size();
+    for (RequestHandler *handler : this->running) {
+        handler->cancel();
+    }
+    co_await this->waitForRequests(Clock::now() + StopPollPeriod);
+    LogLine("stopped")
+        .add("unfinished", std::uint64_t(unfinished))
+        .add("after_ms", std::int64_t(schedule.sinceBegin(Clock::now()).count()))
+        .write();
     this->context.stop();
 }
 
+boost::asio::awaitable<void> Router::waitForRequests(TimePoint time)
+{
+    while (Clock::now() < time && (!this->running.empty() || !this->sessions.empty())) {
+        co_await sleepFor(std::min(StopPollPeriod, std::chrono::ceil<Millis>(time - Clock::now())));
+    }
+}
+
 }
--- a/src/gateway/router.h
+++ b/src/gateway/router.h
@@ -21,6 +21,8 @@
 namespace Cyclamen
 {
 
+class RequestHandler;
+
 /// One router process: listens on the ports of the settings, runs the background tasks and stops gracefully on SIGTERM
 /// or SIGINT.
 class Router
@@ -41,10 +43,20 @@
 
 private:
     using Acceptor = boost::asio::ip::tcp::acceptor;
+    /// A listening port and the handler of the requests that arrive there.
+    struct Listener
+    {
+        std::shared_ptr<Acceptor> acceptor;
+        HttpSession::Handler handler;
+    };
 
     /// @param what name of the port in the log.
     bool listen(const std::string &address, const std::string &what, const HttpSession::Handler &handler);
-    boost::asio::awaitable<void> accept(std::shared_ptr<Acceptor> acceptor, HttpSession::Handler handler);
+    boost::asio::awaitable<void> accept(Listener listener);
+    /// Starts a session on a new connection, or closes the connection if there are too many.
+    void startSession(boost::asio::ip::tcp::socket socket, const HttpSession::Handler &handler);
+    /// Starts sessions on the connections that wait in the queues of the ports, and closes the ports.
+    void closePorts();
     boost::asio::awaitable<void> serveSession(std::shared_ptr<HttpSession> session);
     /// Matches a caller's request to a route and handles it.
     boost::asio::awaitable<void> handleCaller(HttpSession &session, RouterRequest &request);
@@ -57,9 +69,11 @@
     /// Measures how late the event loop is.
     boost::asio::awaitable<void> monitorEventLoop();
     boost::asio::awaitable<void> waitForSignals();
-    /// Unregisters the router, accepts and refuses requests as StopSchedule says, and ends the event loop once the
-    /// running ones have finished or the schedule ends.
+    /// Unregisters the router, accepts, refuses and answers requests as StopSchedule says, and ends the event loop once
+    /// the running ones have finished or the schedule ends.
     boost::asio::awaitable<void> stop();
+    /// Sleeps until @p time, or until no request runs and no connection is open.
+    boost::asio::awaitable<void> waitForRequests(TimePoint time);
     /// Applies those settings that can change at runtime.
     void reload();
     /// Returns the addresses for a directory response: this router's own if it is ready, then those of others,
@@ -78,8 +92,9 @@
     StageController stages;
     ContainmentKeeper containments;
     boost::asio::signal_set signals;
-    std::vector<std::shared_ptr<Acceptor>> acceptors;
+    std::vector<Listener> listeners;
     std::set<std::shared_ptr<HttpSession>> sessions;
+    std::set<RequestHandler *> running; ///< Handlers of the requests that are being handled.
     EventLoopMonitor loopMonitor;
     bool refusing = false; ///< The router is stopping and refuses new requests.
 };
--- a/src/gateway/routerstate.h
+++ b/src/gateway/routerstate.h
@@ -179,7 +179,6 @@
     std::uint64_t newestPeerRevision = 0; ///< Newest store revision that a peer has reported.
     bool stopping = false;
     std::optional<StopSchedule> stopSchedule; ///< Set while the router stops.
-    int activeRequests = 0;
 
 private:
     /// Interval between reports if nothing has changed: a third of the time for which peers keep a report.
--- a/src/gateway/streamrequestplacement.cpp
+++ b/src/gateway/streamrequestplacement.cpp
@@ -64,7 +64,7 @@
 {
     this->releaseReservation(); // At the engine of an attempt that did not reach it.
     const TimePoint start = Clock::now();
-    CapacityWaiter waiter(this->state, this->service, this->capacityWait());
+    CapacityWaiter waiter(this->state, this->service, this->capacityWait(), !this->session.isResponseStarted());
     while (!this->shouldStop()) {
         const CapacityWait::Action action = waiter.nextAction();
         if (action != CapacityWait::Action::Yield && this->chooseDecodeEngine()) {
@@ -77,8 +77,8 @@
             continue;
         }
         if (action == CapacityWait::Action::TryLast || this->unreachableCount >= MaxUnreachableEngines) {
-            this->failure = "no-room";
-            this->overloaded = this->unreachableCount < MaxUnreachableEngines;
+            this->failure = this->noCapacityReason();
+            this->overloaded = this->overloaded && this->unreachableCount < MaxUnreachableEngines;
             break;
         }
         co_await waiter.pause();
--- a/src/route/stopschedule.cpp
+++ b/src/route/stopschedule.cpp
@@ -16,6 +16,21 @@
     return this->begin + std::clamp(this->grace - MinFinishPeriod, Millis(0), MaxAcceptPeriod);
 }
 
+TimePoint StopSchedule::closeIdleAt() const
+{
+    return std::min(this->refuseAt() + IdleConnectionPeriod, this->endAt());
+}
+
+TimePoint StopSchedule::answerAt() const
+{
+    return this->begin + std::max(Millis(0), this->grace - AnswerMargin);
+}
+
+Millis StopSchedule::sinceBegin(TimePoint time) const
+{
+    return std::chrono::duration_cast<Millis>(time - this->begin);
+}
+
 bool StopSchedule::canFinish(TimePoint now, Millis duration) const
 {
     return now + duration <= this->endAt();
