Leaving and paused backend servers get no new requests

Callers saw requests placed at engines that had said in their answers that they leave, until the registration said so too, and at engines that had asked with Retry-After for a time without requests. Both headers were ignored.

Every answer is read for them: to plain calls, streams, prefill calls, reservations, releases and orders, including answers to other requests (a late one makes no pause). Such servers are left out by RouterState::candidates() and isUsable(), which is checked again after each connect. A reservation that a leaving engine grants is released and made elsewhere. Paused engines get no releases either; what those free ends by itself. The leader gives such engines no orders.

Malformed values change nothing, are counted, and logged once a server.

--- a/src/gateway/fleetsyncitems.cpp
+++ b/src/gateway/fleetsyncitems.cpp
@@ -110,6 +110,9 @@
     if (known != nullptr && known->startUnixMillis != server.startUnixMillis) {
         this->state.namedLimits->forget(id);
     }
+    if (this->state.statements.applyRegistration(server, known != nullptr)) {
+        LogLine("backend-restarted").add("backend", id).add("born", server.startUnixMillis).write();
+    }
     const bool changed = this->state.backends.put(id, server, item.revision);
     if (changed) {
         LogLine("backend-changed")
--- a/src/gateway/plainrequesthandler.cpp
+++ b/src/gateway/plainrequesthandler.cpp
@@ -41,6 +41,9 @@
         const auto choice = Placement::choosePlain(*candidates, std::numeric_limits<double>::infinity(),
                                                    [this] { return this->state.random(); });
         if (!choice) {
+            if (const auto silentUntil = this->silentUntil(this->excluded)) {
+                this->setSilenceFailure(*silentUntil);
+            }
             break;
         }
         if (!this->reserveRetry()) {
@@ -113,7 +116,7 @@
         this->failure = "unreachable";
         co_return AttemptResult::Retry;
     }
-    if (this->shouldStop() || !this->state.isUsable(server)) {
+    if (this->shouldStop() || !this->state.isUsable(server, Clock::now())) {
         this->excluded.insert(server.id);
         co_return AttemptResult::Retry;
     }
@@ -124,7 +127,7 @@
     const auto attemptTimeout =
         std::chrono::duration_cast<Clock::duration>((this->deadline - Clock::now()) * AttemptTimeShare);
     const TimePoint until = anotherFollows ? Clock::now() + attemptTimeout : this->deadline;
-    const ConnectionStatus status = co_await this->readMatchingResponse(server.id, until);
+    const ConnectionStatus status = co_await this->readMatchingResponse(server, until);
     if (status == ConnectionStatus::Ok && this->response.notExecuted) {
         this->failure = this->response.wrongBackend ? "wrong-backend" : "rejected";
         this->attempts -= this->response.wrongBackend ? 1 : 0;
--- a/src/gateway/requesthandler.cpp
+++ b/src/gateway/requesthandler.cpp
@@ -150,7 +150,7 @@
     this->connection->startRequest(message + "\r\n" + this->request.body, this->request.method == "HEAD");
 }
 
-boost::asio::awaitable<ConnectionStatus> RequestHandler::readMatchingHead(std::string backend, TimePoint until)
+boost::asio::awaitable<ConnectionStatus> RequestHandler::readMatchingHead(BackendServer server, TimePoint until)
 {
     for (int strayResponses = 0; strayResponses <= MaxStrayResponses; ++strayResponses) {
         ConnectionStatus status = co_await this->connection->readHead(until);
@@ -160,12 +160,14 @@
         const int code = this->connection->status();
         this->response = this->codec.decodeResponseHead(code, this->connection->headers());
         const bool withoutId = this->response.requestId.empty() && code >= 300;
-        if (withoutId || this->response.requestId == this->request.id) {
+        const bool isMatching = withoutId || this->response.requestId == this->request.id;
+        this->state.recordStatements(server, this->response, !isMatching, Clock::now());
+        if (isMatching) {
             if (this->response.requestsPerSecond && !withoutId) {
-                this->state.recordNamedLimit(backend, *this->response.requestsPerSecond, Clock::now());
+                this->state.recordNamedLimit(server.id, *this->response.requestsPerSecond, Clock::now());
             }
             if (this->response.reportedCalls) {
-                this->state.recordReportedCalls(backend, *this->response.reportedCalls, Clock::now());
+                this->state.recordReportedCalls(server.id, *this->response.reportedCalls, Clock::now());
             }
             co_return ConnectionStatus::Ok;
         }
@@ -179,9 +181,9 @@
     co_return ConnectionStatus::Malformed;
 }
 
-boost::asio::awaitable<ConnectionStatus> RequestHandler::readMatchingResponse(std::string backend, TimePoint until)
+boost::asio::awaitable<ConnectionStatus> RequestHandler::readMatchingResponse(BackendServer server, TimePoint until)
 {
-    ConnectionStatus status = co_await this->readMatchingHead(std::move(backend), until);
+    ConnectionStatus status = co_await this->readMatchingHead(std::move(server), until);
     if (status == ConnectionStatus::Ok) {
         status = co_await this->connection->readBody(until);
     }
@@ -292,8 +294,14 @@
     if (const std::string *contained = this->state.crashes.findContained(this->suspects)) {
         return std::max(this->state.retryAfterDelay(), this->state.crashes.timeUntilTrial(*contained, Clock::now()));
     }
-    return this->overloaded ? RetryAfter::afterOverload(this->callerTimeLeft(), this->state.random())
-                            : this->state.retryAfterDelay();
+    const auto silentUntil = this->silentUntil({});
+    if (silentUntil && *silentUntil != TimePoint::max()) {
+        const auto remaining = std::chrono::ceil<Millis>(*silentUntil - Clock::now());
+        return RetryAfter::afterPause(remaining, this->state.random());
+    }
+    // It is not known when other servers replace those that leave.
+    return this->overloaded || silentUntil ? RetryAfter::afterOverload(this->callerTimeLeft(), this->state.random())
+                                           : this->state.retryAfterDelay();
 }
 
 boost::asio::awaitable<void> RequestHandler::forwardResponse(std::string body)
@@ -309,6 +317,31 @@
         || (!this->isCrashTrial && this->state.crashes.findContained(this->suspects) != nullptr);
 }
 
+EngineStage RequestHandler::servingStage() const
+{
+    const ServiceConfig *config = this->table->service(this->service);
+    const bool hasEngines = config != nullptr && config->engine && config->engine->kvCacheTokens > 0;
+    return this->route.kind == RequestKind::Stream && hasEngines ? EngineStage::Decode : EngineStage::None;
+}
+
+std::optional<TimePoint> RequestHandler::silentUntil(const std::set<std::string> &left) const
+{
+    const bool withOtherGroups = this->route.kind == RequestKind::Stream;
+    return this->state.silentUntil(this->service, this->servingStage(), withOtherGroups, left, Clock::now());
+}
+
+void RequestHandler::setSilenceFailure(TimePoint until)
+{
+    this->failure = until == TimePoint::max() ? "all-leaving" : "all-paused";
+    const bool isPaused = until != TimePoint::max();
+    LogLine("no-backend-now")
+        .add("request", this->request.id)
+        .add("service", this->service)
+        .add("reason", this->failure)
+        .add("pause_ms", isPaused ? std::int64_t(toSeconds(until - Clock::now()) * 1000) : std::int64_t(-1))
+        .write();
+}
+
 bool RequestHandler::hasAttemptsLeft() const
 {
     return this->attempts < this->route.maxAttempts;
--- a/src/gateway/requesthandler.h
+++ b/src/gateway/requesthandler.h
@@ -58,11 +58,11 @@
     /// Starts sending the request over the current connection and counts it against the retry budget.
     /// @param permit for @p server.
     void send(const BackendServer &server, BackendCall call, RequestPermit &permit);
-    /// Reads the head of the response of @p backend to this request into `response`. Late responses to other requests
+    /// Reads the head of the response of @p server to this request into `response`. Late responses to other requests
     /// are skipped, at most MaxStrayResponses of them.
-    boost::asio::awaitable<ConnectionStatus> readMatchingHead(std::string backend, TimePoint until);
-    /// Reads the complete response of @p backend to this request. Its head is in `response`, its body in `connection`.
-    boost::asio::awaitable<ConnectionStatus> readMatchingResponse(std::string backend, TimePoint until);
+    boost::asio::awaitable<ConnectionStatus> readMatchingHead(BackendServer server, TimePoint until);
+    /// Reads the complete response of @p server to this request. Its head is in `response`, its body in `connection`.
+    boost::asio::awaitable<ConnectionStatus> readMatchingResponse(BackendServer server, TimePoint until);
     /// Returns whether the response, whose read ended with @p status, is complete, signed and not encoded.
     bool isValidResponse(ConnectionStatus status) const;
     /// Returns whether a status tells the caller that the request was not executed. Such a status is forwarded only if
@@ -98,6 +98,14 @@
     Millis timeLeft() const;
     /// Returns how long the caller still waits, which may be longer than the route allows this request to take.
     Millis callerTimeLeft() const;
+    /// Returns the stage of the backend servers that answer this request.
+    EngineStage servingStage() const;
+    /// Returns when the first pause ends if no backend server can take this request because they leave or pause; see
+    /// RouterState::silentUntil().
+    /// @param left ids of the backend servers that are left out in any case.
+    std::optional<TimePoint> silentUntil(const std::set<std::string> &left) const;
+    /// Sets `failure` to the reason why no backend server can take the request because of what they have said.
+    void setSilenceFailure(TimePoint until);
     /// Returns the delay after which the caller should return if the request is refused now.
     Millis retryAfterDelay();
 
--- a/src/gateway/router.cpp
+++ b/src/gateway/router.cpp
@@ -269,6 +269,7 @@
         this->state.health.retain(isRegistered);
         this->state.namedLimits->retain(isRegistered);
         this->state.namedLimits->advance(now, unixMillis());
+        this->state.expireStatements(now);
         this->state.metrics.set("cyclamencross_active_requests", this->state.activeRequests);
         this->state.metrics.set("cyclamencross_caller_connections", double(this->sessions.size()));
         this->state.metrics.set("cyclamencross_routers", double(this->state.members.size()));
--- a/src/gateway/routerstate.cpp
+++ b/src/gateway/routerstate.cpp
@@ -48,7 +48,7 @@
     }
     for (const std::string &id : pool->second.own) {
         const BackendServer *server = this->backends.find(id);
-        if (server != nullptr && this->isEligible(*server) && !excluded.contains(id)) {
+        if (server != nullptr && this->mayTakeRequests(*server, now) && !excluded.contains(id)) {
             result.push_back(this->makeCandidate(*server, zone, now));
         }
     }
@@ -66,7 +66,7 @@
     std::size_t seen = 0;
     for (const std::string &id : pool->second.otherGroups) {
         const BackendServer *server = this->backends.find(id);
-        if (server == nullptr || !this->isEligible(*server) || excluded.contains(id)) {
+        if (server == nullptr || !this->mayTakeRequests(*server, now) || excluded.contains(id)) {
             continue;
         }
         // Reservoir sampling: each eligible backend server is in the sample with the same probability.
@@ -245,9 +245,9 @@
     std::erase_if(this->reportedCalls, [this](const auto &item) { return !this->sharedBackends.contains(item.first); });
 }
 
-bool RouterState::isUsable(const BackendServer &server) const
+bool RouterState::isUsable(const BackendServer &server, TimePoint now) const
 {
-    return this->isRegistered(server) && this->isEligible(server);
+    return this->isRegistered(server) && this->mayTakeRequests(server, now);
 }
 
 bool RouterState::isRegistered(const BackendServer &server) const
@@ -262,6 +262,11 @@
     return !server.draining && (planned == this->stagePlan.stages.end() || planned->second == server.stage);
 }
 
+bool RouterState::mayTakeRequests(const BackendServer &server, TimePoint now) const
+{
+    return this->isEligible(server) && !this->statements.isSilent(server.id, now);
+}
+
 std::map<std::string, StageLoad> RouterState::stageLoads() const
 {
     std::map<std::string, StageLoad> result;
--- a/src/gateway/routerstate.h
+++ b/src/gateway/routerstate.h
@@ -8,6 +8,7 @@
 #include "cyclamencross/gateway/routersettings.h"
 #include "cyclamencross/route/backendhealth.h"
 #include "cyclamencross/route/backendserver.h"
+#include "cyclamencross/route/backendstatements.h"
 #include "cyclamencross/route/backendworktracker.h"
 #include "cyclamencross/route/callerwaitestimator.h"
 #include "cyclamencross/route/crashattribution.h"
@@ -38,6 +39,8 @@
 namespace Cyclamen
 {
 
+struct BackendResponseHead;
+
 /// The state that all requests of one router process share: configuration, registered backend servers and routers,
 /// load, health and connections. Used from one thread.
 class RouterState
@@ -76,10 +79,24 @@
     void confirmChanges(TimePoint at);
     /// Adds changes that this router has read from the store to its next report to peers.
     void queueChangesForPeers(const StoreChanges &added);
-    /// Returns whether @p server is still registered at the same address, not draining and not changing its stage.
-    bool isUsable(const BackendServer &server) const;
-    /// Returns whether @p server is still registered at the same address and not draining, whatever its stage.
+    /// Returns whether @p server is still registered at the same address, not draining and not changing its stage,
+    /// and has not said that it wants no requests now.
+    bool isUsable(const BackendServer &server, TimePoint now) const;
+    /// Returns whether @p server is still registered at the same address and not draining, whatever its stage and
+    /// statements.
     bool isRegistered(const BackendServer &server) const;
+    /// Returns whether backend servers of a pool are registered but none can take a request now because those that are
+    /// not in @p excluded have said that they leave or pause, and at least one has.
+    /// @param withOtherGroups whether the backend servers of other router groups count too.
+    /// @return when the first pause ends, TimePoint::max() if none of them is paused; std::nullopt if a backend server
+    /// may take the request, perhaps later, or none has said anything.
+    std::optional<TimePoint> silentUntil(const std::string &service, EngineStage stage, bool withOtherGroups,
+                                         const std::set<std::string> &excluded, TimePoint now) const;
+    /// Records what an answer of @p server says about the server itself.
+    /// @param isStray whether it answers another request, so that it may be late: a pause may have passed.
+    void recordStatements(const BackendServer &server, const BackendResponseHead &head, bool isStray, TimePoint now);
+    /// Drops statements that have ended and updates their metrics.
+    void expireStatements(TimePoint now);
     /// Returns the load of the engines of each model service that has engines of both stages. Extrapolates from the
     /// engines of this router's group to all.
     std::map<std::string, StageLoad> stageLoads() const;
@@ -150,6 +167,7 @@
     const std::shared_ptr<BackendWorkTracker> waiting = std::make_shared<BackendWorkTracker>();
     /// Limits of backend servers on the requests of all routers. Shared with the permits of requests, like `work`.
     const std::shared_ptr<NamedRateLimits> namedLimits;
+    BackendStatements statements; ///< What backend servers say of themselves.
     BackendHealth health;
     FleetRetryBudget retryBudget;
     CallerWaitEstimator callerWaitEstimator;
@@ -280,8 +298,12 @@
     void applyCrashNews(const PeerReport &report, TimePoint now);
     /// Returns whether @p report is newer than the last one of the same router, and remembers it then.
     static bool isNewer(const PeerReport &report, std::map<std::string, PeerSequence> &sequences);
-    /// Returns whether requests of the server's registered stage may be sent to it.
+    /// Returns whether requests of the server's registered stage may be sent to it as far as the store says.
     bool isEligible(const BackendServer &server) const;
+    /// Returns whether requests of the server's registered stage may be sent to it now.
+    bool mayTakeRequests(const BackendServer &server, TimePoint now) const;
+    /// Records that @p server leaves, logs it and, for an answer to this router, tells the peers.
+    void recordLeaving(const BackendServer &server, StatementSource source, TimePoint at);
     PlacementCandidate makeCandidate(const BackendServer &server, const std::string &zone, TimePoint now) const;
     std::map<std::string, PeerSequence> peerSequences;
     std::uint64_t reportSequence = 0;
--- a/src/gateway/routerstate_test.cpp
+++ b/src/gateway/routerstate_test.cpp
@@ -284,14 +284,14 @@
     CHECK(state.candidates("big", EngineStage::Prefill, {}, "z", Clock::now()).size() == 1);
     state.stagePlan.stages["e"] = EngineStage::Decode;
     CHECK(state.candidates("big", EngineStage::Prefill, {}, "z", Clock::now()).empty());
-    CHECK_FALSE(state.isUsable(server));
+    CHECK_FALSE(state.isUsable(server, Clock::now()));
     CHECK(state.isRegistered(server));
     BackendServer changed = server;
     changed.stage = EngineStage::Decode;
     state.backends.put("e", changed, 2);
     state.regroup();
     CHECK(state.candidates("big", EngineStage::Decode, {}, "z", Clock::now()).size() == 1);
-    CHECK(state.isUsable(changed));
+    CHECK(state.isUsable(changed, Clock::now()));
 }
 
 TEST_CASE("Changes that exceed one report are sent in several, without a gap")
--- /dev/null
+++ b/src/gateway/routerstatestatements.cpp
@@ -0,0 +1,112 @@
+// The part of RouterState that handles what backend servers say of themselves.
+
+#include "routerstate.h"
+
+#include "cyclamencross/base/logline.h"
+#include "cyclamencross/gateway/backendresponsehead.h"
+
+#include <algorithm>
+
+namespace Cyclamen
+{
+
+namespace
+{
+
+std::string sourceName(StatementSource source)
+{
+    return source == StatementSource::OwnAnswer ? "own" : "peer";
+}
+
+}
+
+void RouterState::recordStatements(const BackendServer &server, const BackendResponseHead &head, bool isStray,
+                                   TimePoint now)
+{
+    if (!head.malformedStatement.empty()) {
+        this->metrics.count("cyclamencross_malformed_statements_total", {{"header", head.malformedStatement}});
+        if (this->statements.recordMalformed(server.id)) {
+            LogLine("backend-statement-malformed")
+                .add("backend", server.id)
+                .add("header", head.malformedStatement)
+                .warn();
+        }
+    }
+    if (head.leaving && head.wrongBackend) {
+        // Another instance has the address and is the one that leaves. Nothing can be reached there under other ids.
+        std::vector<BackendServer> atAddress;
+        this->backends.forEach([&](const std::string & /*id*/, const BackendServer &registered) {
+            if (registered.address == server.address) {
+                atAddress.push_back(registered);
+            }
+        });
+        for (const BackendServer &registered : atAddress) {
+            this->recordLeaving(registered, StatementSource::OwnAnswer, now);
+        }
+    } else if (head.leaving) {
+        this->recordLeaving(server, StatementSource::OwnAnswer, now);
+    }
+    if (head.pause && !isStray && this->statements.recordPause(server, *head.pause, StatementSource::OwnAnswer, now)) {
+        LogLine("backend-paused")
+            .add("backend", server.id)
+            .add("ms", std::int64_t(head.pause->count()))
+            .add("kept_ms", std::int64_t(std::min(*head.pause, BackendStatements::MaxPause).count()))
+            .write();
+        this->metrics.count("cyclamencross_backend_pauses_total");
+    }
+}
+
+void RouterState::recordLeaving(const BackendServer &server, StatementSource source, TimePoint at)
+{
+    const BackendServer *known = this->backends.find(server.id);
+    if (known != nullptr && known->startUnixMillis > server.startUnixMillis && server.startUnixMillis > 0) {
+        return; // An answer of an earlier incarnation.
+    }
+    if (!this->statements.recordLeaving(server, source, at)) {
+        return;
+    }
+    LogLine("backend-leaving")
+        .add("backend", server.id)
+        .add("address", server.address)
+        .add("born", server.startUnixMillis)
+        .add("from", sourceName(source))
+        .write();
+    this->metrics.set("cyclamencross_leaving_backends", double(this->statements.leavingCount()));
+}
+
+void RouterState::expireStatements(TimePoint now)
+{
+    this->statements.expire([this](const std::string &id) { return this->backends.find(id) != nullptr; }, now);
+    this->metrics.set("cyclamencross_leaving_backends", double(this->statements.leavingCount()));
+    this->metrics.set("cyclamencross_paused_backends", double(this->statements.pausedCount(now)));
+}
+
+std::optional<TimePoint> RouterState::silentUntil(const std::string &service, EngineStage stage, bool withOtherGroups,
+                                                  const std::set<std::string> &excluded, TimePoint now) const
+{
+    const auto pool = this->pools.find({service, stage});
+    if (pool == this->pools.end()) {
+        return std::nullopt;
+    }
+    bool anySilent = false;
+    TimePoint earliest = TimePoint::max();
+    // Returns whether one of the backend servers can take the request, now or when it has room.
+    const auto canAnyServe = [&](const std::vector<std::string> &ids) {
+        return std::any_of(ids.begin(), ids.end(), [&](const std::string &id) {
+            const BackendServer *server = this->backends.find(id);
+            if (server == nullptr || !this->isEligible(*server)) {
+                return false;
+            }
+            const bool isSilent = this->statements.isSilent(id, now);
+            anySilent = anySilent || isSilent;
+            if (const auto until = this->statements.pausedUntil(id, now); until && !this->statements.isLeaving(id)) {
+                earliest = std::min(earliest, *until);
+            }
+            return !isSilent && !excluded.contains(id);
+        });
+    };
+    const bool canServe = canAnyServe(pool->second.own) || (withOtherGroups && canAnyServe(pool->second.otherGroups));
+    return anySilent && !canServe ? std::optional<TimePoint>(earliest) : std::nullopt;
+}
+
+}
--- a/src/gateway/stagecontroller.cpp
+++ b/src/gateway/stagecontroller.cpp
@@ -85,6 +85,9 @@
         if (server == nullptr || server->draining || server->stage == stage) {
             continue;
         }
+        if (this->state.statements.isSilent(id, now)) {
+            continue; // The end of a pause must not hold up changes of other engines.
+        }
         pending = true;
         const auto last = this->orders.find(id);
         const bool repeat = last == this->orders.end() || now - last->second.time >= OrderRepeatTime;
@@ -127,7 +130,8 @@
 boost::asio::awaitable<void> StageController::order(BackendServer server, EngineStage stage)
 {
     const auto connection = co_await this->state.connections.open(server.address, RequestHandler::ConnectTimeout);
-    if (connection && this->mayOrder() && this->state.isRegistered(server)) {
+    if (connection && this->mayOrder() && this->state.isRegistered(server)
+        && !this->state.statements.isSilent(server.id, Clock::now())) {
         const TimePoint until = Clock::now() + OrderTimeout;
         OrderCall order =
             this->codec.stageOrder(server.id, stage, this->state.settings.name, this->state.leadership.revision);
@@ -136,6 +140,10 @@
         const ConnectionStatus status =
             co_await connection->performRequest(std::move(call), std::move(body), until, std::move(order.headers));
         const int code = status == ConnectionStatus::Ok ? connection->status() : 0;
+        if (status == ConnectionStatus::Ok) {
+            const BackendResponseHead head = this->codec.decodeResponseHead(code, connection->headers());
+            this->state.recordStatements(server, head, false, Clock::now());
+        }
         LogLine("engine-order")
             .add("backend", server.id)
             .add("stage", stageName(stage))
@@ -193,7 +201,8 @@
     // Takes an engine of the availability zone that has the most of them left, so that no zone loses a stage.
     std::map<std::string, std::set<std::pair<std::uint64_t, std::string>>> idsByZone;
     this->state.backends.forEach([&](const std::string &id, const BackendServer &server) {
-        if (server.service == service && server.stage == from && !server.draining) {
+        if (server.service == service && server.stage == from && !server.draining
+            && !this->state.statements.isSilent(id, Clock::now())) {
             idsByZone[server.zone].insert({hash64(id), id});
         }
     });
--- a/src/gateway/streamrequesthandler.cpp
+++ b/src/gateway/streamrequesthandler.cpp
@@ -102,8 +102,8 @@
         if (this->shouldStop() || (result == AttemptResult::MayHaveExecuted && !this->route.mayRepeat())) {
             break;
         }
-        const bool retrySameEngine =
-            result == AttemptResult::NotExecuted && hadKvCache && this->state.isUsable(*this->decodeEngine);
+        const bool retrySameEngine = result == AttemptResult::NotExecuted && hadKvCache
+            && this->state.isUsable(*this->decodeEngine, Clock::now());
         if (retrySameEngine) {
             continue; // The KV cache was gone; the same engine now processes the prompt itself.
         }
@@ -153,7 +153,7 @@
                                              BackendWork{1, this->request.promptTokens, {}});
     RequestPermit prefillPermit(this->state.namedLimits, server.id);
     const bool open = co_await this->openConnection(server, false);
-    if (!open || this->shouldStop() || !this->state.isUsable(server)) {
+    if (!open || this->shouldStop() || !this->state.isUsable(server, Clock::now())) {
         co_return;
     }
     BackendCall call;
@@ -164,7 +164,7 @@
         std::clamp(Millis(std::int64_t(double(expectedPrefill.count()) * PrefillTimeoutFactor)), MinPrefillTimeout,
                    MaxPrefillTimeout);
     const TimePoint until = std::min(this->deadline, start + prefillTimeout);
-    const ConnectionStatus status = co_await this->readMatchingResponse(server.id, until);
+    const ConnectionStatus status = co_await this->readMatchingResponse(server, until);
     if (this->session.isCallerDisconnected()) {
         co_return;
     }
@@ -211,7 +211,7 @@
         this->failure = "unreachable";
         co_return AttemptResult::Unreachable;
     }
-    if (this->shouldStop() || !this->state.isUsable(server)) {
+    if (this->shouldStop() || !this->state.isUsable(server, Clock::now())) {
         this->failure = "engine-left";
         this->excluded.insert(server.id);
         co_return AttemptResult::Unreachable;
@@ -244,7 +244,7 @@
 boost::asio::awaitable<StreamRequestHandler::AttemptResult> StreamRequestHandler::readResponse(BackendServer server)
 {
     const TimePoint until = this->deadline;
-    const ConnectionStatus status = co_await this->readMatchingHead(server.id, until);
+    const ConnectionStatus status = co_await this->readMatchingHead(server, until);
     if (status != ConnectionStatus::Ok) {
         this->mayHaveExecuted = true;
         this->failCall(server, status);
@@ -363,7 +363,7 @@
     if (!this->kvCache) {
         return;
     }
-    this->callAndForget(this->prefillEngine->address, this->codec.releaseKvCacheCall(this->kvCache->handle));
+    this->callAndForget(*this->prefillEngine, this->codec.releaseKvCacheCall(this->kvCache->handle));
     this->kvCache = std::nullopt;
 }
 
--- a/src/gateway/streamrequesthandler.h
+++ b/src/gateway/streamrequesthandler.h
@@ -59,8 +59,9 @@
     bool isCutByStop() const;
     /// Releases a capacity reservation that was not used.
     void releaseReservation();
-    /// Makes a call in the background and ignores its result.
-    void callAndForget(const std::string &address, const std::string &call);
+    /// Makes a call in the background and ignores its result. Makes none if @p server has told this router to pause:
+    /// what the call would free ends by itself soon.
+    void callAndForget(const BackendServer &server, const std::string &call);
     /// Has a prefill engine process the prompt if that is expected to be worthwhile. Sets `kvCache` on success; after a
     /// failure the decode engine processes the prompt.
     boost::asio::awaitable<void> prefill();
--- a/src/gateway/streamrequestplacement.cpp
+++ b/src/gateway/streamrequestplacement.cpp
@@ -45,16 +45,21 @@
 // Shortest time between two updates of a stream's forecast.
 constexpr Millis WorkUpdatePeriod{150};
 
-boost::asio::awaitable<void> sendAndForget(RouterState &state, std::string address, std::string call)
+boost::asio::awaitable<void> sendAndForget(RouterState &state, const BackendCodec &codec, BackendServer server,
+                                           std::string call)
 {
-    const auto connection = co_await state.connections.open(address, RequestHandler::ConnectTimeout);
-    if (!connection) {
+    const auto connection = co_await state.connections.open(server.address, RequestHandler::ConnectTimeout);
+    if (!connection || state.statements.pausedUntil(server.id, Clock::now())) {
         co_return;
     }
     const TimePoint until = Clock::now() + ReleaseTimeout;
     // The resource expires at the end of its lifetime anyway, so a failed release is not retried.
     std::optional<std::string> noBody;
-    co_await connection->performRequest(std::move(call), std::move(noBody), until);
+    const ConnectionStatus status = co_await connection->performRequest(std::move(call), std::move(noBody), until);
+    if (status == ConnectionStatus::Ok) {
+        const BackendResponseHead head = codec.decodeResponseHead(connection->status(), connection->headers());
+        state.recordStatements(server, head, false, Clock::now());
+    }
     connection->close();
 }
 
@@ -64,7 +69,8 @@
 {
     this->releaseReservation(); // At the engine of an attempt that did not reach it.
     const TimePoint start = Clock::now();
-    CapacityWaiter waiter(this->state, this->service, this->capacityWait());
+    const CapacityWait wait = this->capacityWait();
+    CapacityWaiter waiter(this->state, this->service, wait);
     while (!this->shouldStop()) {
         const CapacityWait::Action action = waiter.nextAction();
         if (action != CapacityWait::Action::Yield && this->chooseDecodeEngine()) {
@@ -76,6 +82,12 @@
             this->permit = nullptr;
             continue;
         }
+        const auto silentUntil = this->silentUntil(this->excluded);
+        // A request that may have run can't be refused any more, so it waits for a pause that ends in time.
+        if (silentUntil && (!this->mayHaveExecuted || *silentUntil > wait.endsAt())) {
+            this->setSilenceFailure(*silentUntil);
+            break;
+        }
         if (action == CapacityWait::Action::TryLast || this->unreachableCount >= MaxUnreachableEngines) {
             this->failure = "no-room";
             this->overloaded = this->unreachableCount < MaxUnreachableEngines;
@@ -85,6 +97,7 @@
     }
     LogLine("no-room")
         .add("request", this->request.id)
+        .add("reason", this->failure)
         .add("waited_ms", std::int64_t(toSeconds(Clock::now() - start) * 1000))
         .add("used_before_ms", std::int64_t(this->timeSpentBefore.count()))
         .write();
@@ -137,7 +150,7 @@
     }
     const BackendServer server = *this->decodeEngine;
     bool open = co_await this->openConnection(server, false);
-    if (!open || this->shouldStop()) {
+    if (!open || this->shouldStop() || !this->state.isUsable(server, Clock::now())) {
         this->decodeEngine = std::nullopt;
         co_return false;
     }
@@ -148,7 +161,7 @@
         // An engine may close an idle connection at any moment, which says nothing about the engine.
         this->connection->close();
         open = co_await this->openConnection(server, true);
-        if (!open) {
+        if (!open || !this->state.isUsable(server, Clock::now())) {
             this->decodeEngine = std::nullopt;
             co_return false;
         }
@@ -163,12 +176,19 @@
         co_return false;
     }
     const int code = this->connection->status();
+    this->state.recordStatements(server, this->codec.decodeResponseHead(code, this->connection->headers()), false,
+                                 Clock::now());
     LogLine("reservation").add("request", this->request.id).add("backend", server.id).add("status", code).write();
     const auto token = code == 200 ? this->codec.decodeReservation(this->connection->takeBody()) : std::nullopt;
     this->releaseConnection(server);
     if (token) {
         this->reservationToken = *token;
-        co_return true;
+        if (this->state.isUsable(server, Clock::now())) {
+            co_return true;
+        }
+        this->releaseReservation();
+        this->decodeEngine = std::nullopt;
+        co_return false;
     }
     this->state.metrics.count("cyclamencross_holds_refused_total");
     this->state.markFull(server.id, Clock::now());
@@ -180,14 +200,18 @@
 void StreamRequestHandler::releaseReservation()
 {
     if (!this->reservationToken.empty() && this->decodeEngine) {
-        this->callAndForget(this->decodeEngine->address, this->codec.releaseReservationCall(this->reservationToken));
+        this->callAndForget(*this->decodeEngine, this->codec.releaseReservationCall(this->reservationToken));
     }
     this->reservationToken.clear();
 }
 
-void StreamRequestHandler::callAndForget(const std::string &address, const std::string &call)
+void StreamRequestHandler::callAndForget(const BackendServer &server, const std::string &call)
 {
-    boost::asio::co_spawn(this->state.executor, sendAndForget(this->state, address, call), boost::asio::detached);
+    if (this->state.statements.pausedUntil(server.id, Clock::now())) {
+        return;
+    }
+    boost::asio::co_spawn(this->state.executor, sendAndForget(this->state, this->codec, server, call),
+                          boost::asio::detached);
 }
 
 bool StreamRequestHandler::chooseDecodeEngine()
@@ -197,7 +221,7 @@
     this->decodeEngine = std::nullopt;
     const ServiceConfig *config = this->table->service(this->service);
     const double capacity = config != nullptr && config->engine ? double(config->engine->kvCacheTokens) : 0;
-    const EngineStage stage = capacity > 0 ? EngineStage::Decode : EngineStage::None;
+    const EngineStage stage = this->servingStage();
     const TimePoint now = Clock::now();
     const auto choose = [&](const std::vector<PlacementCandidate> &from) {
         return Placement::chooseDecode(from, this->requestWork().kvCache, capacity,
--- a/src/include/cyclamencross/route/capacitywait.h
+++ b/src/include/cyclamencross/route/capacitywait.h
@@ -29,6 +29,8 @@
     /// @param maxWait how long after @p start the wait ends.
     CapacityWait(TimePoint start, Millis onTimeFor, Millis maxWait);
 
+    /// Returns when the wait ends.
+    TimePoint endsAt() const;
     /// Returns whether a request that finds capacity now can still be on time.
     bool isOnTime(TimePoint now) const;
     /// Returns what the request does at @p now.
--- a/src/route/capacitywait.cpp
+++ b/src/route/capacitywait.cpp
@@ -11,6 +11,11 @@
 {
 }
 
+TimePoint CapacityWait::endsAt() const
+{
+    return this->end;
+}
+
 bool CapacityWait::isOnTime(TimePoint now) const
 {
     return now < this->onTimeUntil;
--- a/src/route/retryafter.cpp
+++ b/src/route/retryafter.cpp
@@ -15,6 +15,10 @@
 // Shares of the time left between which the delay after an overload lies. Callers wait at most a third of it.
 constexpr double MinOverloadShare = 0.2;
 constexpr double MaxOverloadShare = 0.33;
+// Share of a pause over which the callers that were refused in it are spread, and its bounds.
+constexpr double PauseSpreadShare = 0.5;
+constexpr Millis MinPauseSpread{350};
+constexpr Millis MaxPauseSpread{3000};
 
 }
 
@@ -29,4 +33,11 @@
     return std::max(MinDelay, Millis(std::int64_t(share * double(timeLeft.count()))));
 }
 
+Millis afterPause(Millis remaining, double random)
+{
+    const Millis share{std::int64_t(PauseSpreadShare * double(remaining.count()))};
+    const Millis spread = std::clamp(share, MinPauseSpread, MaxPauseSpread);
+    return std::max(Millis(0), remaining) + Millis(std::int64_t(random * double(spread.count())));
+}
+
 }
--- a/src/route/retryafter_test.cpp
+++ b/src/route/retryafter_test.cpp
@@ -20,3 +20,14 @@
     CHECK(RetryAfter::afterOverload(left, 1) - RetryAfter::afterOverload(left, 0) >= left / 10);
     CHECK(RetryAfter::afterDisturbance(1) - RetryAfter::afterDisturbance(0) >= Millis(300));
 }
+
+TEST_CASE("Callers return after the pause of all servers, not before and not all at its end")
+{
+    // Guards against a burst at the end of a pause, and against callers that are told to come back too early.
+    for (const Millis remaining : {Millis(1), Millis(700), Millis(5000), Millis(600000)}) {
+        CHECK(RetryAfter::afterPause(remaining, 0) == remaining);
+        CHECK(RetryAfter::afterPause(remaining, 1) - remaining >= Millis(350));
+        CHECK(RetryAfter::afterPause(remaining, 1) - remaining <= Millis(3000));
+    }
+    CHECK(RetryAfter::afterPause(Millis(-5), 0) == Millis(0));
+}
