Stop: few streams say nothing about the longest; the router exits later

The router exits 0.1 s before the end of the grace period instead of 0.3 s; streams that run then are cut in any case, and all other requests have been answered by then.

--- a/src/include/cyclamencross/route/stopschedule.h
+++ b/src/include/cyclamencross/route/stopschedule.h
@@ -23,7 +23,7 @@
     /// host it takes some hundred milliseconds until all callers have received that.
     static constexpr Millis AnswerMargin{1000};
     /// How long before the end of the grace period, when the platform kills the process, it exits by itself.
-    static constexpr Millis ShutdownMargin{300};
+    static constexpr Millis ShutdownMargin{100};
 
     /// @param begin time of the stop signal, or an earlier one if it is not known exactly.
     /// @param grace time from the stop signal until the platform kills the process.
--- a/src/route/streamdurations.cpp
+++ b/src/route/streamdurations.cpp
@@ -20,7 +20,7 @@
 std::optional<Millis> StreamDurations::longest(const std::string &route) const
 {
     const auto record = this->routes.find(route);
-    if (record == this->routes.end()) {
+    if (record == this->routes.end() || record->second.recorded < MinCount) {
         return std::nullopt;
     }
     const auto begin = record->second.durations.begin();
--- a/src/route/streamdurations_test.cpp
+++ b/src/route/streamdurations_test.cpp
@@ -14,10 +14,23 @@
     StreamDurations durations;
     CHECK_FALSE(durations.longest("long"));
     durations.record(StreamSample{"long", "llm", 0, 300, 30.0});
-    durations.record(StreamSample{"long", "llm", 0, 100, 30.0});
-    durations.record(StreamSample{"short", "llm", 0, 10, 30.0});
+    for (std::size_t i = 1; i < StreamDurations::MinCount; ++i) {
+        durations.record(StreamSample{"long", "llm", 0, 100, 30.0});
+        durations.record(StreamSample{"short", "llm", 0, 10, 30.0});
+    }
+    durations.record(StreamSample{"short", "llm", 0, 12, 30.0});
     CHECK(durations.longest("long") == Millis(9000));
-    CHECK(durations.longest("short") == Millis(300));
+    CHECK(durations.longest("short") == Millis(360));
+}
+
+TEST_CASE("A few streams say nothing about the longest one")
+{
+    // Guards against routers that stop seconds after their start and accept streams that outlast them (soak seed 504).
+    StreamDurations durations;
+    for (std::size_t i = 1; i < StreamDurations::MinCount; ++i) {
+        durations.record(StreamSample{"long", "llm", 0, 100, 30.0});
+    }
+    CHECK_FALSE(durations.longest("long"));
 }
 
 TEST_CASE("A long stream is forgotten when enough others have followed it")
@@ -36,5 +49,8 @@
     durations.record(StreamSample{"route", "llm", 0, 0, 30.0});
     durations.record(StreamSample{"route", "llm", 0, 10, -1.0});
     durations.record(StreamSample{"route", "llm", 0, 10, std::numeric_limits<double>::quiet_NaN()});
+    for (std::size_t i = 1; i < StreamDurations::MinCount; ++i) {
+        durations.record(StreamSample{"route", "llm", 0, 10, 30.0});
+    }
     CHECK_FALSE(durations.longest("route"));
 }
