Stall watch: an engine that accepts no connection is probed once in a stall period

Each stream at such an engine opened a connection every 0.3 s while no other engine had room, which adds to a full queue of new connections.

--- a/src/gateway/streamrequesthandler.cpp
+++ b/src/gateway/streamrequesthandler.cpp
@@ -225,13 +225,18 @@
         co_return;
     }
     RouterState &sharedState = this->state;
+    std::optional<TimePoint> refusedAt; // When the engine last accepted no connection.
     while (!callProgress->finished) {
         co_await sleepFor(StallCheckPeriod);
         if (callProgress->finished || Clock::now() - callProgress->lastActivity < stallTimeout) {
+            refusedAt = std::nullopt;
             continue;
         }
-        const ConnectionStatus probe = co_await sharedState.connections.probe(watched->address(), ConnectTimeout);
-        if (probe == ConnectionStatus::Ok) {
+        if (!refusedAt || Clock::now() - *refusedAt >= stallTimeout) {
+            const ConnectionStatus probe = co_await sharedState.connections.probe(watched->address(), ConnectTimeout);
+            refusedAt = probe == ConnectionStatus::Ok ? std::nullopt : std::optional(Clock::now());
+        }
+        if (!refusedAt) {
             callProgress->lastActivity = Clock::now();
             continue;
         }
