Routers tell their group what backend servers say of themselves

Each router found out with a request of its own that a server leaves. An answer of an earlier instance could pause its successor: only the announcement to leave was compared with the registration.

Reports carry what at most 32 servers have said to the sender, repeated for 0.4 s. Peers leave out a server that leaves. A pause is meant for the router that was told, so it only makes a server count as fuller by a quarter at its peers. News of an earlier instance, without a start time and at another address, or older than a minute (2 s without start time) is ignored. All statements of an earlier instance are ignored now.

--- a/src/gateway/peerreport.cpp
+++ b/src/gateway/peerreport.cpp
@@ -63,6 +63,14 @@
     archiveMillis(archive, limit.age);
 }
 
+template<typename Archive>
+void serialize(Archive &archive, StatementNews &news)
+{
+    archive(news.address, news.startUnixMillis);
+    archiveMillis(archive, news.leavingAge);
+    archiveMillis(archive, news.pauseLeft);
+}
+
 template<typename Archive>
 void serialize(Archive &archive, PeerReport::Outcomes &outcomes)
 {
@@ -89,8 +97,8 @@
     archive(report.isCrashNews, report.isGroupReport, report.groupWork, report.knowsOtherGroups,
             report.otherGroupsWork);
     archive(report.router, report.incarnation, report.sequence, report.storeRevision, report.work, report.waiting,
-            report.reportedCalls, report.namedLimits, report.outcomes, report.streams, report.crashes,
-            report.servedSuspects);
+            report.reportedCalls, report.namedLimits, report.statements, report.outcomes, report.streams,
+            report.crashes, report.servedSuspects);
 }
 
 std::string encodePeerReport(const PeerReport &report)
--- a/src/gateway/peerreport.h
+++ b/src/gateway/peerreport.h
@@ -7,6 +7,7 @@
 #include "cyclamencross/route/crashedcall.h"
 #include "cyclamencross/route/namedlimit.h"
 #include "cyclamencross/route/servedsuspect.h"
+#include "cyclamencross/route/statementnews.h"
 #include "cyclamencross/route/streamsample.h"
 
 #include <cstdint>
@@ -56,6 +57,8 @@
     /// Number of calls that backend servers reported in their latest responses.
     std::map<std::string, std::int64_t> reportedCalls;
     std::map<std::string, NamedLimit> namedLimits; ///< Read from answers of backend servers since the last report.
+    /// What backend servers have said to the sender of themselves, by id; recent ones, repeated in several reports.
+    std::map<std::string, StatementNews> statements;
     std::map<std::string, Outcomes> outcomes; ///< By backend server, since the last report.
     std::vector<StreamSample> streams; ///< Streams completed since the last report.
     std::vector<CrashedCall> crashes; ///< Recent ones, repeated in several reports.
--- a/src/gateway/routerstate.cpp
+++ b/src/gateway/routerstate.cpp
@@ -107,6 +107,7 @@
         candidate.workIsEstimated = !candidate.reportedCalls && !othersKnown;
     }
     candidate.atNamedLimit = !this->namedLimits->mayRequest(server.id);
+    candidate.isPausedForPeer = this->statements.isPausedForPeer(server.id, now);
     candidate.avoided = this->health.isAvoided(server.id, now);
     candidate.failureRate = this->health.failureRate(server.id, now);
     candidate.slowness = this->health.slowness(server.id, now);
--- a/src/gateway/routerstate.h
+++ b/src/gateway/routerstate.h
@@ -220,6 +220,15 @@
     static constexpr std::size_t MaxReportedStreams = 16;
     /// How long news about crashes is repeated in reports, since datagrams may be lost.
     static constexpr Millis CrashRepeatTime{400};
+    /// How long what backend servers say of themselves is repeated in reports.
+    static constexpr Millis StatementRepeatTime{400};
+    /// Backend servers whose statements are reported at a time, so that a report fits into a datagram.
+    static constexpr std::size_t MaxReportedStatements = 32;
+    /// Age up to which a peer's news is used. Older news can only come from a frozen or faulty peer; the server may
+    /// have been restarted since.
+    static constexpr Millis MaxStatementNewsAge{60000};
+    /// The same for servers without a start time in their registration, whose restarts are harder to recognize.
+    static constexpr Millis MaxUnidentifiedNewsAge{2000};
     /// Crashed calls that are reported at a time, so that a report fits into a datagram.
     static constexpr std::size_t MaxReportedCrashes = 32;
     /// Size of the sample that sampleOtherGroups() returns.
@@ -256,6 +265,8 @@
     std::map<std::string, PeerReport::Outcomes> pendingOutcomes; ///< To be sent with the next report.
     std::vector<StreamSample> pendingStreams; ///< To be sent with the next report.
     std::vector<std::pair<TimePoint, CrashedCall>> recentCrashes; ///< With the time to which their age refers.
+    /// Ids of the backend servers whose statements are sent in the next reports, and since when.
+    std::map<std::string, TimePoint> recentStatements;
     std::vector<std::pair<TimePoint, std::string>> recentlyServed; ///< Crash suspects that were served, and when.
     std::vector<RouterMember> peersOfGroup;
     /// See lapsedPeers(); by name, with the time until which they get reports.
@@ -302,8 +313,18 @@
     bool isEligible(const BackendServer &server) const;
     /// Returns whether requests of the server's registered stage may be sent to it now.
     bool mayTakeRequests(const BackendServer &server, TimePoint now) const;
-    /// Records that @p server leaves, logs it and, for an answer to this router, tells the peers.
-    void recordLeaving(const BackendServer &server, StatementSource source, TimePoint at);
+    /// Returns whether a later incarnation than @p server is registered under its id; one at another address if the
+    /// start times are not known.
+    bool isEarlierIncarnation(const BackendServer &server) const;
+    /// Records that @p server leaves, and logs it.
+    /// @return whether this was not known.
+    bool recordLeaving(const BackendServer &server, StatementSource source, TimePoint at);
+    /// Has the statements of a backend server sent with the next reports.
+    void reportStatement(const std::string &id, TimePoint now);
+    /// Returns the statements for a report at @p now.
+    std::map<std::string, StatementNews> takeStatementNews(TimePoint now);
+    /// Applies what a backend server has said to a peer.
+    void applyStatementNews(const std::string &id, const StatementNews &news, TimePoint now);
     PlacementCandidate makeCandidate(const BackendServer &server, const std::string &zone, TimePoint now) const;
     std::map<std::string, PeerSequence> peerSequences;
     std::uint64_t reportSequence = 0;
--- a/src/gateway/routerstatereports.cpp
+++ b/src/gateway/routerstatereports.cpp
@@ -80,10 +80,11 @@
     const auto isRepeatedEnough = [now](const auto &item) { return now - item.first > CrashRepeatTime; };
     std::erase_if(this->recentCrashes, isRepeatedEnough);
     std::erase_if(this->recentlyServed, isRepeatedEnough);
+    std::erase_if(this->recentStatements, [now](const auto &item) { return now - item.second > StatementRepeatTime; });
     const bool changed = this->work->own() != this->lastReportedWork
         || this->waiting->own() != this->lastReportedWaiting || !this->pendingOutcomes.empty()
-        || !this->pendingLimits.empty() || !this->recentCrashes.empty() || !this->recentlyServed.empty()
-        || this->pendingChanges.upTo != 0 || this->confirmationPending;
+        || !this->pendingLimits.empty() || !this->recentStatements.empty() || !this->recentCrashes.empty()
+        || !this->recentlyServed.empty() || this->pendingChanges.upTo != 0 || this->confirmationPending;
     const bool due = now - this->lastReport >= ReportPeriod;
     if (!changed && !due) {
         return std::nullopt;
@@ -110,6 +111,7 @@
         pending.first.age = std::chrono::duration_cast<Millis>(now - pending.second);
         report.namedLimits[backend] = pending.first;
     }
+    report.statements = this->takeStatementNews(now);
     report.outcomes = std::exchange(this->pendingOutcomes, {});
     report.streams = std::exchange(this->pendingStreams, {});
     for (const auto &[time, call] : this->recentCrashes) {
@@ -256,6 +258,9 @@
             this->namedLimits->record(backend, limit.requestsPerSecond, now - limit.age);
         }
     }
+    for (const auto &[backend, news] : report.statements) {
+        this->applyStatementNews(backend, news, now);
+    }
     for (const auto &item : report.outcomes) {
         const std::string &backend = item.first;
         const PeerReport::Outcomes &outcomes = item.second;
--- a/src/gateway/routerstatestatements.cpp
+++ b/src/gateway/routerstatestatements.cpp
@@ -43,8 +43,13 @@
         for (const BackendServer &registered : atAddress) {
             this->recordLeaving(registered, StatementSource::OwnAnswer, now);
         }
-    } else if (head.leaving) {
-        this->recordLeaving(server, StatementSource::OwnAnswer, now);
+        return;
+    }
+    if (this->isEarlierIncarnation(server)) {
+        return;
+    }
+    if (head.leaving && this->recordLeaving(server, StatementSource::OwnAnswer, now)) {
+        this->reportStatement(server.id, now);
     }
     if (head.pause && !isStray && this->statements.recordPause(server, *head.pause, StatementSource::OwnAnswer, now)) {
         LogLine("backend-paused")
@@ -53,17 +58,24 @@
             .add("kept_ms", std::int64_t(std::min(*head.pause, BackendStatements::MaxPause).count()))
             .write();
         this->metrics.count("cyclamencross_backend_pauses_total");
+        this->reportStatement(server.id, now);
     }
 }
 
-void RouterState::recordLeaving(const BackendServer &server, StatementSource source, TimePoint at)
+bool RouterState::isEarlierIncarnation(const BackendServer &server) const
 {
     const BackendServer *known = this->backends.find(server.id);
-    if (known != nullptr && known->startUnixMillis > server.startUnixMillis && server.startUnixMillis > 0) {
-        return; // An answer of an earlier incarnation.
+    if (known == nullptr) {
+        return false;
     }
+    const bool areStartsKnown = server.startUnixMillis > 0 && known->startUnixMillis > 0;
+    return areStartsKnown ? server.startUnixMillis < known->startUnixMillis : server.address != known->address;
+}
+
+bool RouterState::recordLeaving(const BackendServer &server, StatementSource source, TimePoint at)
+{
     if (!this->statements.recordLeaving(server, source, at)) {
-        return;
+        return false;
     }
     LogLine("backend-leaving")
         .add("backend", server.id)
@@ -72,6 +84,59 @@
         .add("from", sourceName(source))
         .write();
     this->metrics.set("cyclamencross_leaving_backends", double(this->statements.leavingCount()));
+    return true;
+}
+
+void RouterState::reportStatement(const std::string &id, TimePoint now)
+{
+    if (this->recentStatements.size() < MaxReportedStatements) {
+        this->recentStatements[id] = now;
+    }
+}
+
+std::map<std::string, StatementNews> RouterState::takeStatementNews(TimePoint now)
+{
+    std::map<std::string, StatementNews> result;
+    for (const auto &[id, since] : this->recentStatements) {
+        const BackendStatement *statement = this->statements.find(id);
+        if (statement == nullptr) {
+            continue;
+        }
+        StatementNews &news = result[id];
+        news.address = statement->address;
+        news.startUnixMillis = statement->startUnixMillis;
+        if (statement->leavingSince) {
+            news.leavingAge = std::chrono::duration_cast<Millis>(now - *statement->leavingSince);
+        }
+        if (const auto until = this->statements.pausedUntil(id, now)) {
+            news.pauseLeft = std::chrono::ceil<Millis>(*until - now);
+        }
+    }
+    return result;
+}
+
+void RouterState::applyStatementNews(const std::string &id, const StatementNews &news, TimePoint now)
+{
+    const BackendServer *known = this->backends.find(id);
+    const bool isIdentified = news.startUnixMillis > 0 && (known == nullptr || known->startUnixMillis > 0);
+    const bool isSameAddress = known != nullptr && known->address == news.address;
+    if (!isIdentified && !isSameAddress) {
+        return;
+    }
+    BackendServer server;
+    server.id = id;
+    server.address = news.address;
+    server.startUnixMillis = news.startUnixMillis;
+    if (this->isEarlierIncarnation(server)) {
+        return;
+    }
+    const Millis maxAge = isIdentified ? MaxStatementNewsAge : MaxUnidentifiedNewsAge;
+    if (news.leavingAge >= Millis(0) && news.leavingAge <= maxAge) {
+        this->recordLeaving(server, StatementSource::Peer, now - news.leavingAge);
+    }
+    if (news.pauseLeft > Millis(0)) {
+        this->statements.recordPause(server, news.pauseLeft, StatementSource::Peer, now);
+    }
 }
 
 void RouterState::expireStatements(TimePoint now)
--- a/src/include/cyclamencross/route/placementcandidate.h
+++ b/src/include/cyclamencross/route/placementcandidate.h
@@ -22,6 +22,7 @@
     bool ofOtherGroup = false; ///< Another group of routers uses it, whose work there is not in `work`.
     bool reservationRefused = false; ///< The backend server recently refused a capacity reservation.
     bool atNamedLimit = false; ///< It must get no request of this router now; see NamedRateLimits.
+    bool isPausedForPeer = false; ///< It has told another router to pause; a sign that it is short of capacity.
     bool avoided = false; ///< To be used only if no other backend server can serve the request.
     double failureRate = 0; ///< From 0 to 1.
     double slowness = 1; ///< Time for a generated token relative to the average engine.
--- a/src/route/placement.cpp
+++ b/src/route/placement.cpp
@@ -18,6 +18,9 @@
 constexpr double CrossZoneCost = 0.05;
 // Cost of a failure rate of 1.
 constexpr double FailureCost = 4;
+// Cost of a backend server that has told another router to pause. It may still want requests of this router, so it is
+// used if the others are fuller by this much.
+constexpr double PeerPauseCost = 0.25;
 // Largest random cost, added so that routers with the same data do not all choose the same one of equal candidates.
 constexpr double MaxTieBreakCost = 0.02;
 
@@ -49,7 +52,8 @@
 
 double commonCost(const PlacementCandidate &candidate, const std::function<double()> &random)
 {
-    return (candidate.sameZone ? 0 : CrossZoneCost) + FailureCost * candidate.failureRate + MaxTieBreakCost * random();
+    return (candidate.sameZone ? 0 : CrossZoneCost) + (candidate.isPausedForPeer ? PeerPauseCost : 0)
+        + FailureCost * candidate.failureRate + MaxTieBreakCost * random();
 }
 
 }
