Broken streams do not wait for the pause of an engine they have tried

A stream that lost its engine would have waited for the end of a pause of an engine that it does not try again. The first pause is now that of the servers that are left; the reason that callers' refusals name, and their Retry-After, still count all. An older registration that is read late does not end what a newer instance has said.

--- a/src/gateway/fleetsyncitems.cpp
+++ b/src/gateway/fleetsyncitems.cpp
@@ -110,10 +110,12 @@
     if (known != nullptr && known->startUnixMillis != server.startUnixMillis) {
         this->state.namedLimits->forget(id);
     }
-    if (this->state.statements.applyRegistration(server, known != nullptr)) {
+    const bool wasRegistered = known != nullptr;
+    const bool changed = this->state.backends.put(id, server, item.revision);
+    const bool isNewest = *this->state.backends.find(id) == server; // An older write read late changes nothing.
+    if (isNewest && this->state.statements.applyRegistration(server, wasRegistered)) {
         LogLine("backend-restarted").add("backend", id).add("born", server.startUnixMillis).write();
     }
-    const bool changed = this->state.backends.put(id, server, item.revision);
     if (changed) {
         LogLine("backend-changed")
             .add("backend", id)
--- a/src/gateway/plainrequesthandler.cpp
+++ b/src/gateway/plainrequesthandler.cpp
@@ -41,8 +41,8 @@
         const auto choice = Placement::choosePlain(*candidates, std::numeric_limits<double>::infinity(),
                                                    [this] { return this->state.random(); });
         if (!choice) {
-            if (const auto silentUntil = this->silentUntil(this->excluded)) {
-                this->setSilenceFailure(*silentUntil);
+            if (this->silentUntil(this->excluded)) {
+                this->setSilenceFailure();
             }
             break;
         }
--- a/src/gateway/requesthandler.cpp
+++ b/src/gateway/requesthandler.cpp
@@ -330,15 +330,18 @@
     return this->state.silentUntil(this->service, this->servingStage(), withOtherGroups, left, Clock::now());
 }
 
-void RequestHandler::setSilenceFailure(TimePoint until)
+void RequestHandler::setSilenceFailure()
 {
-    this->failure = until == TimePoint::max() ? "all-leaving" : "all-paused";
-    const bool isPaused = until != TimePoint::max();
+    const auto until = this->silentUntil({});
+    const bool isPaused = until && *until != TimePoint::max();
+    const std::string whileSilent = isPaused ? "all-paused" : "all-leaving";
+    this->failure = until ? whileSilent : "others-silent";
+    const Millis pauseLeft = isPaused ? std::chrono::ceil<Millis>(*until - Clock::now()) : Millis(-1);
     LogLine("no-backend-now")
         .add("request", this->request.id)
         .add("service", this->service)
         .add("reason", this->failure)
-        .add("pause_ms", isPaused ? std::int64_t(toSeconds(until - Clock::now()) * 1000) : std::int64_t(-1))
+        .add("pause_ms", std::int64_t(pauseLeft.count()))
         .write();
 }
 
--- a/src/gateway/requesthandler.h
+++ b/src/gateway/requesthandler.h
@@ -105,7 +105,7 @@
     /// @param left ids of the backend servers that are left out in any case.
     std::optional<TimePoint> silentUntil(const std::set<std::string> &left) const;
     /// Sets `failure` to the reason why no backend server can take the request because of what they have said.
-    void setSilenceFailure(TimePoint until);
+    void setSilenceFailure();
     /// Returns the delay after which the caller should return if the request is refused now.
     Millis retryAfterDelay();
 
--- a/src/gateway/routerstate.h
+++ b/src/gateway/routerstate.h
@@ -88,8 +88,8 @@
     /// Returns whether backend servers of a pool are registered but none can take a request now because those that are
     /// not in @p excluded have said that they leave or pause, and at least one has.
     /// @param withOtherGroups whether the backend servers of other router groups count too.
-    /// @return when the first pause ends, TimePoint::max() if none of them is paused; std::nullopt if a backend server
-    /// may take the request, perhaps later, or none has said anything.
+    /// @return when the first pause of those that are not in @p excluded ends, TimePoint::max() if none of them is
+    /// paused; std::nullopt if a backend server may take the request, perhaps later, or none has said anything.
     std::optional<TimePoint> silentUntil(const std::string &service, EngineStage stage, bool withOtherGroups,
                                          const std::set<std::string> &excluded, TimePoint now) const;
     /// Records what an answer of @p server says about the server itself.
--- a/src/gateway/routerstatestatements.cpp
+++ b/src/gateway/routerstatestatements.cpp
@@ -164,10 +164,13 @@
             }
             const bool isSilent = this->statements.isSilent(id, now);
             anySilent = anySilent || isSilent;
+            if (excluded.contains(id)) {
+                return false;
+            }
             if (const auto until = this->statements.pausedUntil(id, now); until && !this->statements.isLeaving(id)) {
                 earliest = std::min(earliest, *until);
             }
-            return !isSilent && !excluded.contains(id);
+            return !isSilent;
         });
     };
     const bool canServe = canAnyServe(pool->second.own) || (withOtherGroups && canAnyServe(pool->second.otherGroups));
--- a/src/gateway/routerstatestatements_test.cpp
+++ b/src/gateway/routerstatestatements_test.cpp
@@ -183,6 +183,7 @@
     router.state.recordStatements(makeServer("b"), leavingHead(), false, now);
     CHECK_FALSE(silentUntil({}, now).has_value());
     CHECK(silentUntil({"c"}, now) == std::optional<TimePoint>(now + Millis(5000)));
+    CHECK(silentUntil({"a", "c"}, now) == std::optional<TimePoint>(TimePoint::max()));
     router.state.recordStatements(makeServer("c"), pauseHead(Millis(2000)), false, now);
     CHECK(silentUntil({}, now) == std::optional<TimePoint>(now + Millis(2000)));
     CHECK_FALSE(silentUntil({}, now + Millis(2000)).has_value());
--- a/src/gateway/streamrequestplacement.cpp
+++ b/src/gateway/streamrequestplacement.cpp
@@ -85,7 +85,7 @@
         const auto silentUntil = this->silentUntil(this->excluded);
         // A request that may have run can't be refused any more, so it waits for a pause that ends in time.
         if (silentUntil && (!this->mayHaveExecuted || *silentUntil > wait.endsAt())) {
-            this->setSilenceFailure(*silentUntil);
+            this->setSilenceFailure();
             break;
         }
         if (action == CapacityWait::Action::TryLast || this->unreachableCount >= MaxUnreachableEngines) {
