Router: the clocks, timers and random seed of its decisions are handed in

Cause: faults of leadership, configuration and leaving backend servers needed one disturbance at a certain moment. Tests could not place it systematically, since FleetSync, RouterState, StageController and ContainmentKeeper read the clocks of the process, slept on its timers and seeded their random numbers themselves.

Change: RouterEnvironment holds the clocks, the timer and the seed; RouterState takes it as an optional argument, and the code around it uses its hooks. The defaults are those of the process, so the program behaves as before. StageController sends orders through a hook, sendOrder, and mayOrder() is public, so that a test sees orders without a socket.

--- a/src/gateway/containmentkeeper.cpp
+++ b/src/gateway/containmentkeeper.cpp
@@ -1,6 +1,5 @@
 #include "containmentkeeper.h"
 
-#include "asioutil.h"
 #include "fleetsync.h"
 #include "routerstate.h"
 
@@ -20,8 +19,8 @@
 boost::asio::awaitable<void> ContainmentKeeper::run()
 {
     while (!this->state.stopping) {
-        co_await sleepFor(Period);
-        const TimePoint now = Clock::now();
+        co_await this->state.environment.sleep(Period);
+        const TimePoint now = this->state.environment.now();
         if (!this->state.backendsKnown || !this->isDifferent()) {
             this->differentSince = std::nullopt;
             if (now - this->nextWrite > MaxWritePause) {
@@ -34,7 +33,7 @@
             continue;
         }
         co_await this->sync.writeContainments();
-        this->nextWrite = Clock::now() + this->writePause;
+        this->nextWrite = this->state.environment.now() + this->writePause;
         this->writePause = std::min(MaxWritePause, this->writePause * 2);
     }
 }
--- a/src/gateway/fleetsync.cpp
+++ b/src/gateway/fleetsync.cpp
@@ -1,6 +1,5 @@
 #include "fleetsync.h"
 
-#include "asioutil.h"
 #include "routerstate.h"
 
 #include "cyclamencross/base/logline.h"
@@ -77,19 +76,19 @@
         if (!this->watchRevision) {
             this->watchRevision = co_await this->readAll(prefix);
             if (!this->watchRevision) {
-                co_await sleepFor(this->backoff(++failures));
+                co_await this->state.environment.sleep(this->backoff(++failures));
                 continue;
             }
             failures = 0;
         }
         if (!this->shouldWatch()) {
             this->state.watching = false;
-            co_await sleepFor(PollPeriod);
+            co_await this->state.environment.sleep(PollPeriod);
             continue;
         }
         const bool lostBefore = this->contact.lost;
         this->state.watching = !lostBefore;
-        const TimePoint start = Clock::now();
+        const TimePoint start = this->state.environment.now();
         const Millis wait = this->state.freshness.watchWait(start);
         const StoreResult<StorePage> result = co_await this->store.watch(prefix, *this->watchRevision, wait);
         if (const auto *page = std::get_if<StorePage>(&result)) {
@@ -102,11 +101,12 @@
                 this->contact.resyncNeeded = true; // A store that drops its history may leave out changes.
             } else {
                 // Without changes, the store has answered after the wait; with changes, at any time since the call.
-                this->state.confirmChanges(page->items.empty() ? std::min(start + wait, Clock::now()) : start);
+                this->state.confirmChanges(page->items.empty() ? std::min(start + wait, this->state.environment.now())
+                                                               : start);
             }
             if (!page->items.empty()) {
                 this->state.queueChangesForPeers(StoreChanges{before, this->state.storeRevision, false, page->items});
-                co_await sleepFor(BatchDelay);
+                co_await this->state.environment.sleep(BatchDelay);
             }
             continue;
         }
@@ -120,22 +120,22 @@
             this->recordSuccess();
             continue;
         }
-        co_await sleepFor(this->backoff(++failures));
+        co_await this->state.environment.sleep(this->backoff(++failures));
     }
 }
 
 boost::asio::awaitable<void> FleetSync::catchUp(std::string prefix)
 {
-    TimePoint lastInSync = Clock::now();
+    TimePoint lastInSync = this->state.environment.now();
     while (true) {
-        co_await sleepFor(PollPeriod);
+        co_await this->state.environment.sleep(PollPeriod);
         const bool behind = this->state.newestPeerRevision > this->state.storeRevision;
-        const bool overdue = behind && Clock::now() - lastInSync >= CatchUpDelay;
+        const bool overdue = behind && this->state.environment.now() - lastInSync >= CatchUpDelay;
         if (!behind) {
-            lastInSync = Clock::now();
+            lastInSync = this->state.environment.now();
         }
         if (this->contact.resyncNeeded && !this->state.isDesignatedWatcher()) {
-            co_await sleepFor(WatcherHeadStart);
+            co_await this->state.environment.sleep(WatcherHeadStart);
         }
         if (!this->state.isDesignatedWatcher()) {
             this->contact.resyncNeeded = false; // The watchers of the group read the store and report the changes.
@@ -145,7 +145,7 @@
         }
         this->logCatchUp(this->contact.resyncNeeded ? "regained" : "behind-peers");
         const bool resync = std::exchange(this->contact.resyncNeeded, false);
-        lastInSync = Clock::now();
+        lastInSync = this->state.environment.now();
         if (resync || this->state.watching) {
             co_await this->readAllAgain(prefix);
         } else {
@@ -158,8 +158,8 @@
 {
     int failures = 0;
     while (true) {
-        co_await sleepFor(StoreFreshness::CheckPeriod);
-        const TimePoint now = Clock::now();
+        co_await this->state.environment.sleep(StoreFreshness::CheckPeriod);
+        const TimePoint now = this->state.environment.now();
         // After an outage, the watchers read the whole store and report the changes.
         const bool resyncing = this->contact.resyncNeeded && now - this->contact.foundAt < WatcherHeadStart;
         // While the store is away, the lease renewals detect its return.
@@ -171,7 +171,8 @@
         const ReadResult result = co_await this->readMissing(prefix);
         failures = result == ReadResult::Failed ? failures + 1 : 0;
         if (failures > 0) {
-            co_await sleepFor(this->backoff(failures)); // Renewals may succeed while the store refuses reads.
+            co_await this->state.environment.sleep(
+                this->backoff(failures)); // Renewals may succeed while the store refuses reads.
         }
     }
 }
@@ -184,7 +185,8 @@
         .add("revision", this->state.storeRevision)
         .add("peers_revision", this->state.newestPeerRevision)
         .add("certainty_age_ms",
-             confirmedAt ? std::int64_t(toSeconds(Clock::now() - *confirmedAt) * 1000) : std::int64_t(-1))
+             confirmedAt ? std::int64_t(toSeconds(this->state.environment.now() - *confirmedAt) * 1000)
+                         : std::int64_t(-1))
         .write();
 }
 
@@ -212,12 +214,12 @@
 
 boost::asio::awaitable<void> FleetSync::waitForStore(Millis maxWait)
 {
-    const TimePoint until = Clock::now() + maxWait;
-    while (this->contact.lost && Clock::now() < until) {
-        co_await sleepFor(PollPeriod);
+    const TimePoint until = this->state.environment.now() + maxWait;
+    while (this->contact.lost && this->state.environment.now() < until) {
+        co_await this->state.environment.sleep(PollPeriod);
     }
     if (!this->contact.lost && !this->state.isDesignatedWatcher()) {
-        co_await sleepFor(WatcherHeadStart);
+        co_await this->state.environment.sleep(WatcherHeadStart);
     }
 }
 
@@ -232,7 +234,7 @@
         this->watchRevision = std::max(*this->watchRevision, revision);
     }
     if (listsChanged) {
-        this->state.requestRegroup(Clock::now());
+        this->state.requestRegroup(this->state.environment.now());
     }
 }
 
@@ -252,14 +254,14 @@
 bool FleetSync::shouldWatch() const
 {
     return this->state.isPrimaryWatcher()
-        || (this->state.isDesignatedWatcher() && !this->state.hasLiveWatcher(Clock::now()));
+        || (this->state.isDesignatedWatcher() && !this->state.hasLiveWatcher(this->state.environment.now()));
 }
 
 boost::asio::awaitable<FleetSync::ReadResult> FleetSync::readChanges(std::string prefix)
 {
     bool failedBefore = false;
     for (int reads = 0; reads < MaxChangeReads; ++reads) {
-        const TimePoint start = Clock::now();
+        const TimePoint start = this->state.environment.now();
         const StoreResult<StorePage> result = co_await this->store.readChanges(prefix, this->state.storeRevision);
         if (const auto *failure = std::get_if<StoreFailure>(&result)) {
             if (failure->kind == StoreFailure::Kind::HistoryCompacted) {
@@ -296,7 +298,7 @@
 
 boost::asio::awaitable<std::optional<std::uint64_t>> FleetSync::readAll(std::string prefix)
 {
-    const TimePoint start = Clock::now();
+    const TimePoint start = this->state.environment.now();
     const StoreResult<StorePage> result = co_await this->store.list(prefix);
     if (const auto *failure = std::get_if<StoreFailure>(&result)) {
         this->recordFailure("list", *failure);
@@ -342,7 +344,7 @@
 
 void FleetSync::recordSuccess()
 {
-    const TimePoint now = Clock::now();
+    const TimePoint now = this->state.environment.now();
     if (this->contact.lost) {
         this->contact.lost = false;
         this->contact.foundAt = now;
@@ -375,7 +377,7 @@
 std::optional<TimePoint> FleetSync::keepUntil() const
 {
     const auto outageEnd = this->state.freshness.outageEndedAt();
-    if (!outageEnd || Clock::now() >= *outageEnd + LapseGracePeriod) {
+    if (!outageEnd || this->state.environment.now() >= *outageEnd + LapseGracePeriod) {
         return std::nullopt;
     }
     return *outageEnd + LapseGracePeriod;
--- a/src/gateway/fleetsyncitems.cpp
+++ b/src/gateway/fleetsyncitems.cpp
@@ -165,7 +165,7 @@
     }
     this->state.stagePlan = std::move(*plan);
     this->state.stagePlanRevision = item.revision;
-    this->state.stagePlanSince = Clock::now();
+    this->state.stagePlanSince = this->state.environment.now();
     LogLine("stage-plan").add("engines", std::uint64_t(this->state.stagePlan.stages.size())).write();
     return true;
 }
@@ -176,7 +176,8 @@
         return false;
     }
     this->state.containmentsRevision = item.revision;
-    auto containments = decodeContainments(item.value, Clock::now(), unixSeconds());
+    auto containments =
+        decodeContainments(item.value, this->state.environment.now(), this->state.environment.unixSeconds());
     if (!containments) {
         LogLine("containments-rejected").add("revision", item.revision).warn();
         this->state.storedContainments.clear(); // The record is replaced if this router has any containments.
--- a/src/gateway/fleetsyncwrites.cpp
+++ b/src/gateway/fleetsyncwrites.cpp
@@ -1,7 +1,6 @@
 // The part of FleetSync that writes to the store: the registration of this router, leadership, the stage plan and the
 // containments of crash suspects.
 
-#include "asioutil.h"
 #include "containmentcodec.h"
 #include "fleetsync.h"
 #include "memberrecord.h"
@@ -23,27 +22,28 @@
             const bool done = co_await this->registerOnce();
             failures = done ? 0 : failures + 1;
             if (!done) {
-                co_await sleepFor(this->backoff(failures));
+                co_await this->state.environment.sleep(this->backoff(failures));
             }
             continue;
         }
         // Sleeps in short steps, so that a registration that was removed by others is written again soon.
         // After a failed call of another kind, the next renewal shows at once whether the store is away.
-        const TimePoint next = Clock::now() + RenewPeriod;
-        while (this->registered && !this->state.stopping && !this->contact.lost && Clock::now() < next) {
-            co_await sleepFor(Millis(100));
+        const TimePoint next = this->state.environment.now() + RenewPeriod;
+        while (this->registered && !this->state.stopping && !this->contact.lost
+               && this->state.environment.now() < next) {
+            co_await this->state.environment.sleep(Millis(100));
         }
         if (!this->registered || this->state.stopping) {
             continue;
         }
-        const Clock::duration renewalStart = bootTime();
+        const Clock::duration renewalStart = this->state.environment.bootTime();
         const StoreResult<std::uint64_t> renewed = co_await this->store.renewLease(this->state.registrationLease);
         if (const auto *failure = std::get_if<StoreFailure>(&renewed)) {
             this->recordFailure("renew", *failure);
             if (failure->kind == StoreFailure::Kind::LeaseExpired) {
                 this->registered = false;
             } else {
-                co_await sleepFor(this->backoff(++failures));
+                co_await this->state.environment.sleep(this->backoff(++failures));
             }
         } else {
             failures = 0;
@@ -56,7 +56,7 @@
 boost::asio::awaitable<bool> FleetSync::registerOnce()
 {
     const Millis lifetime = std::max(LeaseLifetime, this->state.settings.minLeaseLifetime);
-    const Clock::duration start = bootTime();
+    const Clock::duration start = this->state.environment.bootTime();
     const StoreResult<std::uint64_t> granted = co_await this->store.grantLease(lifetime);
     if (const auto *failure = std::get_if<StoreFailure>(&granted)) {
         this->recordFailure("lease", *failure);
@@ -116,7 +116,8 @@
 
 boost::asio::awaitable<void> FleetSync::writeContainments()
 {
-    std::string value = encodeContainments(this->state.crashes.containments(), Clock::now(), unixSeconds());
+    std::string value = encodeContainments(this->state.crashes.containments(), this->state.environment.now(),
+                                           this->state.environment.unixSeconds());
     const StoreResult<std::uint64_t> written = co_await this->store.writeIf(
         containmentsKey(), std::move(value), 0, containmentsKey(), this->state.containmentsRevision);
     if (const auto *failure = std::get_if<StoreFailure>(&written)) {
@@ -129,7 +130,7 @@
 
 bool FleetSync::isLeaseConfirmed() const
 {
-    return this->registered && bootTime() - this->leaseConfirmedAt <= LeaseTrust;
+    return this->registered && this->state.environment.bootTime() - this->leaseConfirmedAt <= LeaseTrust;
 }
 
 boost::asio::awaitable<void> FleetSync::unregister()
--- a/src/gateway/routerstate.cpp
+++ b/src/gateway/routerstate.cpp
@@ -12,8 +12,9 @@
 {
 
 RouterState::RouterState(const boost::asio::any_io_executor &executor, RouterSettings settings,
-                         std::uint64_t incarnation)
-    : executor(executor)
+                         std::uint64_t incarnation, RouterEnvironment environment)
+    : environment(std::move(environment))
+    , executor(executor)
     , settings(std::move(settings))
     , incarnation(incarnation)
     , namedLimits(std::make_shared<NamedRateLimits>(
@@ -33,7 +34,7 @@
                   this->metrics.set("cyclamencross_contained_suspects", double(this->crashes.containments().size()));
               })
     , connections(executor)
-    , generator(randomNumber())
+    , generator(this->environment.seed)
 {
 }
 
@@ -185,7 +186,7 @@
     const std::size_t ownGroup = own == groupOfRouter.end() ? 0 : own->second;
     for (const RouterMember &peer : this->peersOfGroup) {
         if (this->members.find(peer.name) == nullptr) {
-            this->lapsed[peer.name] = {peer, Clock::now() + LapsedPeerLifetime};
+            this->lapsed[peer.name] = {peer, this->environment.now() + LapsedPeerLifetime};
         }
     }
     this->peersOfGroup.clear();
@@ -275,7 +276,7 @@
         }
         BackendWork work;
         std::size_t eligible = 0;
-        for (const PlacementCandidate &candidate : this->candidates(service, stage, {}, "", Clock::now())) {
+        for (const PlacementCandidate &candidate : this->candidates(service, stage, {}, "", this->environment.now())) {
             work += candidate.work;
             ++eligible;
         }
--- a/src/gateway/routerstate.h
+++ b/src/gateway/routerstate.h
@@ -3,6 +3,7 @@
 #include "connectionpool.h"
 #include "leadership.h"
 #include "peerreport.h"
+#include "routerenvironment.h"
 
 #include "cyclamencross/base/metrics.h"
 #include "cyclamencross/gateway/routersettings.h"
@@ -43,7 +44,8 @@
 class RouterState
 {
 public:
-    RouterState(const boost::asio::any_io_executor &executor, RouterSettings settings, std::uint64_t incarnation);
+    RouterState(const boost::asio::any_io_executor &executor, RouterSettings settings, std::uint64_t incarnation,
+                RouterEnvironment environment = RouterEnvironment());
 
     /// Returns the backend servers of @p service and @p stage that this router's group uses and that are not draining.
     /// @param excluded ids of backend servers to leave out.
@@ -137,6 +139,7 @@
     /// stopping.
     bool isReady() const;
 
+    const RouterEnvironment environment; ///< Clocks, timer and random seed of all decisions.
     boost::asio::any_io_executor executor;
     RouterSettings settings;
     std::uint64_t incarnation;
--- a/src/gateway/stagecontroller.cpp
+++ b/src/gateway/stagecontroller.cpp
@@ -1,6 +1,5 @@
 #include "stagecontroller.h"
 
-#include "asioutil.h"
 #include "fleetsync.h"
 #include "requesthandler.h"
 #include "routerstate.h"
@@ -12,6 +11,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace Cyclamen
 {
@@ -29,12 +29,15 @@
     , sync(sync)
     , codec(codec)
 {
+    this->sendOrder = [this](std::string address, MakeOrder makeOrder) {
+        return this->sendByHttp(std::move(address), std::move(makeOrder));
+    };
 }
 
 boost::asio::awaitable<void> StageController::run()
 {
     while (!this->state.stopping) {
-        co_await sleepFor(Period);
+        co_await this->state.environment.sleep(Period);
         if (!this->state.isLeader()) {
             this->leaderSince = std::nullopt;
             if (this->state.leadership.router.empty() && this->state.isPrimaryWatcher() && this->state.isReady()) {
@@ -43,7 +46,7 @@
             continue;
         }
         if (!this->leaderSince) {
-            this->leaderSince = Clock::now();
+            this->leaderSince = this->state.environment.now();
             this->balancers.clear();
             this->orders.clear();
             this->fixedServices.clear();
@@ -64,12 +67,12 @@
 {
     const Millis pause = this->state.settings.orderPause + TakeoverMargin;
     return this->state.isLeader() && !this->state.stopping && this->leaderSince
-        && Clock::now() - *this->leaderSince >= pause && this->sync.isLeaseConfirmed();
+        && this->state.environment.now() - *this->leaderSince >= pause && this->sync.isLeaseConfirmed();
 }
 
 boost::asio::awaitable<void> StageController::claim()
 {
-    co_await sleepFor(Millis(std::int64_t(this->state.random() * double(MaxClaimPause.count()))));
+    co_await this->state.environment.sleep(Millis(std::int64_t(this->state.random() * double(MaxClaimPause.count()))));
     if (this->state.leadership.router.empty() && !this->state.stopping) {
         co_await this->sync.claimLeadership();
     }
@@ -77,7 +80,7 @@
 
 boost::asio::awaitable<bool> StageController::enforcePlan()
 {
-    const TimePoint now = Clock::now();
+    const TimePoint now = this->state.environment.now();
     bool pending = false;
     std::vector<std::pair<BackendServer, EngineStage>> due;
     for (const auto &[id, stage] : this->state.stagePlan.stages) {
@@ -97,7 +100,7 @@
             break;
         }
         OrderRecord &record = this->orders[server.id];
-        record.time = Clock::now();
+        record.time = this->state.environment.now();
         ++record.count;
         co_await this->order(server, stage);
     }
@@ -106,7 +109,7 @@
 
 boost::asio::awaitable<void> StageController::dropFailedChanges()
 {
-    const TimePoint now = Clock::now();
+    const TimePoint now = this->state.environment.now();
     StagePlan plan = this->state.stagePlan;
     const auto dropped = std::erase_if(plan.stages, [this, now](const auto &item) {
         const BackendServer *server = this->state.backends.find(item.first);
@@ -126,36 +129,51 @@
 
 boost::asio::awaitable<void> StageController::order(BackendServer server, EngineStage stage)
 {
-    const auto connection = co_await this->state.connections.open(server.address, RequestHandler::ConnectTimeout);
-    if (connection && this->mayOrder() && this->state.isRegistered(server)) {
-        const TimePoint until = Clock::now() + OrderTimeout;
-        OrderCall order =
-            this->codec.stageOrder(server.id, stage, this->state.settings.name, this->state.leadership.revision);
-        std::string call = std::move(order.call);
-        std::optional<std::string> body = std::move(order.body);
-        const ConnectionStatus status =
-            co_await connection->performRequest(std::move(call), std::move(body), until, std::move(order.headers));
-        const int code = status == ConnectionStatus::Ok ? connection->status() : 0;
-        LogLine("engine-order")
-            .add("backend", server.id)
-            .add("stage", stageName(stage))
-            .add("fencing_token", this->state.leadership.revision)
-            .add("status", code)
-            .write();
-        // Any other status may change: the engine is busy, another one has its address, or it did not answer.
-        if (code == 400 || code == 404 || code == 405) {
-            this->fixedServices.insert(server.service);
+    const auto makeOrder = [this, &server, stage]() -> std::optional<OrderCall> {
+        if (!this->mayOrder() || !this->state.isRegistered(server)) {
+            return std::nullopt;
         }
-        this->state.metrics.count("cyclamencross_engine_orders_total", {{"stage", stageName(stage)}});
+        return this->codec.stageOrder(server.id, stage, this->state.settings.name, this->state.leadership.revision);
+    };
+    const std::optional<int> code = co_await this->sendOrder(server.address, makeOrder);
+    if (!code) {
+        co_return;
+    }
+    LogLine("engine-order")
+        .add("backend", server.id)
+        .add("stage", stageName(stage))
+        .add("fencing_token", this->state.leadership.revision)
+        .add("status", *code)
+        .write();
+    // Any other status may change: the engine is busy, another one has its address, or it did not answer.
+    if (*code == 400 || *code == 404 || *code == 405) {
+        this->fixedServices.insert(server.service);
+    }
+    this->state.metrics.count("cyclamencross_engine_orders_total", {{"stage", stageName(stage)}});
+}
+
+boost::asio::awaitable<std::optional<int>> StageController::sendByHttp(std::string address, MakeOrder makeOrder)
+{
+    const auto connection = co_await this->state.connections.open(address, RequestHandler::ConnectTimeout);
+    if (!connection) {
+        co_return std::nullopt;
     }
-    if (connection) {
-        connection->close();
+    std::optional<int> code;
+    if (std::optional<OrderCall> order = makeOrder()) {
+        const TimePoint until = this->state.environment.now() + OrderTimeout;
+        std::string call = std::move(order->call);
+        std::optional<std::string> body = std::move(order->body);
+        const ConnectionStatus status =
+            co_await connection->performRequest(std::move(call), std::move(body), until, std::move(order->headers));
+        code = status == ConnectionStatus::Ok ? connection->status() : 0;
     }
+    connection->close();
+    co_return code;
 }
 
 boost::asio::awaitable<void> StageController::balance()
 {
-    const TimePoint now = Clock::now();
+    const TimePoint now = this->state.environment.now();
     StagePlan plan = this->state.stagePlan;
     std::erase_if(plan.stages, [this](const auto &item) { return this->state.backends.find(item.first) == nullptr; });
     bool changed = false;
--- a/src/gateway/stagecontroller.h
+++ b/src/gateway/stagecontroller.h
@@ -2,9 +2,11 @@
 
 #include "cyclamencross/base/timing.h"
 #include "cyclamencross/gateway/backendcodec.h"
+#include "cyclamencross/gateway/ordercall.h"
 #include "cyclamencross/route/backendserver.h"
 #include "cyclamencross/route/stagebalancer.h"
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -41,11 +43,21 @@
     /// Engines that get an order in one period.
     static constexpr int MaxOrdersPerPeriod = 8;
 
+    /// Returns the order to be sent; std::nullopt if this router may not give it any more.
+    using MakeOrder = std::function<std::optional<OrderCall>()>;
+
     StageController(RouterState &state, FleetSync &sync, const BackendCodec &codec);
 
     /// Claims leadership whenever there is no leader and balances the stages while this router leads, until
     /// RouterState::stopping is set.
     boost::asio::awaitable<void> run();
+    /// Returns whether this router is the leader and may give orders now.
+    bool mayOrder() const;
+
+    /// Connects to the engine at an address and sends it the order that the second argument returns then. Returns the
+    /// status of the answer, 0 if there was none; std::nullopt if no order was sent. Uses HTTP unless a test replaces
+    /// it.
+    std::function<boost::asio::awaitable<std::optional<int>>(std::string address, MakeOrder makeOrder)> sendOrder;
 
 private:
     /// The orders that an engine was given.
@@ -61,6 +73,8 @@
     boost::asio::awaitable<bool> enforcePlan();
     /// Gives one order. Records the service as fixed if the engine rejects it for good.
     boost::asio::awaitable<void> order(BackendServer server, EngineStage stage);
+    /// See sendOrder.
+    boost::asio::awaitable<std::optional<int>> sendByHttp(std::string address, MakeOrder makeOrder);
     /// Removes the changes that engines have rejected or not made after MaxOrders from the plan, since routers send
     /// nothing to an engine whose stage differs from the plan.
     boost::asio::awaitable<void> dropFailedChanges();
@@ -68,8 +82,6 @@
     boost::asio::awaitable<void> balance();
     /// Adds @p count changes of engines of @p service from stage @p from to stage @p target to the plan.
     void addChanges(StagePlan &plan, const std::string &service, EngineStage from, EngineStage target, int count) const;
-    /// Returns whether this router is the leader and may give orders now.
-    bool mayOrder() const;
 
     RouterState &state;
     FleetSync &sync;
