Store answers: one that comes late does not bring back a removed entry

What callers see: a router sends requests to a backend server that has left, without end.

Cause: a router learned the removal of an entry from a peer while an older answer of the store, with that entry, was on its way: a list, or a read of changes. RegistrationCache keeps nothing of removed entries, so the older write counted as a new one. The known revision was already past the removal, so no later read of changes repaired it, and the router took itself for certain.

Change: an answer whose revision is older than what was learned while it was awaited is not applied. A list is then read again.

--- a/src/gateway/fleetsync.cpp
+++ b/src/gateway/fleetsync.cpp
@@ -90,10 +90,15 @@
         this->state.watching = !lostBefore;
         const TimePoint start = this->state.environment.now();
         const Millis wait = this->state.freshness.watchWait(start);
+        const std::uint64_t known = this->state.storeRevision;
         const StoreResult<StorePage> result = co_await this->store.watch(prefix, *this->watchRevision, wait);
         if (const auto *page = std::get_if<StorePage>(&result)) {
             this->recordSuccess();
             failures = 0;
+            if (this->isOutdated(*page, known)) {
+                this->watchRevision = std::max(*this->watchRevision, page->revision);
+                continue;
+            }
             const std::uint64_t before = this->state.storeRevision;
             const bool hidesChanges = page->items.empty() && page->revision > before;
             this->applyAll(page->items, page->revision);
@@ -262,7 +267,8 @@
     bool failedBefore = false;
     for (int reads = 0; reads < MaxChangeReads; ++reads) {
         const TimePoint start = this->state.environment.now();
-        const StoreResult<StorePage> result = co_await this->store.readChanges(prefix, this->state.storeRevision);
+        const std::uint64_t known = this->state.storeRevision;
+        const StoreResult<StorePage> result = co_await this->store.readChanges(prefix, known);
         if (const auto *failure = std::get_if<StoreFailure>(&result)) {
             if (failure->kind == StoreFailure::Kind::HistoryCompacted) {
                 this->recordSuccess();
@@ -277,6 +283,9 @@
         }
         const StorePage &page = std::get<StorePage>(result);
         this->recordSuccess();
+        if (this->isOutdated(page, known)) {
+            continue;
+        }
         if (page.items.empty() && page.revision > this->state.storeRevision) {
             co_return ReadResult::Incomplete; // A store that drops its history may leave out changes.
         }
@@ -299,14 +308,18 @@
 boost::asio::awaitable<std::optional<std::uint64_t>> FleetSync::readAll(std::string prefix)
 {
     const TimePoint start = this->state.environment.now();
+    const std::uint64_t known = this->state.storeRevision;
     const StoreResult<StorePage> result = co_await this->store.list(prefix);
     if (const auto *failure = std::get_if<StoreFailure>(&result)) {
         this->recordFailure("list", *failure);
         co_return std::nullopt;
     }
     this->recordSuccess();
-    this->contact.resyncNeeded = false;
     const StorePage &page = std::get<StorePage>(result);
+    this->contact.resyncNeeded = this->isOutdated(page, known);
+    if (this->contact.resyncNeeded) {
+        co_return std::nullopt;
+    }
     StoreChanges changes;
     changes.after = this->state.storeRevision;
     changes.upTo = page.revision;
@@ -374,15 +387,6 @@
     }
 }
 
-std::optional<TimePoint> FleetSync::keepUntil() const
-{
-    const auto outageEnd = this->state.freshness.outageEndedAt();
-    if (!outageEnd || this->state.environment.now() >= *outageEnd + LapseGracePeriod) {
-        return std::nullopt;
-    }
-    return *outageEnd + LapseGracePeriod;
-}
-
 Millis FleetSync::backoff(int failures)
 {
     const Millis maxDelay = std::min(MaxBackoff, BaseBackoff * (1 << std::min(failures, 5)));
--- a/src/gateway/fleetsync.h
+++ b/src/gateway/fleetsync.h
@@ -127,6 +127,10 @@
     /// then gives the watchers a head start.
     boost::asio::awaitable<void> waitForStore(Millis maxWait);
     void applyAll(const std::vector<StoreItem> &items, std::uint64_t revision);
+    /// Returns whether @p page is older than what this router has learned while it waited for it. It must not be
+    /// applied then: it may hold entries whose removal is known already.
+    /// @param before known revision when the call was made.
+    bool isOutdated(const StorePage &page, std::uint64_t before) const;
     /// Applies changes from a peer unless earlier changes are missing or all of them are known.
     void applyPeerChanges(const StoreChanges &changes);
     /// Returns whether this router has to watch the store itself.
--- a/src/gateway/fleetsync_test.cpp
+++ b/src/gateway/fleetsync_test.cpp
@@ -305,6 +305,27 @@
     }
 }
 
+TEST_CASE("An answer of the store that comes late does not bring back a removed entry")
+{
+    // Guards against work for a backend server that has left, without end: its removal was learned from a peer while an
+    // older answer with its entry was on its way.
+    TestRouter router;
+    makeFollower(router);
+    router.store.list = listOldBackend;
+    router.store.readChanges = [&router](std::string prefix, std::uint64_t after) -> StoreAwaitable<StorePage> {
+        const auto page = co_await readNewBackend(std::move(prefix), after);
+        if (after < 12) {
+            const std::vector<StoreItem> changes{StoreItem{"servers/b", "x", 12, false},
+                                                 StoreItem{"servers/b", "", 13, true}};
+            router.state.onPeerChanges(StoreChanges{10, 13, false, changes});
+        }
+        co_return page;
+    };
+    router.follow(StoreFreshness::ChangeBound, true);
+    CHECK(router.state.storeRevision == 13);
+    CHECK(router.state.backends.find("b") == nullptr);
+}
+
 TEST_CASE("A watch on a connection that has gone silent does not delay changes")
 {
     // Guards against watchers that notice a dead connection after their longest wait only (review case 4): 8.5 s in
--- a/src/gateway/fleetsyncitems.cpp
+++ b/src/gateway/fleetsyncitems.cpp
@@ -43,6 +43,20 @@
     return result;
 }
 
+bool FleetSync::isOutdated(const StorePage &page, std::uint64_t before) const
+{
+    return this->state.storeRevision > before && page.revision < this->state.storeRevision;
+}
+
+std::optional<TimePoint> FleetSync::keepUntil() const
+{
+    const auto outageEnd = this->state.freshness.outageEndedAt();
+    if (!outageEnd || this->state.environment.now() >= *outageEnd + LapseGracePeriod) {
+        return std::nullopt;
+    }
+    return *outageEnd + LapseGracePeriod;
+}
+
 bool FleetSync::apply(const StoreItem &item)
 {
     this->state.storeRevision = std::max(this->state.storeRevision, item.revision);
