--- a/src/gateway/fleetsyncitems.cpp
+++ b/src/gateway/fleetsyncitems.cpp
@@ -43,6 +43,20 @@
     return result;
 }
 
+bool FleetSync::isOutdated(const StorePage &page, std::uint64_t before) const
+{
+    return this->state.storeRevision > before && page.revision < this->state.storeRevision;
+}
+
+std::optional<TimePoint> FleetSync::keepUntil() const
+{
+    const auto outageEnd = this->state.freshness.outageEndedAt();
+    if (!outageEnd || this->state.environment.now() >= *outageEnd + LapseGracePeriod) {
+        return std::nullopt;
+    }
+    return *outageEnd + LapseGracePeriod;
+}
+
 bool FleetSync::apply(const StoreItem &item)
 {
     this->state.storeRevision = std::max(this->state.storeRevision, item.revision);
@@ -170,7 +184,7 @@
     }
     this->state.stagePlan = std::move(*plan);
     this->state.stagePlanRevision = item.revision;
-    this->state.stagePlanSince = Clock::now();
+    this->state.stagePlanSince = this->state.environment.now();
     LogLine("stage-plan").add("engines", std::uint64_t(this->state.stagePlan.stages.size())).write();
     return true;
 }
@@ -181,7 +195,8 @@
         return false;
     }
     this->state.containmentsRevision = item.revision;
-    auto containments = decodeContainments(item.value, Clock::now(), unixSeconds());
+    auto containments =
+        decodeContainments(item.value, this->state.environment.now(), this->state.environment.unixSeconds());
     if (!containments) {
         LogLine("containments-rejected").add("revision", item.revision).warn();
         this->state.storedContainments.clear(); // The record is replaced if this router has any containments.
--- a/src/gateway/routerstate.h
+++ b/src/gateway/routerstate.h
@@ -3,6 +3,7 @@
 #include "connectionpool.h"
 #include "leadership.h"
 #include "peerreport.h"
+#include "routerenvironment.h"
 
 #include "cyclamencross/base/metrics.h"
 #include "cyclamencross/gateway/routersettings.h"
@@ -47,7 +48,8 @@
 class RouterState
 {
 public:
-    RouterState(const boost::asio::any_io_executor &executor, RouterSettings settings, std::uint64_t incarnation);
+    RouterState(const boost::asio::any_io_executor &executor, RouterSettings settings, std::uint64_t incarnation,
+                RouterEnvironment environment = RouterEnvironment());
 
     /// Returns the backend servers of @p service and @p stage that this router's group uses and that are not draining.
     /// @param excluded ids of backend servers to leave out.
@@ -158,6 +160,7 @@
     /// stopping.
     bool isReady() const;
 
+    const RouterEnvironment environment; ///< Clocks, timer and random seed of all decisions.
     boost::asio::any_io_executor executor;
     RouterSettings settings;
     std::uint64_t incarnation;
