Soak: judges requests cut by planned stops; host share, link delays, varied streams

Planned stops were checked only for streams of 0.4 s and 4.5 s, callers without delay, and routers with the whole processor. The checker now judges each request that a stop cut (LOST, excused, not accepted), judges streams that routers break off without a stop, and prints outcomes always.

--- a/testsuite/soak/backend.py
+++ b/testsuite/soak/backend.py
@@ -1,4 +1,6 @@
-"""Emulates one backend server. Usage: backend.py ID SERVICE STAGE PORT PUBLIC_ADDRESS STORE_ADDRESS SEED
+"""Emulates one backend server. Usage: backend.py ID SERVICE STAGE PORT PUBLIC_ADDRESS STORE_ADDRESS SEED CAPACITY SLOTS
+
+CAPACITY is the memory in tokens. A plain service with one slot takes longer for a request and runs one at a time.
 
 STAGE is prefill, decode or none. Prints a JSON line for each request that begins or ends here. On SIGTERM it registers
 as draining, serves requests for another DRAIN_SECONDS, removes its registration and ends. From SIGUSR1 to SIGUSR2 its
@@ -13,15 +15,16 @@
 import sys
 import time
 
+from requestkinds import EVENT_SECONDS, event_count, plain_answer
 import wirehttp
 
 DRAIN_SECONDS = 2.6  # slightly longer than the time after which routers must not send new requests
-EVENTS = 12
-LONG_EVENTS = 150  # events of a stream of the route /long/: 4.5 s
-CAPACITY = 60000  # tokens
+SILENT_SHARE, SILENT_SECONDS = 0.1, (1.0, 5.0)  # streams of varied length with a pause, and its length
 LIMIT = 2.0
 BAD_PART = "bad"
 ID, SERVICE, STAGE, PORT, ADDRESS, STORE, SEED = sys.argv[1:8]
+CAPACITY, SLOTS = (int(text) for text in sys.argv[8:10])
+WORK_SECONDS = (0.005, 0.06) if SLOTS > 1 else (0.1, 0.5)
 
 
 class Backend:
@@ -34,6 +37,7 @@
         self.handles = {}
         self.holds = {}
         self.limit_headers = {}
+        self.plain_turn = asyncio.Semaphore(SLOTS if SLOTS == 1 else 1000)
 
     @staticmethod
     def log_event(event, request="", **more):
@@ -49,7 +53,7 @@
     async def send_heartbeats(self):
         """Renews the registration periodically until it has been registered as draining."""
         while True:
-            entry = {"Service": SERVICE, "Address": ADDRESS, "Zone": "z1", "Version": "v1", "Slots": 8,
+            entry = {"Service": SERVICE, "Address": ADDRESS, "Zone": "z1", "Version": "v1", "Slots": SLOTS,
                      "State": "draining" if self.draining else "ready", "ColdLeftMs": 0, "Sequence": 1}
             if STAGE != "none":
                 entry["Stage"] = STAGE
@@ -115,38 +119,48 @@
             self.log_event("crash", request, part=bad_parts[0])
             os._exit(1)
         disconnect = asyncio.ensure_future(reader.read(1))
-        complete = False
+        missing = 1.0  # seconds of work that are left
         try:
             if STAGE == "decode":
-                count = LONG_EVENTS if target.startswith("/long/") else EVENTS
-                complete = await self.stream(writer, answer_headers, headers, disconnect, count)
+                missing = await self.stream(writer, answer_headers, headers, disconnect, target)
             else:
-                await asyncio.wait([disconnect], timeout=self.random.uniform(0.005, 0.06))
+                turn = asyncio.ensure_future(self.plain_turn.acquire())
+                await asyncio.wait([turn, disconnect], return_when=asyncio.FIRST_COMPLETED)
+                await asyncio.wait([disconnect], timeout=self.random.uniform(*WORK_SECONDS))
+                if not turn.cancel():
+                    self.plain_turn.release()
                 if not disconnect.done():
-                    writer.write(wirehttp.message("HTTP/1.1 200 OK", answer_headers, f"answer to {request}".encode()))
+                    body = plain_answer(target, request).encode()
+                    writer.write(wirehttp.message("HTTP/1.1 200 OK", answer_headers, body))
                     await writer.drain()
-                    complete = True
+                    missing = 0
         finally:
             self.used_tokens -= tokens
-            self.log_event("end", request, complete=complete)
+            self.log_event("end", request, complete=not missing, missing=missing)
             disconnect.cancel()
         return False
 
-    async def stream(self, writer, answer_headers, headers, disconnect, count):
-        """Sends the events of a stream. Returns whether all of them were sent."""
-        start = int(headers.get("last-event-id", "0"))
+    async def stream(self, writer, answer_headers, headers, disconnect, target):
+        """Sends the events of a stream. Returns the seconds of work that were left when the router disconnected."""
+        start, count = int(headers.get("last-event-id", "0")), event_count(target)
+        silent_at, silence = 0, 0.0
+        if target.startswith("/varied") and self.random.random() < SILENT_SHARE:
+            silent_at, silence = self.random.randrange(start + 1, count + 2), self.random.uniform(*SILENT_SECONDS)
         lines = [f"{name}: {value}" for name, value in answer_headers.items()]
         writer.write(("HTTP/1.1 200 OK\r\n" + "\r\n".join(lines) + "\r\nTransfer-Encoding: chunked\r\n\r\n").encode())
         for number in range(start + 1, count + 1):
-            await asyncio.wait([disconnect], timeout=0.03)
+            pause = EVENT_SECONDS + (silence if number == silent_at else 0)
+            begin = time.monotonic()
+            await asyncio.wait([disconnect], timeout=pause)
             if disconnect.done():
-                return False
+                later = silence if number < silent_at else 0
+                return max(EVENT_SECONDS, begin + pause - time.monotonic()) + (count - number) * EVENT_SECONDS + later
             event = f"id: {number}\ndata: {answer_headers['Request-Id']}\n\n".encode()
             writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
             await writer.drain()
         writer.write(b"0\r\n\r\n")
         await writer.drain()
-        return True
+        return 0
 
     async def serve(self, reader, writer):
         """Handles the requests of one connection."""
--- a/testsuite/soak/callers.py
+++ b/testsuite/soak/callers.py
@@ -5,12 +5,16 @@
 import random
 import time
 
+from link import Link
+from requestkinds import KINDS, STREAM_PATHS, VARIED_EVENTS
 import wirehttp
 
-DEADLINE_MS = {"once": 1500, "read": 1500, "stream": 6000, "stream-once": 6000, "stream-long": 14000, "bad-part": 6000}
-PATHS = {"once": ("POST", "/plain/"), "read": ("GET", "/read/"), "stream": ("POST", "/stream/"),
-         "stream-once": ("POST", "/once/"), "stream-long": ("POST", "/long/"), "bad-part": ("POST", "/stream/")}
 BAD_PART_SHARE = 0.2  # share of the streams that contain the part, while there is one
+LINK_DELAYS = (0, 0.005, 0.03, 0.15)  # seconds in each direction
+READ_PAUSES = (0, 0, 0, 0.05, 0.12)  # seconds between two pieces that a caller reads
+IDLE_RATES = (8, 8, 0.7)  # requests per second of time between requests
+PIECES_SHARE = 0.4  # share of the bodies that are sent in pieces
+LARGE_MAXIMUM = (300, 1500, 4000)  # maximum output in tokens of streams of varied length
 
 
 class Caller:
@@ -24,6 +28,17 @@
         self.request_count, self.seed = 0, seed
         self.router = ""
         self.stopping = False
+        self.wake = asyncio.Event()  # ends the pause before the next request
+        self.kinds = {"once": 4, "read": 4, "stream": 2, "stream-once": 2, "stream-long": 0.5}
+        if fleet.options.varied_streams:
+            self.kinds |= {"stream-varied": 1, "stream-varied-once": 1}
+        if fleet.options.full_engines:
+            self.kinds |= {"read-patient": 2}
+        self.link_delay, self.read_pause, self.idle_rate = None, 0, IDLE_RATES[0]
+        if fleet.options.links:
+            self.link_delay, self.read_pause = self.random.choice(LINK_DELAYS), self.random.choice(READ_PAUSES)
+            self.idle_rate = self.random.choice(IDLE_RATES)
+            self.kinds |= {"read-large": 1}
 
     async def resolve(self):
         """Updates the cached addresses if they have expired. Asks up to three routers."""
@@ -50,36 +65,65 @@
         self.router = address
         host, port = address.split(":")
         async with asyncio.timeout(1.0):
+            if self.link_delay is not None:
+                link = Link(self.link_delay, self.read_pause)
+                await link.open(host, int(port))
+                self.reader, self.writer = link.reader, link
+                return
             self.reader, self.writer = await asyncio.open_connection(host, int(port))
 
     def disconnect(self):
         """Closes the connection."""
         if self.writer is not None:
-            self.writer.transport.abort()
+            (self.writer if isinstance(self.writer, Link) else self.writer.transport).abort()
         self.reader = self.writer = None
 
     async def run(self):
         """Sends requests until `stopping` is set."""
         while not self.stopping:
-            kind = self.random.choices(("once", "read", "stream", "stream-once", "stream-long"), (4, 4, 2, 2, 0.5))[0]
+            kind = self.random.choices(list(self.kinds), list(self.kinds.values()))[0]
             if kind.startswith("stream") and self.fleet.bad_part and self.random.random() < BAD_PART_SHARE:
                 kind = "bad-part"
             leave = self.random.random() < 0.08
             await self.request(kind, leave)
-            await asyncio.sleep(self.random.expovariate(8))
+            self.wake.clear()
+            try:
+                await asyncio.wait_for(self.wake.wait(), self.random.expovariate(self.idle_rate))
+            except TimeoutError:
+                pass
+
+    async def send(self, data, sent):
+        """Sends a request, maybe in pieces, and records when its last byte was sent."""
+        pieces = 1
+        if self.link_delay is not None and sent["body"] and self.random.random() < PIECES_SHARE:
+            pieces = self.random.randrange(2, 5)
+        for _ in range(pieces - 1):
+            cut = self.random.randrange(1, max(2, len(data)))
+            self.writer.write(data[:cut])
+            data = data[cut:]
+            await asyncio.sleep(self.random.uniform(0.01, 0.3))
+        sent["sent_at"] = time.time()
+        self.writer.write(data)
+        sent["whole_sent"] = True
 
     async def request(self, kind, leave):
         """Sends one request and records its result. With leave, the caller disconnects after a short random time."""
         self.request_count += 1
         request = f"{self.seed:x}x{self.request_count:x}"
-        method, path = PATHS[kind]
+        method, path, deadline_ms, _ = KINDS[kind]
         body = "x" * self.random.randrange(0, 3000) if method == "POST" else ""
-        sent = {"kind": kind, "method": method, "target": f"{path}{self.request_count}", "body": body,
-                "deadline_ms": DEADLINE_MS[kind], "sent_at": time.time()}
-        headers = {"Host": "h.example", "Request-Id": request, "Deadline-Ms": str(DEADLINE_MS[kind]),
+        target = f"{path}{self.request_count}"
+        if path.startswith("/varied"):
+            target += f"/{self.random.randrange(*VARIED_EVENTS)}"
+        begun = time.time()
+        sent = {"kind": kind, "method": method, "target": target, "body": body, "deadline_ms": deadline_ms,
+                "begun_at": begun, "sent_at": begun, "whole_sent": False}
+        headers = {"Host": "h.example", "Request-Id": request, "Deadline-Ms": str(deadline_ms),
                    "Kv-Backup": "127.0.0.1:9"}
-        if path in ("/stream/", "/once/", "/long/"):
-            headers["Token-Count"] = f"{self.random.randrange(50, 4000)},{200 if kind == 'stream-long' else 100}"
+        if path in STREAM_PATHS:
+            maximum = 200 if kind == "stream-long" else 100
+            maximum = self.random.choice(LARGE_MAXIMUM) if path.startswith("/varied") else maximum
+            headers["Token-Count"] = f"{self.random.randrange(50, 4000)},{maximum}"
             bad_part = f"{self.fleet.bad_part}:3," if kind == "bad-part" else ""
             headers["Prompt-Prefix"] = f"shared{self.random.randrange(3)}:5,{bad_part}{request}:40"
         status, answer, whole = 0, b"", False
@@ -87,9 +131,9 @@
             await self.connect()
             sent["router"] = self.router
             self.guarantees.sent[request] = sent
-            async with asyncio.timeout(self.random.uniform(0.01, 0.3) if leave else DEADLINE_MS[kind] / 1000):
+            async with asyncio.timeout(self.random.uniform(0.01, 0.3) if leave else deadline_ms / 1000):
                 encode = wirehttp.chunked_message if body and self.random.random() < 0.3 else wirehttp.message
-                self.writer.write(encode(f"{method} {sent['target']} HTTP/1.1", headers, body.encode()))
+                await self.send(encode(f"{method} {target} HTTP/1.1", headers, body.encode()), sent)
                 head = await wirehttp.read_head(self.reader)
                 if head is None:
                     raise wirehttp.ConnectionBroken("closed")
--- a/testsuite/soak/fleet.py
+++ b/testsuite/soak/fleet.py
@@ -47,6 +47,8 @@
         self.started = False  # it has logged that it accepts requests
         self.last_fault = 0.0
         self.on_line = lambda line: None
+        self.on_exit = lambda: None
+        self.throttle = None  # the process that lets this one run for a share of the time
         self.starting = asyncio.Lock()
         self.exits = []
 
@@ -63,6 +65,8 @@
                                                           stdout=asyncio.subprocess.PIPE,
                                                           stderr=asyncio.subprocess.STDOUT, limit=1 << 20)
         asyncio.ensure_future(self.read(self.child))
+        if self.throttle:
+            self.command_throttle("add")
 
     async def read(self, child):
         """Logs each output line and passes it to on_line until the process ends. Records the exit code."""
@@ -71,6 +75,7 @@
             self.started = self.started or b'"event":"started"' in line
             self.on_line(line)
         self.exits.append(await child.wait())
+        self.on_exit()
 
     def running(self):
         """Returns whether the process was started and has not ended."""
@@ -81,7 +86,14 @@
         if self.running():
             self.last_fault = time.time()
             self.paused = {signal.SIGSTOP: True, signal.SIGCONT: False}.get(number, self.paused)
-            self.child.send_signal(number)
+            if self.throttle and number in (signal.SIGSTOP, signal.SIGCONT):
+                self.command_throttle("hold" if self.paused else "free")
+            else:
+                self.child.send_signal(number)
+
+    def command_throttle(self, command):
+        """Sends a command for this process to the throttle."""
+        self.throttle.stdin.write(f"{command} {self.child.pid}\n".encode())
 
     async def end(self):
         """Kills the process with SIGKILL and waits until it has ended."""
@@ -93,9 +105,12 @@
 class Fleet:
     """All processes and proxies of a run."""
 
-    def __init__(self, binary, folder, seed, routers, services, prefills, decodes):
-        self.binary, self.folder, self.seed = binary, folder, seed
-        self.counts = (routers, services, prefills, decodes)
+    # Memory of a decode engine in tokens, and of one that is full with a few streams.
+    CAPACITY, SMALL_CAPACITY = 60000, 12000
+
+    def __init__(self, folder, options):
+        self.folder, self.options = folder, options
+        self.throttle = None
         self.log = open(os.path.join(folder, "log.txt"), "wb")
         self.routers, self.backends, self.proxies = {}, {}, {}
         self.store_port = free_ports(1)[0]
@@ -108,11 +123,16 @@
         """Starts all processes and proxies."""
         await self.store.start()
         await self.call_store("/standin/mode", {}, tries=50)
-        routers, services, prefills, decodes = self.counts
-        for kind, count in (("none", services), ("prefill", prefills), ("decode", decodes)):
+        if self.options.cpu_share:
+            command = [sys.executable, f"{HERE}/throttle.py", str(self.options.cpu_share)]
+            self.throttle = await asyncio.create_subprocess_exec(*command, stdin=asyncio.subprocess.PIPE)
+        services = [("app", "none", 3), ("llm", "prefill", 2), ("llm", "decode", 3)]
+        if self.options.second_service:
+            services += [("llm2", "prefill", 1), ("llm2", "decode", 2)]
+        for service, kind, count in services:
             for _ in range(count):
-                await self.add_backend(kind)
-        for number in range(routers):
+                await self.add_backend(service, kind)
+        for number in range(self.options.routers):
             await self.add_router(f"r{number}")
 
     async def add_router(self, name):
@@ -125,13 +145,18 @@
         with open(path, "w", encoding="utf8") as file:
             file.write(ROUTER_SETTINGS.format(name=name, front=front, ready=ready, directory=directory, peers=peers,
                                               store=proxy.port))
-        router = Process(name, [self.binary, "router", "--settings", path], self.log)
+        router = Process(name, [self.options.binary, "router", "--settings", path], self.log)
+        router.throttle = self.throttle
         router.front, router.ready, router.directory = front, ready, directory
         router.stopping = False
         self.routers[name] = router
         await router.start()
 
-    async def add_backend(self, kind):
+    def capacity(self):
+        """Returns the memory of a decode engine in tokens."""
+        return self.SMALL_CAPACITY if self.options.full_engines else self.CAPACITY
+
+    async def add_backend(self, service, kind):
         """Starts a backend server behind a proxy."""
         self.backend_count += 1
         name = f"{'app' if kind == 'none' else kind}{self.backend_count}"
@@ -139,10 +164,13 @@
         proxy = FaultProxy(port)
         await proxy.start()
         self.proxies[name] = proxy
-        service = "app" if kind == "none" else "llm"
+        slots = 1 if kind == "none" and self.options.full_engines else 8
         backend = Process(name, [sys.executable, f"{HERE}/backend.py", name, service, kind, str(port),
-                                 f"127.0.0.1:{proxy.port}", f"127.0.0.1:{self.store_port}", str(self.seed)], self.log)
-        backend.kind = kind
+                                 f"127.0.0.1:{proxy.port}", f"127.0.0.1:{self.store_port}", str(self.options.seed),
+                                 str(self.capacity()), str(slots)], self.log)
+        backend.service, backend.kind = service, kind
+        backend.on_exit = lambda: self.on_backend_event({"event": "gone", "backend": name, "request": "",
+                                                         "t": time.time()})
         backend.on_line = self.on_backend_line
         self.backends[name] = backend
         await backend.start()
@@ -169,4 +197,7 @@
         """Ends all processes of the fleet."""
         for process in [*self.routers.values(), *self.backends.values(), self.store]:
             await process.end()
+        if self.throttle:
+            self.throttle.stdin.close()
+            await self.throttle.wait()
         self.log.flush()
--- a/testsuite/soak/guarantees.py
+++ b/testsuite/soak/guarantees.py
@@ -2,14 +2,14 @@
 import collections
 import time
 
+from requestkinds import KINDS, ONCE_KINDS, STREAM_KINDS, event_count, plain_answer
+
 CANCEL_SECONDS = 0.5  # time after which the work of a caller that disconnected must have ended
 SLACK_SECONDS = 0.7  # tolerance for scheduling on a busy machine and for the delivery of events to this process
 DRAIN_SECONDS = 2.0  # time after which a draining backend server must not receive new requests
 RETRY_WINDOW, RETRY_RATIO, RETRY_SLACK = 10, 0.2, 30
 CONTACT_SECONDS = 3.0  # time in which routers without faults learn of crashes and limits
 LIMIT_WINDOW, LIMIT_FACTOR, LIMIT_SLACK = 4.0, 1.5, 5
-ONCE_KINDS = ("once", "stream-once", "stream-long")  # kinds of requests that may run at most once
-EVENTS = {"stream-long": 150}  # events of a stream; 12 of the other kinds
 GRACE_SECONDS, LAST_SHARE = 8.0, 1 / 6  # grace time of a stop, and the part of it in which running work may be cut
 ACCEPTED_SECONDS = 3.0  # time after a stop signal from which what a router accepts must not be cut
 LOSS_SECONDS = 0.2  # time in which a router that has not passed a request on may close its connection
@@ -25,6 +25,8 @@
         self.drained = {}  # backend server -> time at which its draining was acknowledged
         self.limits = collections.defaultdict(list)  # backend server -> (time, limit or None)
         self.crashes = collections.defaultdict(list)  # prompt part -> crashes (time, backend server)
+        self.stops = []  # planned stops: (router, front port, begin, end)
+        self.cuts = collections.Counter()  # judgement -> requests that planned stops cut
         self.violations = []
         self.counts = collections.Counter()
 
@@ -55,15 +57,20 @@
         if kind == "end":
             for run in self.runs[request]:
                 if run["backend"] == event["backend"] and run["end"] is None:
-                    run["end"] = event["t"]
-                    run["complete"] = event["complete"]
+                    run.update(end=event["t"], complete=event["complete"], missing=event["missing"])
+        if kind in ("gone", "crash"):
+            for runs in self.runs.values():
+                for run in runs:
+                    if run["backend"] == event["backend"] and run["end"] is None:
+                        run.update(end=event["t"], complete=False, broke_off=True)
 
     def on_answer(self, request, status, body, whole):
         """Processes the result of a request; status 0 means no answer, whole that the answer was complete."""
         sent = self.sent[request]
         sent.update(status=status, whole=whole)
         self.counts[(sent["kind"], status if whole or status == 0 else f"{status} cut")] += 1
-        if status == 200 and whole and sent["kind"] in ("once", "read") and body != f"answer to {request}":
+        if status == 200 and whole and sent["kind"] not in (*STREAM_KINDS, "bad-part", "probe") \
+                and body != plain_answer(sent["target"], request):
             self.fail("wrong answer", f"{request} got {body[:60]!r}")
         if sent["kind"].startswith("stream") and status == 200:
             events = [event for event in body.split("\n\n") if event]
@@ -71,25 +78,88 @@
                 if event != f"id: {number}\ndata: {request}":
                     self.fail("stream order", f"{request}: event {number} is {event!r}")
                     break
-            if whole and len(events) != EVENTS.get(sent["kind"], 12):
+            if whole and len(events) != event_count(sent["target"]):
                 self.fail("stream end", f"{request} looks complete after {len(events)} events")
 
-    def check_stop(self, router, begin, end):
-        """Checks that the planned stop of a router cut no request but those that still ran at its end."""
+    def is_past_deadline(self, sent):
+        """Returns whether a request ended when its deadline or the timeout of its route had been reached."""
+        kind = KINDS[sent["kind"]]
+        return sent["cut_at"] - sent["begun_at"] >= min(kind.deadline_ms, kind.timeout_ms) / 1000
+
+    def judge_cut(self, request, sent, begin):
+        """Returns how a planned stop that began at a time answers for a request that ended without a whole answer."""
+        runs, cut = self.runs.get(request), sent["cut_at"]
+        if not sent["whole_sent"]:
+            return "not whole"
+        if self.is_past_deadline(sent):
+            return "past deadline"
+        if runs is None:
+            if cut <= sent["sent_at"] + LOSS_SECONDS:
+                return "not accepted"
+            return "not accepted, in slack" if cut <= sent["sent_at"] + LOSS_SECONDS + SLACK_SECONDS else "LOST"
+        last = runs[-1]
+        if last.get("broke_off"):
+            return "broken off by engine"
+        ran_at_end = (last["end"] or cut) >= begin + GRACE_SECONDS * (1 - LAST_SHARE)
+        if sent["sent_at"] > begin + ACCEPTED_SECONDS or not ran_at_end:
+            return "LOST"
+        if sent["sent_at"] > begin:
+            return "excused, sent after the signal"
+        needed = (last["end"] or cut) + last.get("missing", 0)
+        return "excused, unavoidable" if needed > begin + GRACE_SECONDS else "excused, sent before the signal"
+
+    def check_stops(self, is_fault_free):
+        """Judges the requests that planned stops without other faults have cut. Returns these requests."""
+        judged = set()
+        for router, front, begin, end in self.stops:
+            for request, sent in self.sent.items():
+                cut = sent.get("cut_at", 0)
+                if not sent.get("router", "").endswith(f":{front}") or cut < begin or sent["begun_at"] > end:
+                    continue
+                if request in judged:
+                    continue
+                judged.add(request)
+                if not is_fault_free(begin, end):
+                    self.cuts["beside a fault"] += 1
+                    continue
+                judgement = self.judge_cut(request, sent, begin)
+                self.cuts[judgement] += 1
+                text = f"{request} ({sent['kind']}), sent {sent['sent_at'] - begin:.2f} s after the stop signal of " \
+                       f"{router}, was cut at {cut - begin:.2f} s, {self.describe_runs(request, begin)}"
+                sent["judgement"] = f"{judgement}: {text}"
+                if judgement == "LOST":
+                    self.fail("planned stop", text)
+        return judged
+
+    def describe_runs(self, request, begin):
+        """Returns where and when a request ran, relative to a time."""
+        runs = [f"ran at {run['backend']} {run['begin'] - begin:.2f} to {(run['end'] or 0) - begin:.2f} s, "
+                f"{run.get('missing', 0):.2f} s of work missing" for run in self.runs.get(request, [])]
+        return "; ".join(runs) or "was not passed on"
+
+    def check_broken_streams(self, is_fault_free, judged):
+        """Checks that routers without faults break off no stream whose engine still works."""
         for request, sent in self.sent.items():
-            cut = sent.get("cut_at", 0)
-            if not sent.get("router", "").endswith(f":{router.front}") or not begin <= cut <= end + 1:
-                continue
             runs = self.runs.get(request)
-            if runs is None:
-                if cut > sent["sent_at"] + LOSS_SECONDS + SLACK_SECONDS:
-                    self.fail("planned stop", f"{request} got no answer from {router.name}, which was stopped")
+            if sent["kind"] not in STREAM_KINDS or "cut_at" not in sent or request in judged or not runs:
                 continue
-            work_end = runs[-1]["end"] or cut
-            ran_at_end = work_end >= begin + GRACE_SECONDS * (1 - LAST_SHARE)
-            if sent["sent_at"] > begin + ACCEPTED_SECONDS or not ran_at_end:
-                self.fail("planned stop", f"{request} ({sent['kind']}), sent {sent['sent_at'] - begin:.2f} s after the "
-                          f"stop signal of {router.name}, was cut at {cut - begin:.2f} s")
+            last = runs[-1]
+            if not last.get("complete") and not last.get("broke_off") and not self.is_past_deadline(sent) \
+                    and is_fault_free(sent["begun_at"], sent["cut_at"]):
+                begin = sent["sent_at"]
+                self.fail("stream broken off", f"{request} ({sent['kind']}) by {sent['router']} after "
+                          f"{sent['cut_at'] - begin:.2f} s, {self.describe_runs(request, begin)}")
+
+    def summary_of_stops(self):
+        """Returns how many requests planned stops have cut, by judgement."""
+        excused = {name: self.cuts[f"excused, {name}"]
+                   for name in ("sent before the signal", "sent after the signal", "unavoidable")}
+        others = {name: count for name, count in sorted(self.cuts.items())
+                  if name != "LOST" and not name.startswith("excused")}
+        excused["sent before the signal"] += excused["unavoidable"]
+        details = ", ".join(f"{count} {name}" for name, count in excused.items())
+        return f"{len(self.stops)} stops, {self.cuts['LOST']} cut and LOST, " \
+               f"{sum(excused.values()) - excused['unavoidable']} cut but excused ({details}), other cuts {others}"
 
     def check_all(self, is_fault_free):
         """Performs the checks that need all observations. `is_fault_free(begin, end)` returns whether no fault was
@@ -146,7 +216,8 @@
 
     def check_retries(self):
         """Checks the retry budget over sliding windows."""
-        for kinds in (("once", "read"), ("stream", "stream-once", "stream-long")):
+        plain_kinds = [kind for kind in KINDS if kind not in (*STREAM_KINDS, "bad-part")]
+        for kinds in (plain_kinds, STREAM_KINDS):
             request_times = sorted(sent["sent_at"] for sent in self.sent.values() if sent["kind"] in kinds)
             retry_times = sorted(run["begin"] for request, runs in self.runs.items()
                                  if self.sent.get(request, {}).get("kind") in kinds for run in runs[1:])
