--- a/testsuite/soak/backend.py
+++ b/testsuite/soak/backend.py
@@ -32,7 +32,7 @@
 
     def __init__(self):
         self.random = random.Random(SEED)
-        self.draining = False
+        self.draining = self.left = False
         self.used_tokens = 0
         self.handles = {}
         self.holds = {}
@@ -77,6 +77,7 @@
             await wirehttp.exchange(STORE, "POST", "/standin/beat", body=body, timeout=1)
         except wirehttp.ConnectionBroken:
             pass
+        self.left = True
         asyncio.get_running_loop().stop()
 
     def set_limit(self, limit):
@@ -136,7 +137,7 @@
                     missing = 0
         finally:
             self.used_tokens -= tokens
-            self.log_event("end", request, complete=not missing, missing=missing)
+            self.log_event("end", request, complete=not missing, missing=missing, broke_off=self.left)
             disconnect.cancel()
         return False
 
--- a/testsuite/soak/faults.py
+++ b/testsuite/soak/faults.py
@@ -152,6 +152,8 @@
         for router in self.fleet.routers.values():
             if router.running() and not router.paused and time.time() - router.last_fault > 12:
                 status = await self.probe(router, f"/v{version}/x")
+                if version != self.version:
+                    return  # A newer version has replaced the route.
                 if status == 404:
                     self.guarantees.fail("configuration", f"{router.name} does not have version {version} in force")
 
--- a/testsuite/soak/guarantees.py
+++ b/testsuite/soak/guarantees.py
@@ -57,7 +57,8 @@
         if kind == "end":
             for run in self.runs[request]:
                 if run["backend"] == event["backend"] and run["end"] is None:
-                    run.update(end=event["t"], complete=event["complete"], missing=event["missing"])
+                    run.update(end=event["t"], complete=event["complete"], missing=event["missing"],
+                               broke_off=event["broke_off"])
         if kind in ("gone", "crash"):
             for runs in self.runs.values():
                 for run in runs:
@@ -119,10 +120,7 @@
                 if request in judged:
                     continue
                 judged.add(request)
-                if not is_fault_free(begin, end):
-                    self.cuts["beside a fault"] += 1
-                    continue
-                judgement = self.judge_cut(request, sent, begin)
+                judgement = self.judge_cut(request, sent, begin) if is_fault_free(begin, end) else "beside a fault"
                 self.cuts[judgement] += 1
                 text = f"{request} ({sent['kind']}), sent {sent['sent_at'] - begin:.2f} s after the stop signal of " \
                        f"{router}, was cut at {cut - begin:.2f} s, {self.describe_runs(request, begin)}"
@@ -154,6 +152,7 @@
         """Returns how many requests planned stops have cut, by judgement."""
         excused = {name: self.cuts[f"excused, {name}"]
                    for name in ("sent before the signal", "sent after the signal", "unavoidable")}
+        self.cuts["without a stop"] = sum("cut_at" in sent and "judgement" not in sent for sent in self.sent.values())
         others = {name: count for name, count in sorted(self.cuts.items())
                   if name != "LOST" and not name.startswith("excused")}
         excused["sent before the signal"] += excused["unavoidable"]
--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -39,8 +39,8 @@
         await asyncio.sleep(RECOVERY_SECONDS)
         begin = time.time()
         await asyncio.sleep(3.0)
-        # Full engines make routers refuse requests.
-        good = (200, 503) if self.options.full_engines else (200,)
+        # While backend servers are full, requests are refused or end at the time limit of an attempt.
+        good = (200, 502, 503, 504) if self.options.full_engines else (200,)
         requests = [sent for sent in self.guarantees.sent.values() if sent["sent_at"] > begin and "left_at" not in sent
                     and "status" in sent and sent["kind"] != "bad-part"]
         served = sum(sent["status"] in good and sent["whole"] for sent in requests)
@@ -77,9 +77,12 @@
         judged = self.guarantees.check_stops(self.faults.is_fault_free)
         self.guarantees.check_broken_streams(self.faults.is_fault_free, judged)
         self.guarantees.check_crashes(self.faults.is_fault_free_but_crashes)
-        for sent in self.guarantees.sent.values():
-            if "judgement" in sent:
-                self.fleet.log.write(f"{sent['cut_at']:.3f} soak cut {sent['judgement']}\n".encode())
+        for request, sent in self.guarantees.sent.items():
+            if "cut_at" in sent:
+                text = sent.get("judgement") or "without a stop: " \
+                    f"{request} ({sent['kind']}) by {sent['router']}, sent {sent['sent_at']:.2f}, status " \
+                    f"{sent['status']}, {self.guarantees.describe_runs(request, sent['sent_at'])}"
+                self.fleet.log.write(f"{sent['cut_at']:.3f} soak cut {text}\n".encode())
         for backend in self.faults.drained_backends:
             await backend.end()
         await self.fleet.stop()
