--- a/testsuite/soak/callers.py
+++ b/testsuite/soak/callers.py
@@ -58,6 +58,8 @@
 
     async def connect(self):
         """Opens a connection if there is none."""
+        if isinstance(self.writer, Link) and (self.reader.at_eof() or self.reader.exception()):
+            self.disconnect()
         if self.writer is not None:
             return
         await self.resolve()
--- a/testsuite/soak/guarantees.py
+++ b/testsuite/soak/guarantees.py
@@ -69,7 +69,8 @@
         """Processes the result of a request; status 0 means no answer, whole that the answer was complete."""
         sent = self.sent[request]
         sent.update(status=status, whole=whole)
-        self.counts[(sent["kind"], status if whole or status == 0 else f"{status} cut")] += 1
+        end = "" if whole else " left by caller" if "left_at" in sent else " cut"
+        self.counts[(sent["kind"], f"{status}{end}")] += 1
         if status == 200 and whole and sent["kind"] not in (*STREAM_KINDS, "bad-part", "probe") \
                 and body != plain_answer(sent["target"], request):
             self.fail("wrong answer", f"{request} got {body[:60]!r}")
