--- a/testsuite/soak/callers.py
+++ b/testsuite/soak/callers.py
@@ -130,8 +130,9 @@
             headers["Prompt-Prefix"] = f"shared{self.random.randrange(3)}:5,{bad_part}{request}:40"
         status, answer, whole = 0, b"", False
         try:
+            connection = self.writer
             await self.connect()
-            sent["router"] = self.router
+            sent.update(router=self.router, kept=self.writer is connection)
             self.guarantees.sent[request] = sent
             async with asyncio.timeout(self.random.uniform(0.01, 0.3) if leave else deadline_ms / 1000):
                 encode = wirehttp.chunked_message if body and self.random.random() < 0.3 else wirehttp.message
--- a/testsuite/soak/guarantees.py
+++ b/testsuite/soak/guarantees.py
@@ -123,8 +123,9 @@
                 judged.add(request)
                 judgement = self.judge_cut(request, sent, begin) if is_fault_free(begin, end) else "beside a fault"
                 self.cuts[judgement] += 1
-                text = f"{request} ({sent['kind']}), sent {sent['sent_at'] - begin:.2f} s after the stop signal of " \
-                       f"{router}, was cut at {cut - begin:.2f} s, {self.describe_runs(request, begin)}"
+                kept = ", kept connection" if sent["kept"] else ""
+                text = f"{request} ({sent['kind']}{kept}), sent {sent['sent_at'] - begin:.2f} s after the stop signal " \
+                       f"of {router}, was cut at {cut - begin:.2f} s, {self.describe_runs(request, begin)}"
                 sent["judgement"] = f"{judgement}: {text}"
                 if judgement == "LOST":
                     self.fail("planned stop", text)
