--- a/testsuite/soak/guarantees.py
+++ b/testsuite/soak/guarantees.py
@@ -124,8 +124,8 @@
                 judgement = self.judge_cut(request, sent, begin) if is_fault_free(begin, end) else "beside a fault"
                 self.cuts[judgement] += 1
                 kept = ", kept connection" if sent["kept"] else ""
-                text = f"{request} ({sent['kind']}{kept}), sent {sent['sent_at'] - begin:.2f} s after the stop signal " \
-                       f"of {router}, was cut at {cut - begin:.2f} s, {self.describe_runs(request, begin)}"
+                text = f"{request} ({sent['kind']}{kept}), sent {sent['sent_at'] - begin:.2f} s after the stop " \
+                       f"signal of {router}, was cut at {cut - begin:.2f} s, {self.describe_runs(request, begin)}"
                 sent["judgement"] = f"{judgement}: {text}"
                 if judgement == "LOST":
                     self.fail("planned stop", text)
--- a/testsuite/soak/guarantees_test.py
+++ b/testsuite/soak/guarantees_test.py
@@ -1,4 +1,7 @@
-"""Tests of the judgement of requests that planned stops cut. Run: python3 -m unittest discover testsuite/soak '*_test.py'"""
+"""Tests of the judgement of requests that planned stops cut.
+
+Run: python3 -m unittest discover testsuite/soak '*_test.py'
+"""
 import unittest
 
 from guarantees import GuaranteeChecker
