Soak: requests count from when a link has sent them; the summary tells stalls

On a machine with 30 runnable processes the soak process, which runs callers and fault proxies, stalled for 1 to 3 s. The time of a request is now taken after the link has sent its last byte, and the summary prints the longest stall, so that such runs are seen.

--- a/testsuite/soak/callers.py
+++ b/testsuite/soak/callers.py
@@ -107,6 +107,7 @@
         sent["sent_at"] = time.time()
         self.writer.write(data)
         sent["whole_sent"] = True
+        sent["link"] = self.writer if isinstance(self.writer, Link) else None
 
     async def request(self, kind, leave):
         """Sends one request and records its result. With leave, the caller disconnects after a short random time."""
@@ -154,6 +155,10 @@
             self.disconnect()
         except (wirehttp.ConnectionBroken, OSError):
             sent["cut_at"] = time.time()
+            if sent.get("link"):
+                sent.update(sent_at=max(sent["sent_at"], sent["link"].last_sent),
+                            whole_sent=not sent["link"].unsent)
             self.disconnect()
+        sent.pop("link", None)
         if request in self.guarantees.sent:
             self.guarantees.on_answer(request, status, answer.decode("latin1"), whole)
--- a/testsuite/soak/link.py
+++ b/testsuite/soak/link.py
@@ -1,6 +1,7 @@
 """A caller's connection with a link delay in each direction, which can be read slowly."""
 import asyncio
 import socket
+import time
 
 RECEIVE_BYTES = 16384  # receive buffer of the kernel for a slow reader
 PIECE_BYTES = 8192  # bytes that a slow reader takes at a time
@@ -18,6 +19,8 @@
         if read_pause:
             self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BYTES)
         self.outgoing = asyncio.Queue()
+        self.unsent = 0  # blocks of data that have not been passed to the socket
+        self.last_sent = 0.0  # time at which the caller sent the last block that was passed to the socket
         self.tasks = []
 
     async def open(self, host, port):
@@ -32,6 +35,7 @@
 
     def write(self, data):
         """Sends data after the delay."""
+        self.unsent += 1
         self.outgoing.put_nowait((asyncio.get_running_loop().time() + self.delay, data))
 
     def abort(self):
@@ -48,6 +52,9 @@
                 if data is None:
                     break
                 await loop.sock_sendall(self.socket, data)
+                self.unsent -= 1
+                # Later than the call of write() if this process has got no processor time.
+                self.last_sent = time.time() - self.delay
         except OSError:
             while (await self.outgoing.get())[1] is not None:
                 pass  # The reader reports the failure.
--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -23,6 +23,7 @@
 
 RECOVERY_SECONDS = 6.0  # time without faults at the end, before recovery is checked
 RECOVERED_SHARE = 0.9
+STALL_SECONDS = 0.1
 
 
 class Soak:
@@ -33,6 +34,17 @@
         self.fleet = Fleet(folder, options)
         self.guarantees = GuaranteeChecker()
         self.faults = Faults(self.fleet, self.guarantees, options)
+        self.longest_stall = 0.0
+
+    async def watch_stalls(self):
+        """Measures for how long this process, which runs the callers and the proxies, gets no processor time."""
+        while True:
+            begin = time.time()
+            await asyncio.sleep(STALL_SECONDS)
+            stall = time.time() - begin - STALL_SECONDS
+            self.longest_stall = max(self.longest_stall, stall)
+            if stall > STALL_SECONDS:
+                self.fleet.log.write(f"{begin:.3f} soak stalled for {stall:.3f} s\n".encode())
 
     async def check_recovery(self):
         """Checks that at least RECOVERED_SHARE of the requests are served once the faults are over."""
@@ -50,6 +62,7 @@
     async def run(self):
         """Runs the fleet, the callers and the faults, and checks all guarantees."""
         await self.fleet.start()
+        stalls = asyncio.ensure_future(self.watch_stalls())
         await self.faults.write_config()
         await asyncio.sleep(1.5)
         end = time.time() + self.options.minutes * 60
@@ -85,6 +98,7 @@
                 self.fleet.log.write(f"{sent['cut_at']:.3f} soak cut {text}\n".encode())
         for backend in self.faults.drained_backends:
             await backend.end()
+        stalls.cancel()
         await self.fleet.stop()
 
 
@@ -113,7 +127,8 @@
     counts = {f"{kind} {status}": count for (kind, status), count in sorted(soak.guarantees.counts.items(), key=str)}
     violations = soak.guarantees.violations
     print(f"seed {options.seed}: {len(soak.guarantees.sent)} requests, {len(soak.faults.faults)} faults, "
-          f"{len(violations)} guarantees violated; {soak.guarantees.summary_of_stops()}")
+          f"{len(violations)} guarantees violated; {soak.guarantees.summary_of_stops()}; "
+          f"the test stalled for up to {soak.longest_stall:.2f} s")
     for line in violations[:10]:
         print(f"  {line}")
     print(f"  {counts}")
