Router: the bodies of all requests share a bound of memory

Callers saw a router that its host killed: each body was held whole, and only its size and the number of connections were bounded. A body was also copied for each send, and an answer once more for its caller.

MemoryBudget admits bytes of bodies up to 0.4 of the memory limit (RouterSettings::BodyMemoryShare); a MemoryLease returns them. Beyond it a request is refused before its body is read: 413 if the body alone exceeds the configured limit, else 503 with Retry-After and Connection: close. A chunked body is counted as it grows. Answers that are held whole count too; one without room is a 502, since it has run. A body is freed when its request is not sent again, a refused answer with its connection. Trailers of chunked requests are no longer passed on as headers, since the head is now taken before the body is read.

A deadline did not end the read of an answer that goes on without a pause: the timeout of the socket does not apply to bytes that have arrived. RequestHandler::readBody() now checks the deadline itself.

--- a/src/gateway/httpclientconnection.cpp
+++ b/src/gateway/httpclientconnection.cpp
@@ -5,6 +5,7 @@
 #include "cyclamencross/base/number.h"
 
 #include <algorithm>
+#include <array>
 #include <optional>
 
 #include <boost/asio/write.hpp>
@@ -100,18 +101,19 @@
     co_return true;
 }
 
-void HttpClientConnection::startRequest(std::string bytes, bool headRequest)
+void HttpClientConnection::startRequest(std::string bytes, bool headRequest, RequestBody body)
 {
     Impl &connection = *this->impl;
     connection.headRequest = headRequest;
     this->expectNextResponse();
     connection.requestSent = false;
-    auto message = std::make_shared<std::string>(std::move(bytes));
+    auto head = std::make_shared<std::string>(std::move(bytes));
+    const std::array buffers{boost::asio::buffer(std::as_const(*head)), boost::asio::buffer(body.bytes())};
     // The reads set the timeout of a request; a blocked write ends when the connection is closed.
     connection.stream.expires_never();
     boost::asio::async_write(
-        connection.stream, boost::asio::buffer(*message),
-        [self = this->shared_from_this(), message](const boost::system::error_code &error, std::size_t /*sent*/) {
+        connection.stream, buffers,
+        [self = this->shared_from_this(), head, body](const boost::system::error_code &error, std::size_t /*sent*/) {
             // The reads report the failure; they may still deliver a response that the server sent early.
             self->impl->requestSent = !error;
         });
@@ -229,6 +231,11 @@
     return std::exchange(this->impl->parser->get().body(), std::string());
 }
 
+std::size_t HttpClientConnection::bodyMemory() const
+{
+    return this->impl->parser->get().body().capacity();
+}
+
 bool HttpClientConnection::isComplete() const
 {
     return this->impl->parser && this->impl->parser->is_done();
@@ -264,6 +271,9 @@
 {
     Impl &connection = *this->impl;
     connection.watchId = ++connection.lastWatchId;
+    if (connection.parser) {
+        this->takeBody(); // An idle connection must not hold the body of a response that nobody has taken.
+    }
     connection.stream.expires_never();
     connection.stream.socket().async_wait(
         tcp::socket::wait_read,
--- a/src/gateway/httpsession.cpp
+++ b/src/gateway/httpsession.cpp
@@ -110,6 +110,20 @@
     std::shared_ptr<State> state;
 };
 
+// Fills in the head of a request.
+void setHead(RouterRequest &request, const Parser &parser)
+{
+    const auto &message = parser.get();
+    request.method = std::string(message.method_string());
+    request.target = std::string(message.target());
+    request.host = std::string(message[http::field::host]);
+    for (const auto &field : message) {
+        request.headers.add(std::string(field.name_string()), std::string(field.value()));
+    }
+    request.headers.removeConnectionHeaders();
+    request.headers.remove("Expect");
+}
+
 bool isWellFormed(const Parser &parser)
 {
     const auto &message = parser.get();
@@ -132,6 +146,8 @@
     boost::beast::tcp_stream stream;
     std::function<CallerLimits()> limits;
     Handler handler;
+    std::shared_ptr<MemoryBudget> bodyMemory;
+    std::function<HeaderList(RouterRequest &request)> bodyRefusedHook;
     boost::beast::flat_buffer buffer;
     boost::asio::cancellation_signal watchCancel;
     std::function<void()> callerDisconnectHook;
@@ -151,6 +167,13 @@
 
 HttpSession::~HttpSession() = default;
 
+void HttpSession::boundBodies(std::shared_ptr<MemoryBudget> memory,
+                              std::function<HeaderList(RouterRequest &request)> onRefused)
+{
+    this->impl->bodyMemory = std::move(memory);
+    this->impl->bodyRefusedHook = std::move(onRefused);
+}
+
 boost::asio::awaitable<void> HttpSession::run()
 {
     const auto self = this->shared_from_this();
@@ -211,6 +234,15 @@
         co_await this->refuse(400);
         co_return false;
     }
+    MemoryLease lease(session.bodyMemory, MemoryBudget::Use::RequestBody);
+    if (!error) {
+        setHead(request, parser);
+        session.closing = session.closing || !parser.get().keep_alive();
+        if (!lease.growTo(std::size_t(parser.content_length().value_or(0)))) {
+            co_await this->refuseBody(request);
+            co_return false;
+        }
+    }
     if (!error && boost::beast::iequals(parser.get()[http::field::expect], "100-continue")) {
         co_await this->write("HTTP/1.1 100 Continue\r\n\r\n");
     }
@@ -223,6 +255,11 @@
         }
         readTimeout.restart();
         co_await http::async_read_some(session.stream, session.buffer, parser, awaitableWithError(error));
+        // The length of a chunked body is not known before its end.
+        if (!error && !lease.growTo(parser.get().body().capacity())) {
+            co_await this->refuseBody(request);
+            co_return false;
+        }
     }
     readTimeout.stop();
     if (error) {
@@ -233,25 +270,22 @@
         co_return false;
     }
     auto message = parser.release();
-    request.method = std::string(message.method_string());
-    request.target = std::string(message.target());
-    request.host = std::string(message[http::field::host]);
-    for (const auto &field : message) {
-        request.headers.add(std::string(field.name_string()), std::string(field.value()));
-    }
-    session.closing = session.closing || !message.keep_alive();
     session.headRequest = message.method() == http::verb::head;
-    request.headers.removeConnectionHeaders();
-    request.headers.remove("Expect");
-    request.body = std::move(message.body());
+    request.body = RequestBody(std::move(message.body()), std::move(lease));
     co_return true;
 }
 
-boost::asio::awaitable<void> HttpSession::refuse(int status)
+boost::asio::awaitable<void> HttpSession::refuse(int status, HeaderList headers)
 {
     this->impl->closing = true;
     this->impl->headRequest = false;
-    co_await this->reply(status, "", HeaderList(), "");
+    co_await this->reply(status, "", std::move(headers), "");
+}
+
+boost::asio::awaitable<void> HttpSession::refuseBody(RouterRequest &request)
+{
+    HeaderList headers = this->impl->bodyRefusedHook(request);
+    co_await this->refuse(503, std::move(headers));
 }
 
 boost::asio::awaitable<void> HttpSession::reply(int status, std::string reason, HeaderList headers, std::string body)
@@ -266,10 +300,10 @@
         message += "Content-Length: " + std::to_string(body.size()) + "\r\n";
     }
     message += this->impl->closing ? "Connection: close\r\n\r\n" : "\r\n";
-    if (!this->impl->headRequest) {
-        message += body;
+    if (this->impl->headRequest) {
+        body.clear();
     }
-    co_await this->write(std::move(message));
+    co_await this->write(std::move(message), std::move(body));
 }
 
 boost::asio::awaitable<void> HttpSession::startStream(int status, std::string reason, HeaderList headers)
@@ -302,14 +336,15 @@
     this->impl->stream.close();
 }
 
-boost::asio::awaitable<void> HttpSession::write(std::string bytes)
+boost::asio::awaitable<void> HttpSession::write(std::string bytes, std::string body)
 {
     if (this->impl->gone) {
         co_return;
     }
     this->impl->stream.expires_after(WriteTimeout);
     boost::system::error_code error;
-    co_await boost::asio::async_write(this->impl->stream, boost::asio::buffer(bytes), awaitableWithError(error));
+    const std::array buffers{boost::asio::buffer(std::as_const(bytes)), boost::asio::buffer(std::as_const(body))};
+    co_await boost::asio::async_write(this->impl->stream, buffers, awaitableWithError(error));
     if (error) {
         this->markCallerDisconnected();
     }
--- a/src/gateway/httpsession.h
+++ b/src/gateway/httpsession.h
@@ -2,6 +2,7 @@
 
 #include "cyclamencross/gateway/routerrequest.h"
 #include "cyclamencross/route/callerlimits.h"
+#include "cyclamencross/route/memorylease.h"
 
 #include <functional>
 #include <memory>
@@ -30,6 +31,12 @@
     HttpSession(const HttpSession &) = delete;
     HttpSession &operator=(const HttpSession &) = delete;
 
+    /// Bounds the memory of the bodies of requests. Must be called before run(). Without it, only CallerLimits apply.
+    /// @param memory what all sessions together may take.
+    /// @param onRefused called for the head of each request that is refused with 503 since there is no memory for its
+    /// body; returns the headers of the refusal.
+    void boundBodies(std::shared_ptr<MemoryBudget> memory, std::function<HeaderList(RouterRequest &request)> onRefused);
+
     /// Reads and handles requests until the connection ends.
     boost::asio::awaitable<void> run();
 
@@ -67,8 +74,12 @@
     /// @return whether @p request was read.
     boost::asio::awaitable<bool> readRequest(RouterRequest &request);
     /// Responds with an error and closes the connection after it.
-    boost::asio::awaitable<void> refuse(int status);
-    boost::asio::awaitable<void> write(std::string bytes);
+    boost::asio::awaitable<void> refuse(int status, HeaderList headers = HeaderList());
+    /// Refuses a request since there is no memory for its body.
+    /// @param request its head.
+    boost::asio::awaitable<void> refuseBody(RouterRequest &request);
+    /// Sends @p bytes and then @p body.
+    boost::asio::awaitable<void> write(std::string bytes, std::string body = std::string());
     /// Closes the connection after discarding what the caller still sends, for at most LingerTime.
     boost::asio::awaitable<void> closeGracefully();
     /// Detects in the background that the caller closes the connection; buffers pipelined requests.
--- a/src/gateway/requesthandler.cpp
+++ b/src/gateway/requesthandler.cpp
@@ -30,6 +30,18 @@
 // Number of late responses to other requests that are skipped before the connection counts as malformed.
 constexpr int MaxStrayResponses = 3;
 
+const char *failureName(ConnectionStatus status)
+{
+    switch (status) {
+    case ConnectionStatus::TimedOut:
+        return "timeout";
+    case ConnectionStatus::NoMemory:
+        return "memory";
+    default:
+        return "broken";
+    }
+}
+
 // Longer ids of prompt parts are replaced by a hash, since crash reports must fit into a datagram.
 constexpr std::size_t MaxPartIdLength = 32;
 
@@ -130,6 +142,7 @@
     if (this->connection) {
         this->state.connections.release(server.id + server.address, this->connection);
         this->connection = nullptr;
+        this->responseMemory.release();
     }
 }
 
@@ -144,10 +157,11 @@
     call.timeLeft = std::max(Millis(1), this->timeLeft());
     std::string message = this->request.method + " " + this->request.target + " HTTP/1.1\r\n"
         + this->codec.encodeCall(this->request, call).text();
-    if (!this->request.body.empty() || (this->request.method != "GET" && this->request.method != "HEAD")) {
-        message += "Content-Length: " + std::to_string(this->request.body.size()) + "\r\n";
+    const std::size_t bodyBytes = this->request.body.bytes().size();
+    if (bodyBytes > 0 || (this->request.method != "GET" && this->request.method != "HEAD")) {
+        message += "Content-Length: " + std::to_string(bodyBytes) + "\r\n";
     }
-    this->connection->startRequest(message + "\r\n" + this->request.body, this->request.method == "HEAD");
+    this->connection->startRequest(message + "\r\n", this->request.method == "HEAD", this->request.body);
 }
 
 boost::asio::awaitable<ConnectionStatus> RequestHandler::readMatchingHead(std::string backend, TimePoint until)
@@ -170,7 +184,7 @@
             co_return ConnectionStatus::Ok;
         }
         this->state.metrics.count("cyclamencross_stray_answers_total");
-        status = co_await this->connection->readBody(until);
+        status = co_await this->readBody(until);
         if (status != ConnectionStatus::Ok) {
             co_return status;
         }
@@ -179,11 +193,31 @@
     co_return ConnectionStatus::Malformed;
 }
 
+boost::asio::awaitable<ConnectionStatus> RequestHandler::readBody(TimePoint until)
+{
+    // The previous response, if there was one, is gone.
+    this->responseMemory = MemoryLease(this->state.bodyMemory, MemoryBudget::Use::ResponseBody);
+    while (!this->connection->isComplete()) {
+        // The timeout of a read does not apply to bytes that have already arrived, which may go on without end.
+        if (Clock::now() >= until) {
+            co_return ConnectionStatus::TimedOut;
+        }
+        const ConnectionStatus status = co_await this->connection->readSome(until);
+        if (status != ConnectionStatus::Ok) {
+            co_return status;
+        }
+        if (!this->responseMemory.growTo(this->connection->bodyMemory())) {
+            co_return ConnectionStatus::NoMemory;
+        }
+    }
+    co_return ConnectionStatus::Ok;
+}
+
 boost::asio::awaitable<ConnectionStatus> RequestHandler::readMatchingResponse(std::string backend, TimePoint until)
 {
     ConnectionStatus status = co_await this->readMatchingHead(std::move(backend), until);
     if (status == ConnectionStatus::Ok) {
-        status = co_await this->connection->readBody(until);
+        status = co_await this->readBody(until);
     }
     co_return status;
 }
@@ -218,8 +252,10 @@
 
 void RequestHandler::failCall(const BackendServer &server, ConnectionStatus status)
 {
-    this->failure = status == ConnectionStatus::TimedOut ? "timeout" : "broken";
-    this->recordOutcome(server, CallOutcome::Broken);
+    this->failure = failureName(status);
+    if (status != ConnectionStatus::NoMemory) {
+        this->recordOutcome(server, CallOutcome::Broken);
+    }
     this->connection->close();
     if (status == ConnectionStatus::Broken) {
         this->startCrashProbe(server);
@@ -299,6 +335,7 @@
 boost::asio::awaitable<void> RequestHandler::forwardResponse(std::string body)
 {
     this->outcome = "answered";
+    this->request.body = RequestBody(); // The request is not sent again.
     co_await this->session.reply(this->connection->status(), this->connection->reason(), this->connection->headers(),
                                  std::move(body));
 }
@@ -331,7 +368,7 @@
     for (const std::string &part : this->request.sharedPromptParts) {
         names.push_back("part:" + (part.size() > MaxPartIdLength ? toHex(hash64(part)) : part));
     }
-    names.push_back("request:" + toHex(hash64(this->request.body, hash64(this->request.target))));
+    names.push_back("request:" + toHex(hash64(this->request.body.bytes(), hash64(this->request.target))));
     return names;
 }
 
--- a/src/gateway/requesthandler.h
+++ b/src/gateway/requesthandler.h
@@ -5,6 +5,7 @@
 #include "cyclamencross/gateway/connectionstatus.h"
 #include "cyclamencross/route/backendserver.h"
 #include "cyclamencross/route/calloutcome.h"
+#include "cyclamencross/route/memorylease.h"
 #include "cyclamencross/route/routeconfig.h"
 
 #include <memory>
@@ -61,6 +62,9 @@
     /// Reads the head of the response of @p backend to this request into `response`. Late responses to other requests
     /// are skipped, at most MaxStrayResponses of them.
     boost::asio::awaitable<ConnectionStatus> readMatchingHead(std::string backend, TimePoint until);
+    /// Reads the rest of the current response's body within the memory that the router may use for bodies.
+    /// @return ConnectionStatus::NoMemory if that is used up.
+    boost::asio::awaitable<ConnectionStatus> readBody(TimePoint until);
     /// Reads the complete response of @p backend to this request. Its head is in `response`, its body in `connection`.
     boost::asio::awaitable<ConnectionStatus> readMatchingResponse(std::string backend, TimePoint until);
     /// Returns whether the response, whose read ended with @p status, is complete, signed and not encoded.
@@ -73,8 +77,8 @@
     bool reserveRetry();
     /// Records the outcome of a call, unless the caller has disconnected and thereby ended the call.
     void recordOutcome(const BackendServer &server, CallOutcome outcome);
-    /// Ends a call whose connection broke or that timed out: sets `failure`, closes the connection and, if it broke,
-    /// starts a crash probe.
+    /// Ends a call whose connection broke, that timed out or whose response the router cannot hold: sets `failure`,
+    /// closes the connection and, if it broke, starts a crash probe.
     void failCall(const BackendServer &server, ConnectionStatus status);
     /// Checks in the background whether @p server still accepts connections. If not, records that this request may have
     /// crashed it, unless the server has produced output for it.
@@ -119,6 +123,7 @@
     bool overloaded = false; ///< No backend server had capacity for as long as the request may wait.
     bool retryReserved = false; ///< A retry was taken from the budget and not sent yet.
     BackendResponseHead response; ///< Head of the current response.
+    MemoryLease responseMemory; ///< Memory that the body of the current response takes.
     TimePoint callStart; ///< When the request was last sent to a backend server.
     std::optional<TimePoint> outputStart; ///< When the current call produced its first output.
     bool served = false; ///< The request has been served or has produced enough output.
--- a/src/gateway/router.cpp
+++ b/src/gateway/router.cpp
@@ -131,6 +131,8 @@
         }
         auto session = std::make_shared<HttpSession>(
             std::move(socket), [this] { return this->limits(); }, handler);
+        session->boundBodies(this->state.bodyMemory,
+                             [this](RouterRequest &request) { return this->refuseBody(request); });
         this->sessions.insert(session);
         boost::asio::co_spawn(this->context, this->serveSession(std::move(session)), boost::asio::detached);
     }
@@ -191,6 +193,20 @@
     co_await session.reply(status, "", headers, "");
 }
 
+HeaderList Router::refuseBody(RouterRequest &request)
+{
+    this->platform.backendCodec.decodeRequest(request);
+    this->state.metrics.count("cyclamencross_refusals_total", {{"reason", "memory"}});
+    LogLine("request-refused")
+        .add("request", request.id)
+        .add("status", 503)
+        .add("reason", "memory")
+        .add("target", request.target)
+        .add("body_bytes_held", std::int64_t(this->state.bodyMemory->heldBytes()))
+        .write();
+    return this->platform.backendCodec.refusalHeaders(this->state.retryAfterDelay());
+}
+
 boost::asio::awaitable<void> Router::handleDirectory(HttpSession &session, RouterRequest &request)
 {
     const std::string path = request.target.substr(0, request.target.find('?'));
@@ -271,6 +287,7 @@
         this->state.namedLimits->advance(now, unixMillis());
         this->state.metrics.set("cyclamencross_active_requests", this->state.activeRequests);
         this->state.metrics.set("cyclamencross_caller_connections", double(this->sessions.size()));
+        this->state.metrics.set("cyclamencross_body_bytes_held", double(this->state.bodyMemory->heldBytes()));
         this->state.metrics.set("cyclamencross_routers", double(this->state.members.size()));
         if (const auto confirmedAt = this->state.freshness.confirmedAt()) {
             this->state.metrics.set("cyclamencross_store_certainty_seconds", toSeconds(now - *confirmedAt));
--- a/src/gateway/router.h
+++ b/src/gateway/router.h
@@ -52,6 +52,9 @@
     boost::asio::awaitable<void> handleMetrics(HttpSession &session, RouterRequest &request);
     boost::asio::awaitable<void> refuse(HttpSession &session, const RouterRequest &request, int status,
                                         std::string reason);
+    /// Logs and counts a request that is refused since there is no memory for its body.
+    /// @return the headers of the refusal.
+    HeaderList refuseBody(RouterRequest &request);
     boost::asio::awaitable<void> runHousekeeping();
     boost::asio::awaitable<void> waitForSignals();
     /// Unregisters the router, accepts and refuses requests as StopSchedule says, and ends the event loop once the
--- a/src/gateway/routersettings.cpp
+++ b/src/gateway/routersettings.cpp
@@ -104,6 +104,11 @@
 
 }
 
+std::size_t RouterSettings::bodyMemoryBytes() const
+{
+    return std::size_t(double(this->memoryMiB << 20U) * BodyMemoryShare);
+}
+
 boost::leaf::result<RouterSettings> loadRouterSettings(const std::string &path)
 {
     BOOST_LEAF_AUTO(text, readTextFile(path));
--- a/src/gateway/routerstate.cpp
+++ b/src/gateway/routerstate.cpp
@@ -22,6 +22,7 @@
           [this](const std::string &backend, double requestsPerSecond, double before) {
               this->logNamedLimit(backend, requestsPerSecond, before);
           }))
+    , bodyMemory(std::make_shared<MemoryBudget>(this->settings.bodyMemoryBytes()))
     , retryBudget(this->settings.retryRatio, this->settings.retrySlack, this->settings.retryWindow)
     , crashes([this](const std::string &suspect) { return this->isTrialRouter(suspect); },
               [this](const std::string &suspect, int count) {
--- a/src/gateway/routerstate.h
+++ b/src/gateway/routerstate.h
@@ -12,6 +12,7 @@
 #include "cyclamencross/route/callerwaitestimator.h"
 #include "cyclamencross/route/crashattribution.h"
 #include "cyclamencross/route/fleetretrybudget.h"
+#include "cyclamencross/route/memorybudget.h"
 #include "cyclamencross/route/namedlimit.h"
 #include "cyclamencross/route/namedratelimits.h"
 #include "cyclamencross/route/outputestimator.h"
@@ -150,6 +151,8 @@
     const std::shared_ptr<BackendWorkTracker> waiting = std::make_shared<BackendWorkTracker>();
     /// Limits of backend servers on the requests of all routers. Shared with the permits of requests, like `work`.
     const std::shared_ptr<NamedRateLimits> namedLimits;
+    /// Memory of the bodies of requests and responses. Shared with their leases, like `work`.
+    const std::shared_ptr<MemoryBudget> bodyMemory;
     BackendHealth health;
     FleetRetryBudget retryBudget;
     CallerWaitEstimator callerWaitEstimator;
--- a/src/gateway/streamrequesthandler.cpp
+++ b/src/gateway/streamrequesthandler.cpp
@@ -253,7 +253,7 @@
     if (this->response.notExecuted) {
         this->failure = this->response.wrongBackend ? "wrong-backend" : "rejected";
         this->recordOutcome(server, CallOutcome::Rejected);
-        co_await this->connection->readBody(until);
+        co_await this->readBody(until);
         this->releaseConnection(server);
         co_return AttemptResult::NotExecuted;
     }
@@ -262,7 +262,11 @@
     if (code == 200 && this->response.isSigned && !this->response.hasContentEncoding) {
         co_return co_await this->relayEvents();
     }
-    const ConnectionStatus rest = co_await this->connection->readBody(until);
+    const ConnectionStatus rest = co_await this->readBody(until);
+    if (rest == ConnectionStatus::NoMemory) {
+        this->failCall(server, rest);
+        co_return AttemptResult::MayHaveExecuted;
+    }
     const bool valid = this->isValidResponse(rest);
     this->failure = valid ? "status-" + std::to_string(code) : "malformed";
     this->recordOutcome(server, !valid || code >= 500 ? CallOutcome::Failed : CallOutcome::Served);
@@ -284,6 +288,9 @@
     if (!this->session.isResponseStarted()) {
         co_await this->session.startStream(200, this->connection->reason(), this->connection->headers());
     }
+    if (!this->route.mayRepeat()) {
+        this->request.body = RequestBody(); // The request is not sent again.
+    }
     ConnectionStatus status = ConnectionStatus::Ok;
     bool valid = true;
     while (status == ConnectionStatus::Ok && valid && !this->session.isCallerDisconnected()) {
--- a/src/include/cyclamencross/gateway/connectionstatus.h
+++ b/src/include/cyclamencross/gateway/connectionstatus.h
@@ -12,6 +12,7 @@
     TimedOut,
     Malformed, ///< The bytes are not a valid HTTP message, or the message is too large.
     Cancelled, ///< The router closed the connection.
+    NoMemory, ///< The router has no memory left for the rest of the message.
 };
 
 }
--- a/src/include/cyclamencross/gateway/httpclientconnection.h
+++ b/src/include/cyclamencross/gateway/httpclientconnection.h
@@ -3,6 +3,7 @@
 #include "cyclamencross/base/timing.h"
 #include "cyclamencross/gateway/connectionstatus.h"
 #include "cyclamencross/gateway/headerlist.h"
+#include "cyclamencross/gateway/requestbody.h"
 
 #include <memory>
 #include <optional>
@@ -29,9 +30,9 @@
     /// @return whether it was established within @p timeout.
     boost::asio::awaitable<bool> connect(Millis timeout);
     /// Starts sending a request. The response may be read before the request is sent completely.
-    /// @param bytes the complete request.
+    /// @param bytes the request without @p body.
     /// @param headRequest whether this is a HEAD request, whose response has no body whatever its headers say.
-    void startRequest(std::string bytes, bool headRequest);
+    void startRequest(std::string bytes, bool headRequest, RequestBody body = RequestBody());
     /// Discards the response that was read and prepares for reading another one to the same request.
     void expectNextResponse();
     /// Reads the status and headers of the response; skips 100 Continue responses.
@@ -47,6 +48,8 @@
     const HeaderList &headers() const;
     /// Returns the part of the body that was read since the last call.
     std::string takeBody();
+    /// Returns the memory that the part of the body takes that takeBody() would return, in bytes.
+    std::size_t bodyMemory() const;
     /// Returns whether the response was read completely.
     bool isComplete() const;
     /// Returns whether the response has neither a length nor chunks, so that the end of the connection ends it.
--- a/src/include/cyclamencross/gateway/routerrequest.h
+++ b/src/include/cyclamencross/gateway/routerrequest.h
@@ -2,6 +2,7 @@
 
 #include "cyclamencross/base/timing.h"
 #include "cyclamencross/gateway/headerlist.h"
+#include "cyclamencross/gateway/requestbody.h"
 
 #include <cstdint>
 #include <optional>
@@ -18,7 +19,7 @@
     std::string target; ///< Path and query as sent.
     std::string host;
     HeaderList headers; ///< To be forwarded: without hop-by-hop headers and those that the router sets itself.
-    std::string body;
+    RequestBody body;
     TimePoint received; ///< When the header was received completely.
 
     std::string id; ///< Identifies one attempt of the caller.
--- a/src/include/cyclamencross/gateway/routersettings.h
+++ b/src/include/cyclamencross/gateway/routersettings.h
@@ -24,6 +24,10 @@
     std::string metricsAddress; ///< "IP:PORT"; empty: none.
     std::string storeAddress; ///< "IP:PORT" of the key-value store.
 
+    /// Share of the memory limit that the bodies of all requests and responses together may take. Caller connections
+    /// take another 0.4 at the most; the rest is for everything else.
+    static constexpr double BodyMemoryShare = 0.4;
+
     std::size_t memoryMiB = 96; ///< Memory limit of the process.
     std::size_t descriptors = 1024; ///< Maximum number of file descriptors of the process.
 
@@ -36,6 +40,9 @@
     Millis orderPause{3000}; ///< Shortest time between the orders of two routers to the same engine.
     int maxAddressTtlSeconds = 5; ///< Longest time for which callers may cache an address.
 
+    /// Returns the memory that the bodies of all requests and responses together may take, in bytes.
+    std::size_t bodyMemoryBytes() const;
+
     bool operator==(const RouterSettings &) const = default;
 };
 
