Parsers: numbers out of range are refused before they are calculated with

The values were converted or multiplied before anything checked them.

Reports with such numbers are refused as malformed.

The fuzzers of testsuite/fuzz found the settings and the durations in reports (UndefinedBehaviorSanitizer: float-cast-overflow, signed integer overflow); the other cases were found by reading.

--- a/src/gateway/boundedinputarchive.h
+++ b/src/gateway/boundedinputarchive.h
@@ -61,6 +61,17 @@
     archive.loadBytes(&value, sizeof value);
 }
 
+/// Reading another byte than 0 or 1 into a bool would be undefined behaviour.
+inline void CEREAL_LOAD_FUNCTION_NAME(BoundedInputArchive &archive, bool &value)
+{
+    unsigned char byte = 0;
+    archive.loadBytes(&byte, sizeof byte);
+    if (byte > 1) {
+        throw cereal::Exception("not a bool");
+    }
+    value = byte == 1;
+}
+
 template<typename Value>
 void CEREAL_LOAD_FUNCTION_NAME(BoundedInputArchive &archive, cereal::BinaryData<Value> &data)
 {
--- a/src/gateway/httpclientconnection.cpp
+++ b/src/gateway/httpclientconnection.cpp
@@ -34,6 +34,9 @@
 // without end.
 constexpr std::size_t MaxBufferedBytes = 128U << 10U;
 
+// Longer keep-alive timeouts count as this one. The product with the milliseconds of a second must not overflow.
+constexpr std::uint64_t MaxKeepAliveSeconds = 86400;
+
 ConnectionStatus toStatus(const boost::system::error_code &error)
 {
     if (!error) {
@@ -261,7 +264,8 @@
     std::replace(parameters.begin(), parameters.end(), ',', ';');
     for (const auto &parameter : http::param_list(parameters)) {
         if (boost::beast::iequals(parameter.first, "timeout")) {
-            return Millis(1000 * std::int64_t(parseNumber(std::string(parameter.second)).value_or(0)));
+            const std::uint64_t seconds = parseNumber(std::string(parameter.second)).value_or(0);
+            return Millis(1000 * std::int64_t(std::min(seconds, MaxKeepAliveSeconds)));
         }
     }
     return Millis(0);
--- a/src/gateway/httpclientconnection_test.cpp
+++ b/src/gateway/httpclientconnection_test.cpp
@@ -68,3 +68,11 @@
     CHECK(readKeepAlive("max=5") == Millis(0));
     CHECK(readKeepAlive("timeout=x") == Millis(0));
 }
+
+TEST_CASE("A very long idle timeout of a server is bounded")
+{
+    // Guards against an overflow that makes the longest timeouts negative.
+    for (const char *value : {"timeout=18446744073709551615", "timeout=9223372036854775807", "timeout=86401"}) {
+        CHECK(readKeepAlive(value) == Millis(86400000));
+    }
+}
--- a/src/gateway/peerreport.cpp
+++ b/src/gateway/peerreport.cpp
@@ -2,6 +2,8 @@
 
 #include "boundedinputarchive.h"
 
+#include <algorithm>
+#include <cmath>
 #include <sstream>
 
 #include <cereal/archives/portable_binary.hpp>
@@ -93,6 +95,80 @@
             report.servedSuspects);
 }
 
+namespace
+{
+
+// Largest duration and largest number of requests or tokens that is plausible. Sums of such numbers, and durations in
+// nanoseconds, do not overflow.
+constexpr Millis MaxDuration{std::chrono::hours(24 * 365)};
+constexpr std::int64_t MaxAmount = 1'000'000'000'000;
+
+bool isPlausible(std::int64_t amount)
+{
+    return amount >= -MaxAmount && amount <= MaxAmount;
+}
+
+bool isPlausible(Millis duration)
+{
+    return duration >= -MaxDuration && duration <= MaxDuration;
+}
+
+bool isPlausible(const BackendWork &work)
+{
+    const KvCacheForecast::Tokens &tokens = work.kvCache.tokens();
+    return isPlausible(work.requests) && isPlausible(work.promptTokens)
+        && std::all_of(tokens.begin(), tokens.end(), [](std::int64_t count) { return isPlausible(count); });
+}
+
+bool isPlausible(const NamedLimit &limit)
+{
+    return isPlausible(limit.age) && !std::isnan(limit.requestsPerSecond);
+}
+
+bool isPlausible(const PeerReport::Outcomes &outcomes)
+{
+    return std::isfinite(outcomes.paceSum);
+}
+
+bool isPlausible(const StreamSample &sample)
+{
+    return isPlausible(sample.expectedTokens) && isPlausible(sample.events) && std::isfinite(sample.millisPerEvent);
+}
+
+bool isPlausible(const CrashedCall &call)
+{
+    return isPlausible(call.age) && isPlausible(call.duration);
+}
+
+bool isPlausible(const ServedSuspect &suspect)
+{
+    return isPlausible(suspect.age);
+}
+
+template<typename Value>
+bool areAllPlausible(const std::map<std::string, Value> &values)
+{
+    return std::all_of(values.begin(), values.end(), [](const auto &entry) { return isPlausible(entry.second); });
+}
+
+template<typename Value>
+bool areAllPlausible(const std::vector<Value> &values)
+{
+    return std::all_of(values.begin(), values.end(), [](const Value &value) { return isPlausible(value); });
+}
+
+// Returns whether the receiver of a report can calculate with all of its numbers.
+bool isPlausible(const PeerReport &report)
+{
+    return isPlausible(report.changesKnownAge) && areAllPlausible(report.work) && areAllPlausible(report.groupWork)
+        && areAllPlausible(report.otherGroupsWork) && areAllPlausible(report.waiting)
+        && areAllPlausible(report.reportedCalls) && areAllPlausible(report.namedLimits)
+        && areAllPlausible(report.outcomes) && areAllPlausible(report.streams) && areAllPlausible(report.crashes)
+        && areAllPlausible(report.servedSuspects);
+}
+
+}
+
 std::string encodePeerReport(const PeerReport &report)
 {
     std::ostringstream output;
@@ -106,7 +182,7 @@
     try {
         BoundedInputArchive archive(bytes);
         archive(report);
-        return archive.isAtEnd();
+        return archive.isAtEnd() && isPlausible(report);
     } catch (const cereal::Exception &) {
         return false;
     }
--- a/src/gateway/peerreport.h
+++ b/src/gateway/peerreport.h
@@ -67,7 +67,7 @@
 /// Encodes a report as the payload of a datagram.
 std::string encodePeerReport(const PeerReport &report);
 /// Decodes the payload of a datagram. @p report is unspecified on failure.
-/// @return whether @p bytes are exactly one complete report.
+/// @return whether @p bytes are exactly one complete report with plausible numbers.
 bool decodePeerReport(const std::string &bytes, PeerReport &report);
 
 }
--- a/src/gateway/pieces_test.cpp
+++ b/src/gateway/pieces_test.cpp
@@ -6,6 +6,7 @@
 
 #include "cyclamencross/gateway/headerlist.h"
 
+#include <limits>
 #include <random>
 
 #include <catch2/catch.hpp>
@@ -98,6 +99,45 @@
     }
 }
 
+TEST_CASE("Peer reports with values that a router cannot calculate with are rejected")
+{
+    // Guards against undefined behaviour that one damaged datagram causes.
+    PeerReport report;
+    report.router = "r1";
+    PeerReport decoded;
+    std::string bytes = encodePeerReport(report);
+    REQUIRE(decodePeerReport(bytes, decoded));
+    bytes[1] = 2; // The first field is a bool; the byte before it stands for the byte order.
+    CHECK_FALSE(decodePeerReport(bytes, decoded));
+
+    const auto isAccepted = [&report](const auto &damage) {
+        PeerReport damaged = report;
+        damage(damaged);
+        PeerReport result;
+        return decodePeerReport(encodePeerReport(damaged), result);
+    };
+    static constexpr std::int64_t Most = std::numeric_limits<std::int64_t>::max();
+    const double notANumber = std::numeric_limits<double>::quiet_NaN();
+    CHECK(isAccepted([](PeerReport & /*report*/) {}));
+    CHECK_FALSE(isAccepted([](PeerReport &one) { one.changesKnownAge = Millis(Most); }));
+    CHECK_FALSE(isAccepted([](PeerReport &one) { one.changesKnownAge = Millis(-Most); }));
+    CHECK_FALSE(isAccepted([](PeerReport &one) { one.work["e"].requests = Most; }));
+    CHECK_FALSE(isAccepted([](PeerReport &one) { one.waiting["s"].promptTokens = -Most; }));
+    CHECK_FALSE(isAccepted([](PeerReport &one) { one.groupWork["e"].kvCache = KvCacheForecast::constant(Most); }));
+    CHECK_FALSE(isAccepted([](PeerReport &one) { one.otherGroupsWork["e"].requests = Most; }));
+    CHECK_FALSE(isAccepted([](PeerReport &one) { one.reportedCalls["e"] = Most; }));
+    CHECK_FALSE(isAccepted([](PeerReport &one) { one.namedLimits["e"].age = Millis(Most); }));
+    CHECK_FALSE(isAccepted([&](PeerReport &one) { one.namedLimits["e"].requestsPerSecond = notANumber; }));
+    CHECK_FALSE(isAccepted([&](PeerReport &one) { one.outcomes["e"].paceSum = notANumber; }));
+    CHECK_FALSE(isAccepted([&](PeerReport &one) { one.streams.push_back({"r", "s", 1, 1, notANumber}); }));
+    CHECK_FALSE(isAccepted([](PeerReport &one) { one.streams.push_back({"r", "s", Most, 1, 1}); }));
+    CHECK_FALSE(isAccepted([](PeerReport &one) { one.crashes.push_back({1, "e", {}, Millis(Most), Millis(0)}); }));
+    CHECK_FALSE(isAccepted([](PeerReport &one) { one.crashes.push_back({1, "e", {}, Millis(0), Millis(Most)}); }));
+    CHECK_FALSE(isAccepted([](PeerReport &one) { one.servedSuspects.push_back({"s", Millis(-Most)}); }));
+    CHECK(isAccepted(
+        [](PeerReport &one) { one.namedLimits["e"].requestsPerSecond = std::numeric_limits<double>::infinity(); }));
+}
+
 TEST_CASE("Malformed peer reports are rejected without allocating the memory that they claim to need")
 {
     // Guards against a router that is killed for its memory use by one datagram with a damaged length.
--- a/src/gateway/routersettings.cpp
+++ b/src/gateway/routersettings.cpp
@@ -60,8 +60,11 @@
                        [assign = std::move(assign)](RouterSettings &settings, const std::string &value) {
                            double number = -1;
                            const auto end = std::from_chars(value.data(), value.data() + value.size(), number).ptr;
-                           assign(settings, number);
-                           return end == value.data() + value.size() && number >= 0 && number <= 1000000;
+                           const bool valid = end == value.data() + value.size() && number >= 0 && number <= 1000000;
+                           if (valid) {
+                               assign(settings, number);
+                           }
+                           return valid;
                        }};
 }
 
--- /dev/null
+++ b/src/gateway/routersettings_test.cpp
@@ -0,0 +1,58 @@
+#include "cyclamencross/gateway/routersettings.h"
+
+#include "cyclamencross/base/errors.h"
+
+#include <cstdlib>
+#include <fstream>
+#include <string>
+
+#include <unistd.h>
+
+#include <boost/leaf/handle_errors.hpp>
+#include <catch2/catch.hpp>
+
+using namespace Cyclamen;
+
+namespace
+{
+
+// Returns the key that makes settings with the given line for a bound invalid; empty if they are valid.
+std::string invalidKey(const std::string &line)
+{
+    std::string path = "/tmp/routersettings_test.XXXXXX";
+    close(mkstemp(path.data()));
+    std::ofstream(path) << "[router]\nname = r\nzone = z\n[listen]\ncallers = 127.0.0.1:1\nready = 127.0.0.1:2\n"
+                        << "directory =\npeers = 127.0.0.1:3\n[store]\naddress = 127.0.0.1:4\nmin_lease_ms = 1000\n"
+                        << "[limits]\nmemory_mib = 96\ndescriptors = 1000\n[bounds]\nheartbeat_ms = 600\n"
+                        << "retry_ratio = 0.2\nretry_slack = 30\nretry_window_s = 10\norder_pause_ms = 3000\n"
+                        << "answer_ttl_max_s = 5\n"
+                        << line << "\n";
+    const std::string key = boost::leaf::try_handle_all(
+        [&path]() -> boost::leaf::result<std::string> {
+            BOOST_LEAF_CHECK(loadRouterSettings(path));
+            return std::string();
+        },
+        [](const InvalidSetting &invalid) { return invalid.key; }, [] { return std::string("unknown failure"); });
+    unlink(path.c_str());
+    return key;
+}
+
+}
+
+TEST_CASE("Bounds out of range make the settings invalid")
+{
+    // Guards against undefined behaviour when a number that is too large is converted before it is checked, which shows
+    // with UndefinedBehaviorSanitizer.
+    CHECK(invalidKey("stop_grace_s = 8").empty());
+    CHECK(invalidKey("stop_grace_s = 0.5").empty());
+    for (const char *number : {"1e300", "-1", "nan", "inf", "1000001", "8x", ""}) {
+        CHECK(invalidKey(std::string("stop_grace_s = ") + number) == "bounds.stop_grace_s");
+    }
+}
+
+TEST_CASE("The memory for bodies is a part of the memory limit")
+{
+    RouterSettings settings;
+    settings.memoryMiB = 100;
+    CHECK(settings.bodyMemoryBytes() == std::size_t(double(100U << 20U) * RouterSettings::BodyMemoryShare));
+}
