--- a/src/gateway/httpclientconnection.cpp
+++ b/src/gateway/httpclientconnection.cpp
@@ -5,6 +5,7 @@
 #include "cyclamencross/base/number.h"
 
 #include <algorithm>
+#include <array>
 #include <optional>
 
 #include <boost/asio/write.hpp>
@@ -33,6 +34,9 @@
 // without end.
 constexpr std::size_t MaxBufferedBytes = 128U << 10U;
 
+// Longer keep-alive timeouts count as this one. The product with the milliseconds of a second must not overflow.
+constexpr std::uint64_t MaxKeepAliveSeconds = 86400;
+
 ConnectionStatus toStatus(const boost::system::error_code &error)
 {
     if (!error) {
@@ -101,18 +105,19 @@
     co_return ConnectionStatus::Ok;
 }
 
-void HttpClientConnection::startRequest(std::string bytes, bool headRequest)
+void HttpClientConnection::startRequest(std::string bytes, bool headRequest, RequestBody body)
 {
     Impl &connection = *this->impl;
     connection.headRequest = headRequest;
     this->expectNextResponse();
     connection.requestSent = false;
-    auto message = std::make_shared<std::string>(std::move(bytes));
+    auto head = std::make_shared<std::string>(std::move(bytes));
+    const std::array buffers{boost::asio::buffer(std::as_const(*head)), boost::asio::buffer(body.bytes())};
     // The reads set the timeout of a request; a blocked write ends when the connection is closed.
     connection.stream.expires_never();
     boost::asio::async_write(
-        connection.stream, boost::asio::buffer(*message),
-        [self = this->shared_from_this(), message](const boost::system::error_code &error, std::size_t /*sent*/) {
+        connection.stream, buffers,
+        [self = this->shared_from_this(), head, body](const boost::system::error_code &error, std::size_t /*sent*/) {
             // The reads report the failure; they may still deliver a response that the server sent early.
             self->impl->requestSent = !error;
         });
@@ -230,6 +235,11 @@
     return std::exchange(this->impl->parser->get().body(), std::string());
 }
 
+std::size_t HttpClientConnection::bodyMemory() const
+{
+    return this->impl->parser->get().body().capacity();
+}
+
 bool HttpClientConnection::isComplete() const
 {
     return this->impl->parser && this->impl->parser->is_done();
@@ -255,7 +265,8 @@
     std::replace(parameters.begin(), parameters.end(), ',', ';');
     for (const auto &parameter : http::param_list(parameters)) {
         if (boost::beast::iequals(parameter.first, "timeout")) {
-            return Millis(1000 * std::int64_t(parseNumber(std::string(parameter.second)).value_or(0)));
+            const std::uint64_t seconds = parseNumber(std::string(parameter.second)).value_or(0);
+            return Millis(1000 * std::int64_t(std::min(seconds, MaxKeepAliveSeconds)));
         }
     }
     return Millis(0);
@@ -265,6 +276,9 @@
 {
     Impl &connection = *this->impl;
     connection.watchId = ++connection.lastWatchId;
+    if (connection.parser) {
+        this->takeBody(); // An idle connection must not hold the body of a response that nobody has taken.
+    }
     connection.stream.expires_never();
     connection.stream.socket().async_wait(
         tcp::socket::wait_read,
--- a/src/gateway/invariants_test.cpp
+++ b/src/gateway/invariants_test.cpp
@@ -173,7 +173,7 @@
 {
     const TimePoint now = this->time.now();
     const BackendServer *known = router.state.backends.find(id);
-    const bool used = known != nullptr && router.state.isUsable(*known);
+    const bool used = known != nullptr && router.state.isUsable(*known, router.state.environment.now());
     if (used && !backend.usable && this->isUndisturbed(router, TouchTime)) {
         const TimePoint goneBy = backend.lapsed
             ? std::max(backend.changedAt + ChangeTime, this->outageEnd + ReturnTime + ReturnMargin)
--- a/src/gateway/router.h
+++ b/src/gateway/router.h
@@ -65,6 +65,9 @@
     boost::asio::awaitable<void> handleMetrics(HttpSession &session, RouterRequest &request);
     boost::asio::awaitable<void> refuse(HttpSession &session, const RouterRequest &request, int status,
                                         std::string reason);
+    /// Logs and counts a request that is refused since there is no memory for its body.
+    /// @return the headers of the refusal.
+    HeaderList refuseBody(RouterRequest &request);
     boost::asio::awaitable<void> runHousekeeping();
     /// Measures how late the event loop is.
     boost::asio::awaitable<void> monitorEventLoop();
--- a/src/gateway/routerstate.h
+++ b/src/gateway/routerstate.h
@@ -14,6 +14,7 @@
 #include "cyclamencross/route/callerwaitestimator.h"
 #include "cyclamencross/route/crashattribution.h"
 #include "cyclamencross/route/fleetretrybudget.h"
+#include "cyclamencross/route/memorybudget.h"
 #include "cyclamencross/route/namedlimit.h"
 #include "cyclamencross/route/namedratelimits.h"
 #include "cyclamencross/route/outputestimator.h"
@@ -175,6 +176,8 @@
     /// Limits of backend servers on the requests of all routers. Shared with the permits of requests, like `work`.
     const std::shared_ptr<NamedRateLimits> namedLimits;
     BackendStatements statements; ///< What backend servers say of themselves.
+    /// Memory of the bodies of requests and responses. Shared with their leases, like `work`.
+    const std::shared_ptr<MemoryBudget> bodyMemory;
     BackendHealth health;
     FleetRetryBudget retryBudget;
     CallerWaitEstimator callerWaitEstimator;
