Stop and stall watch: findings of the review

A reviewer who had not seen the work showed by trials that parts of the fix did not hold what they promise:

- A stream was taken from a silent engine before another engine had granted room, and ended if that refused.
The reservation comes first now; the old connection is closed only when it is held.
- A body whose bytes arrived in the moment of the answer got none; an answer that was being sent, and the wait for a caller that reads it, could be cancelled.
A session has one phase now, and the refusal is repeated until the exit.
- A router that was stopped while it registered stayed registered until its lease ended.
It removes the registration when the call returns.
- With a grace period under two seconds, idle connections were closed after the time at which all requests are answered.
- A request that may have run gave up its wait for capacity when the router stopped accepting, and a call that the router cancelled counted against its backend server.

--- a/src/gateway/fleetsyncwrites.cpp
+++ b/src/gateway/fleetsyncwrites.cpp
@@ -21,7 +21,9 @@
         if (!this->registered) {
             const bool done = co_await this->registerOnce();
             failures = done ? 0 : failures + 1;
-            if (!done) {
+            if (this->state.stopping) {
+                co_await this->unregister(); // The stop has begun meanwhile and found no registration to remove.
+            } else if (!done) {
                 co_await this->state.environment.sleep(this->backoff(failures));
             }
             continue;
--- a/src/gateway/httpsession.cpp
+++ b/src/gateway/httpsession.cpp
@@ -152,8 +152,14 @@
     boost::asio::cancellation_signal watchCancel;
     std::function<void()> callerDisconnectHook;
     bool gone = false;
-    bool busy = false;
-    bool handling = false; ///< A complete request is being handled.
+    /// What the connection is used for.
+    enum class Phase : std::uint8_t {
+        Idle, ///< Waiting for the first bytes of a request.
+        Reading, ///< Reading a request.
+        Handling, ///< A complete request is being handled, or an answer is being sent.
+        Closing, ///< The last answer is being sent or has been sent.
+    };
+    Phase phase = Phase::Idle;
     bool refusingIncomplete = false; ///< The request that is being read is refused.
     bool responseStarted = false;
     bool closing = false;
@@ -193,11 +199,10 @@
             break;
         }
         this->watchCaller();
-        this->impl->handling = true;
+        this->impl->phase = Impl::Phase::Handling;
         co_await this->impl->handler(*this, request);
-        this->impl->handling = false;
         this->stopWatchingCaller();
-        this->impl->busy = false;
+        this->impl->phase = Impl::Phase::Idle;
         this->impl->callerDisconnectHook = nullptr;
     }
     co_await this->closeGracefully();
@@ -207,7 +212,7 @@
 {
     Impl &session = *this->impl;
     if (session.buffer.size() > 0) {
-        session.busy = true;
+        session.phase = Impl::Phase::Reading;
         co_return true;
     }
     session.stream.expires_after(session.limits().idleTimeout);
@@ -215,7 +220,7 @@
     const std::size_t count =
         co_await session.stream.async_read_some(session.buffer.prepare(ReadBytes), awaitableWithError(error));
     session.buffer.commit(count);
-    session.busy = !error;
+    session.phase = error ? Impl::Phase::Idle : Impl::Phase::Reading;
     const bool cancelled = session.closing && error == boost::asio::error::operation_aborted;
     session.gone = session.gone || (error && error != boost::beast::error::timeout && !cancelled);
     co_return !error;
@@ -249,10 +254,12 @@
         }
     }
     if (!error && boost::beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+        session.phase = Impl::Phase::Handling;
         co_await this->write("HTTP/1.1 100 Continue\r\n\r\n");
+        session.phase = Impl::Phase::Reading;
     }
     const TimePoint bodyDeadline = request.received + limits.headerTimeout * BodyTimeFactor;
-    while (!error && !parser.is_done()) {
+    while (!error && !session.refusingIncomplete && !parser.is_done()) {
         // The timeout applies to each read, and a longer one to all of them, since single bytes may arrive forever.
         if (Clock::now() >= bodyDeadline) {
             co_await this->refuse(408);
@@ -267,7 +274,7 @@
         }
     }
     readTimeout.stop();
-    if (error) {
+    if (error || !parser.is_done()) {
         const int failure = readTimeout.hasExpired() ? 408 : refusalStatus(error);
         const int status = session.refusingIncomplete ? 503 : failure;
         if (status != 0) {
@@ -283,6 +290,7 @@
 
 boost::asio::awaitable<void> HttpSession::refuse(int status, HeaderList headers)
 {
+    this->impl->phase = Impl::Phase::Closing;
     this->impl->closing = true;
     this->impl->headRequest = false;
     co_await this->reply(status, "", std::move(headers), "");
@@ -359,6 +367,7 @@
 boost::asio::awaitable<void> HttpSession::closeGracefully()
 {
     Impl &session = *this->impl;
+    session.phase = Impl::Phase::Closing;
     boost::system::error_code error;
     if (session.gone) {
         session.stream.close();
@@ -448,14 +457,14 @@
 {
     this->impl->closing = true;
     boost::system::error_code error;
-    if (!this->impl->busy && this->impl->stream.socket().available(error) == 0) {
+    if (this->impl->phase == Impl::Phase::Idle && this->impl->stream.socket().available(error) == 0) {
         this->impl->stream.cancel();
     }
 }
 
 void HttpSession::refuseIncompleteRequest()
 {
-    if (this->impl->busy && !this->impl->handling) {
+    if (this->impl->phase == Impl::Phase::Reading) {
         this->impl->refusingIncomplete = true;
         this->impl->stream.socket().cancel();
     }
--- a/src/gateway/plainrequesthandler.cpp
+++ b/src/gateway/plainrequesthandler.cpp
@@ -77,7 +77,8 @@
     const Millis target = this->route.targetLatency;
     const auto maxWait = std::chrono::duration_cast<Millis>((this->deadline - start) * MaxWaitShare);
     const auto onTimeFor = std::chrono::duration_cast<Millis>(target * OnTimeShare);
-    CapacityWaiter waiter(this->state, this->service, CapacityWait(this->request.received, onTimeFor, maxWait), true);
+    CapacityWaiter waiter(this->state, this->service, CapacityWait(this->request.received, onTimeFor, maxWait),
+                          !this->mayHaveExecuted);
     std::optional<std::vector<PlacementCandidate>> availableCandidates;
     while (!this->shouldStop()) {
         const CapacityWait::Action action = waiter.nextAction();
--- a/src/gateway/requesthandler.cpp
+++ b/src/gateway/requesthandler.cpp
@@ -268,7 +268,8 @@
 void RequestHandler::failCall(const BackendServer &server, ConnectionStatus status)
 {
     this->failure = failureName(status);
-    if (status != ConnectionStatus::NoMemory) {
+    // A call that was cancelled on this side says nothing about the backend server.
+    if (status != ConnectionStatus::NoMemory && status != ConnectionStatus::Cancelled) {
         this->recordOutcome(server, CallOutcome::Broken);
     }
     this->connection->close();
--- a/src/gateway/router.cpp
+++ b/src/gateway/router.cpp
@@ -399,15 +399,17 @@
     // The sessions that remain read a request, which will be refused, or wait until their caller has received the last
     // response. Exiting with unread bytes would reset the connection, and the caller could lose that response.
     co_await this->waitForRequests(schedule.answerAt());
-    for (const auto &session : this->sessions) {
-        session->refuseIncompleteRequest();
-    }
     for (RequestHandler *handler : this->running) {
         if (!handler->isResponseStarted()) {
             handler->cancel();
         }
     }
-    co_await this->waitForRequests(schedule.endAt());
+    while (Clock::now() < schedule.endAt() && (!this->running.empty() || !this->sessions.empty())) {
+        for (const auto &session : this->sessions) {
+            session->refuseIncompleteRequest();
+        }
+        co_await this->waitForRequests(Clock::now() + StopPollPeriod);
+    }
     const std::size_t unfinished = this->running.size();
     for (RequestHandler *handler : this->running) {
         handler->cancel();
--- a/src/gateway/streamrequesthandler.cpp
+++ b/src/gateway/streamrequesthandler.cpp
@@ -33,7 +33,6 @@
 constexpr double AcceptableWaitShare = 0.5;
 // A silent engine is probed after this many times the route's target for the gap between events.
 constexpr int StallTimeoutFactor = 3;
-constexpr Millis MinStallTimeout{700};
 constexpr Millis StallCheckPeriod{100};
 
 }
@@ -243,8 +242,8 @@
         if (callProgress->finished || Clock::now() - callProgress->lastActivity < stallTimeout) {
             continue;
         }
-        std::size_t candidates = 0;
-        if (!this->findDecodeEngine(candidates) || !this->reserveRetry()) {
+        const bool prepared = co_await this->prepareMove(callProgress);
+        if (!prepared) {
             continue;
         }
         LogLine("stream-moved")
--- a/src/gateway/streamrequesthandler.h
+++ b/src/gateway/streamrequesthandler.h
@@ -33,6 +33,9 @@
     /// first.
     static constexpr int MaxUnreachableEngines = 12;
 
+    /// Shortest silence after which an engine is probed.
+    static constexpr Millis MinStallTimeout{700};
+
     enum class AttemptResult : std::uint8_t {
         Done, ///< The caller has received the complete stream or an error response.
         NotExecuted, ///< The engine stated that it did not execute the request.
@@ -61,6 +64,11 @@
     /// Returns the decode engine to which the request would be sent now; std::nullopt if none has capacity as far as
     /// this router knows.
     std::optional<PlacementCandidate> findDecodeEngine(std::size_t &candidateCount) const;
+    /// Makes an engine the one to which the request is sent next, and adds the request to its work.
+    void useDecodeEngine(const PlacementCandidate &chosen);
+    /// Reserves room for the rest of the stream at another engine and a retry of the budget; sets `moveTarget`.
+    /// @return false if there is no room, the engine is not silent any more or the call has ended meanwhile.
+    boost::asio::awaitable<bool> prepareMove(std::shared_ptr<StreamProgress> callProgress);
     /// Watches the stream of the current call while the engine is silent for longer than @p stallTimeout. An engine
     /// that accepts no connection may be gone, or its queue of new connections is full: its stream is moved, but only
     /// if another engine has room for it.
@@ -105,6 +113,8 @@
     std::size_t candidateCount = 0; ///< Number of engines it was chosen from; for the log.
     std::unique_ptr<WorkReservation> workReservation; ///< Of the request's work at `decodeEngine`.
     std::unique_ptr<RequestPermit> permit; ///< For `decodeEngine`.
+    std::optional<PlacementCandidate> moveTarget; ///< Engine with room for a stream that leaves a silent one.
+    std::string moveToken; ///< Of the reservation at `moveTarget`.
     std::string reservationToken; ///< Of an unused capacity reservation at `decodeEngine`; empty if there is none.
     std::optional<BackendServer> prefillEngine; ///< Engine that processed the prompt.
     std::optional<PrefillResult> kvCache; ///< At `prefillEngine`, not passed to a decode engine yet.
--- a/src/gateway/streamrequestplacement.cpp
+++ b/src/gateway/streamrequestplacement.cpp
@@ -68,9 +68,16 @@
 boost::asio::awaitable<bool> StreamRequestHandler::reserveDecodeEngine()
 {
     this->releaseReservation(); // At the engine of an attempt that did not reach it.
+    if (const auto moved = std::exchange(this->moveTarget, std::nullopt)) {
+        this->useDecodeEngine(*moved);
+        this->reservationToken = std::exchange(this->moveToken, std::string());
+        this->logDecodePlacement();
+        co_return true;
+    }
     const TimePoint start = Clock::now();
     const CapacityWait wait = this->capacityWait();
-    CapacityWaiter waiter(this->state, this->service, wait, !this->session.isResponseStarted());
+    CapacityWaiter waiter(this->state, this->service, wait,
+                          !this->session.isResponseStarted() && !this->mayHaveExecuted);
     while (!this->shouldStop()) {
         const CapacityWait::Action action = waiter.nextAction();
         if (action != CapacityWait::Action::Yield && this->chooseDecodeEngine()) {
@@ -249,13 +256,60 @@
     if (!chosen) {
         return false;
     }
-    this->decodeEngine = chosen->server;
-    this->workReservation = std::make_unique<WorkReservation>(this->state.work, chosen->server.id, this->requestWork());
-    this->permit = std::make_unique<RequestPermit>(this->state.namedLimits, chosen->server.id);
-    this->decodeCandidate = *chosen;
+    this->useDecodeEngine(*chosen);
     return true;
 }
 
+void StreamRequestHandler::useDecodeEngine(const PlacementCandidate &chosen)
+{
+    this->decodeEngine = chosen.server;
+    this->workReservation = std::make_unique<WorkReservation>(this->state.work, chosen.server.id, this->requestWork());
+    this->permit = std::make_unique<RequestPermit>(this->state.namedLimits, chosen.server.id);
+    this->decodeCandidate = chosen;
+}
+
+boost::asio::awaitable<bool> StreamRequestHandler::prepareMove(std::shared_ptr<StreamProgress> callProgress)
+{
+    std::size_t candidates = 0;
+    const auto target = this->findDecodeEngine(candidates);
+    if (!target) {
+        co_return false;
+    }
+    const ServiceConfig *config = this->table->service(this->service);
+    const Millis maxLifetime = config != nullptr && config->engine ? config->engine->reservationLifetime : Millis(0);
+    std::string token;
+    if (maxLifetime > Millis(0)) {
+        const auto call = this->codec.reserveCall(this->reservedTokens(), std::min(maxLifetime, ReservationLifetime));
+        RouterState &sharedState = this->state;
+        const auto reserving = co_await sharedState.connections.open(target->server.address, ConnectTimeout);
+        if (!reserving || callProgress->finished) {
+            co_return false;
+        }
+        const TimePoint until = Clock::now() + ReservationTimeout;
+        const ConnectionStatus status = co_await reserving->performRequest(call.first, call.second, until);
+        reserving->close();
+        if (callProgress->finished) {
+            co_return false; // This object may be gone. The engine ends an unused reservation by itself.
+        }
+        const bool granted = status == ConnectionStatus::Ok && reserving->status() == 200;
+        token = granted ? this->codec.decodeReservation(reserving->takeBody()).value_or("") : "";
+        if (token.empty()) {
+            sharedState.markFull(target->server.id, Clock::now());
+            co_return false;
+        }
+    }
+    const bool silent = Clock::now() - callProgress->lastActivity >= MinStallTimeout;
+    if (!silent || !this->reserveRetry()) {
+        if (!token.empty()) {
+            this->callAndForget(target->server, this->codec.releaseReservationCall(token));
+        }
+        co_return false;
+    }
+    this->moveTarget = target;
+    this->moveToken = token;
+    co_return true;
+}
+
 BackendWork StreamRequestHandler::requestWork() const
 {
     const auto generated = std::int64_t(double(this->eventCount) * this->estimate.tokensPerEvent);
--- a/src/route/stopschedule.cpp
+++ b/src/route/stopschedule.cpp
@@ -18,7 +18,7 @@
 
 TimePoint StopSchedule::closeIdleAt() const
 {
-    return std::min(this->refuseAt() + IdleConnectionPeriod, this->endAt());
+    return std::min(this->refuseAt() + IdleConnectionPeriod, std::max(this->refuseAt(), this->answerAt()));
 }
 
 TimePoint StopSchedule::answerAt() const
