--- a/src/include/cyclamencross/route/storefreshness.h
+++ b/src/include/cyclamencross/route/storefreshness.h
@@ -34,11 +34,9 @@
     /// Shortest wait of such a watch.
     static constexpr Millis MinWatchWait{50};
 
-    /// Shortest time without any known answer of the store that counts as an outage of the store itself: longer than it
-    /// takes until the second read if all connections of all routers go silent at once, shorter than three heartbeats
-    /// of a backend server.
-    static constexpr Millis MinOutage{1600};
-    static_assert(MinOutage > MaxAge + CheckPeriod + ReadTimeout);
+    /// Shortest time without any known answer of the store that counts as an outage of the store itself: longer than a
+    /// single silent connection takes to be noticed, shorter than three heartbeats of a backend server.
+    static constexpr Millis MinOutage{1200};
 
     /// Records that the store has answered this router or a peer at @p at.
     void recordAnswer(TimePoint at);
