--- a/Makefile
+++ b/Makefile
@@ -51,7 +51,7 @@
 fuzz: deps
 	cmake -S . -B $(FUZZ_BUILD) -G Ninja -DCMAKE_CXX_COMPILER=clang++ -DCYCLAMENCROSS_FUZZERS=ON >/dev/null
 	cmake --build $(FUZZ_BUILD) -j $(JOBS) --target fuzzers
-	python3 testsuite/fuzz/run.py --build $(FUZZ_BUILD) --seed $(SEED) $(FUZZ)
+	python3 testsuite/fuzz/fuzz.py --build $(FUZZ_BUILD) --seed $(SEED) $(FUZZ)
 
 demo: build
 	python3 testsuite/demo.py --build $(BUILD)
