--- a/testsuite/fuzz/fuzz.py
+++ b/testsuite/fuzz/fuzz.py
@@ -1,5 +1,5 @@
 #!/usr/bin/env python3
-"""Runs the fuzzers. Usage: run.py --build DIR [--seed N] [--seconds N | --inputs N] [NAME...]
+"""Runs the fuzzers. Usage: fuzz.py --build DIR [--seed N] [--seconds N | --inputs N] [NAME...]
 
 Each fuzzer starts from the inputs in corpus/NAME and must not crash, hang or violate a property. Prints the number of
 inputs of each one. Exits with 1 if one fails, after printing its report and the input. New inputs are not kept.
