Interfaces: workspaces, their API keys and quotas in the configuration

Cause: the router knows no workspace.

Change: RouteTable holds workspaces and hashes of their keys; a request without a known key gets 401 unless its route is public; backend servers get the workspace's name and never the key. Requests carry the workspace, its priority goes before the route's. Without workspaces in the configuration nothing changes.

--- a/src/base/hash.cpp
+++ b/src/base/hash.cpp
@@ -11,8 +11,6 @@
 namespace
 {
 
-constexpr std::size_t KeyedHashBytes = 16;
-
 std::string bytesToHex(const unsigned char *bytes, std::size_t size)
 {
     std::string digits(size * 2 + 1, '\0');
@@ -28,15 +26,21 @@
     return XXH64(data.data(), data.size(), seed);
 }
 
-std::string keyedHash(std::string_view data, std::string_view key)
+std::array<std::uint8_t, 16> keyedHashBytes(std::string_view data, std::string_view key)
 {
     // libsodium accepts keys of at most 64 bytes, so the key is first hashed to a fixed length.
     std::array<unsigned char, crypto_generichash_KEYBYTES> fixedLengthKey{};
     crypto_generichash(fixedLengthKey.data(), fixedLengthKey.size(),
                        reinterpret_cast<const unsigned char *>(key.data()), key.size(), nullptr, 0);
-    std::array<unsigned char, KeyedHashBytes> hash{};
+    std::array<std::uint8_t, 16> hash{};
     crypto_generichash(hash.data(), hash.size(), reinterpret_cast<const unsigned char *>(data.data()), data.size(),
                        fixedLengthKey.data(), fixedLengthKey.size());
+    return hash;
+}
+
+std::string keyedHash(std::string_view data, std::string_view key)
+{
+    const auto hash = keyedHashBytes(data, key);
     return bytesToHex(hash.data(), hash.size());
 }
 
--- a/src/gateway/requesthandler.cpp
+++ b/src/gateway/requesthandler.cpp
@@ -76,13 +76,14 @@
 
 RequestHandler::RequestHandler(RouterState &state, const BackendCodec &codec, HttpSession &session,
                                RouterRequest &request, std::shared_ptr<const RouteTable> table,
-                               const RouteConfig &route, std::string service)
+                               const RouteConfig &route, const WorkspaceConfig *workspace, std::string service)
     : state(state)
     , codec(codec)
     , session(session)
     , request(request)
     , table(std::move(table))
     , route(route)
+    , workspace(workspace)
     , service(std::move(service))
     , deadline(request.received + std::min(route.timeout, request.timeLeft.value_or(route.timeout)))
 {
@@ -166,6 +167,9 @@
     this->retryReserved = false;
     this->callStart = Clock::now();
     this->outputStart = std::nullopt;
+    if (this->table->hasWorkspaces()) {
+        call.workspace = this->workspace != nullptr ? this->workspace->name : std::string();
+    }
     call.backendId = server.id;
     call.timeLeft = std::max(Millis(1), this->timeLeft());
     std::string message = this->request.method + " " + this->request.target + " HTTP/1.1\r\n"
@@ -411,6 +415,11 @@
     return this->attempts < this->route.maxAttempts;
 }
 
+int RequestHandler::priority() const
+{
+    return this->workspace != nullptr ? this->workspace->priority.value_or(this->route.priority) : this->route.priority;
+}
+
 Millis RequestHandler::timeLeft() const
 {
     return std::chrono::duration_cast<Millis>(this->deadline - Clock::now());
@@ -447,6 +456,8 @@
         .add("route", this->route.name)
         .add("config", this->table->version())
         .add("service", this->service)
+        .add("workspace", this->workspace != nullptr ? this->workspace->name : std::string())
+        .add("priority", std::int64_t(this->priority()))
         .add("outcome", this->outcome)
         .add("sends", this->attempts)
         .add("arrivals", this->budgetedCalls)
--- a/src/gateway/requesthandler.h
+++ b/src/gateway/requesthandler.h
@@ -25,6 +25,7 @@
 class RouterState;
 class RouteTable;
 struct RouterRequest;
+struct WorkspaceConfig;
 
 /// Base class of the request handlers: holds the state of one request, sends it to backend servers and responds to the
 /// caller. Used from one thread. The objects whose references it takes must outlive it.
@@ -37,8 +38,10 @@
     /// Number of unreachable backend servers after which a plain request is refused.
     static constexpr int MaxUnreachable = 4;
 
+    /// @param workspace of the caller; nullptr if the request needs none.
     RequestHandler(RouterState &state, const BackendCodec &codec, HttpSession &session, RouterRequest &request,
-                   std::shared_ptr<const RouteTable> table, const RouteConfig &route, std::string service);
+                   std::shared_ptr<const RouteTable> table, const RouteConfig &route, const WorkspaceConfig *workspace,
+                   std::string service);
     virtual ~RequestHandler();
     RequestHandler(const RequestHandler &) = delete;
     RequestHandler &operator=(const RequestHandler &) = delete;
@@ -106,6 +109,8 @@
     std::string noCapacityReason();
     /// Returns whether the route allows another attempt.
     bool hasAttemptsLeft() const;
+    /// Returns the priority of the workspace or, if it has none, that of the route; 0 is the most urgent.
+    int priority() const;
     Millis timeLeft() const;
     /// Returns how long the caller still waits, which may be longer than the route allows this request to take.
     Millis callerTimeLeft() const;
@@ -124,8 +129,9 @@
     const BackendCodec &codec;
     HttpSession &session;
     RouterRequest &request;
-    std::shared_ptr<const RouteTable> table; ///< Owns `route`.
+    std::shared_ptr<const RouteTable> table; ///< Owns `route` and `workspace`.
     const RouteConfig &route;
+    const WorkspaceConfig *workspace; ///< nullptr if the request needs no workspace.
     std::string service;
     TimePoint deadline;
     std::shared_ptr<HttpClientConnection> connection;
--- a/src/gateway/router.cpp
+++ b/src/gateway/router.cpp
@@ -189,14 +189,20 @@
         co_await this->refuse(session, request, 404, "no-route");
         co_return;
     }
+    const bool hasWorkspaces = table->hasWorkspaces();
+    const WorkspaceConfig *workspace = hasWorkspaces ? table->workspaceOfKey(ApiKeyHash(request.apiKey)) : nullptr;
+    if (hasWorkspaces && !route->isPublic && workspace == nullptr) {
+        co_await this->refuse(session, request, 401, "unknown-key");
+        co_return;
+    }
     const std::string service = this->chooseService(*route);
     std::unique_ptr<RequestHandler> handler;
     if (route->kind == RequestKind::Stream) {
         handler = std::make_unique<StreamRequestHandler>(this->state, this->platform.backendCodec, session, request,
-                                                         table, *route, service);
+                                                         table, *route, workspace, service);
     } else {
         handler = std::make_unique<PlainRequestHandler>(this->state, this->platform.backendCodec, session, request,
-                                                        table, *route, service);
+                                                        table, *route, workspace, service);
     }
     this->running.insert(handler.get());
     co_await handler->handle();
--- a/src/include/cyclamencross/base/hash.h
+++ b/src/include/cyclamencross/base/hash.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -10,6 +11,9 @@
 /// Returns the 64-bit xxHash of @p data.
 std::uint64_t hash64(std::string_view data, std::uint64_t seed = 0);
 
+/// Returns the 128-bit keyed BLAKE2b hash of @p data. The key may have any length.
+std::array<std::uint8_t, 16> keyedHashBytes(std::string_view data, std::string_view key);
+
 /// Returns the 128-bit keyed BLAKE2b hash of @p data as 32 lower-case hexadecimal digits. The key may have any length.
 std::string keyedHash(std::string_view data, std::string_view key);
 
--- a/src/include/cyclamencross/gateway/backendcall.h
+++ b/src/include/cyclamencross/gateway/backendcall.h
@@ -14,6 +14,8 @@
 struct BackendCall
 {
     EngineStage stage = EngineStage::None; ///< Prefill: the engine only processes the prompt.
+    /// Name of the caller's workspace; empty if the request needs none, unset if the configuration has no workspaces.
+    std::optional<std::string> workspace;
     std::string backendId; ///< Id of the intended backend server; another one at its address must refuse the call.
     Millis timeLeft{0}; ///< Time until the deadline of the request.
     std::string kvCacheAddress; ///< Prefill engine to fetch the KV cache from; empty if there is none.
--- a/src/include/cyclamencross/gateway/routerrequest.h
+++ b/src/include/cyclamencross/gateway/routerrequest.h
@@ -22,6 +22,7 @@
     RequestBody body;
     TimePoint received; ///< When the header was received completely.
 
+    std::string apiKey; ///< Empty if the caller sent none. Must not be logged.
     std::string id; ///< Identifies one attempt of the caller.
     std::optional<Millis> timeLeft; ///< How long the caller waits, counted from `received`.
     std::int64_t promptTokens = 0; ///< 0 if the request does not generate tokens.
--- a/src/include/cyclamencross/route/routeconfig.h
+++ b/src/include/cyclamencross/route/routeconfig.h
@@ -23,6 +23,7 @@
     std::vector<WeightedService> services; ///< Services among which the requests are split.
     int maxAttempts = 1; ///< Number of backend servers that one request may be sent to.
     bool resumable = false; ///< A broken stream may continue at another engine after the last event sent.
+    bool isPublic = false; ///< Requests need no API key, even if the configuration has workspaces.
     Millis eventGapTarget{0}; ///< Longest pause between two events of a stream that counts as on time.
 
     /// Returns whether a request of this route may be sent again although it may have run.
--- a/src/include/cyclamencross/route/routetable.h
+++ b/src/include/cyclamencross/route/routetable.h
@@ -1,13 +1,16 @@
 #pragma once
 
+#include "cyclamencross/route/apikeyhash.h"
 #include "cyclamencross/route/callerlimits.h"
 #include "cyclamencross/route/routeconfig.h"
 #include "cyclamencross/route/serviceconfig.h"
+#include "cyclamencross/route/workspaceconfig.h"
 
 #include <cstdint>
 #include <map>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace Cyclamen
@@ -15,7 +18,8 @@
 
 class RouteTableBuilder;
 
-/// One version of the configuration: routes, services and limits of callers. Immutable; built by RouteTableBuilder.
+/// One version of the configuration: routes, services, workspaces and limits of callers. Immutable; built by
+/// RouteTableBuilder.
 class RouteTable
 {
 public:
@@ -28,6 +32,11 @@
     /// Returns the service called @p name, or nullptr if there is none.
     const ServiceConfig *service(const std::string &name) const;
     std::size_t routeCount() const;
+    /// Returns whether the configuration has workspaces, so that requests need an API key.
+    bool hasWorkspaces() const;
+    const std::vector<WorkspaceConfig> &workspaces() const;
+    /// Returns the workspace that holds an API key, or nullptr if none does.
+    const WorkspaceConfig *workspaceOfKey(const ApiKeyHash &key) const;
 
     bool operator==(const RouteTable &) const = default;
 
@@ -38,6 +47,9 @@
     /// Routes by host and path prefix.
     std::map<std::string, std::map<std::string, RouteConfig, std::less<>>, std::less<>> routes;
     std::map<std::string, ServiceConfig> services;
+    std::vector<WorkspaceConfig> workspaceConfigs;
+    /// Sorted by hash, with the index of the workspace.
+    std::vector<std::pair<ApiKeyHash, std::uint32_t>> apiKeys;
 };
 
 }
--- a/src/include/cyclamencross/route/routetablebuilder.h
+++ b/src/include/cyclamencross/route/routetablebuilder.h
@@ -15,6 +15,8 @@
     RouteTableBuilder &add(RouteConfig route);
     /// Adds a service; replaces one with the same name.
     RouteTableBuilder &add(ServiceConfig service);
+    /// Adds a workspace and the hashes of its API keys. A key that several workspaces hold belongs to the first one.
+    RouteTableBuilder &add(WorkspaceConfig workspace, const std::vector<ApiKeyHash> &apiKeys);
     /// Returns the table built so far.
     RouteTable build() const;
 
--- a/src/route/routetable.cpp
+++ b/src/route/routetable.cpp
@@ -66,4 +66,21 @@
     return count;
 }
 
+bool RouteTable::hasWorkspaces() const
+{
+    return !this->workspaceConfigs.empty();
+}
+
+const std::vector<WorkspaceConfig> &RouteTable::workspaces() const
+{
+    return this->workspaceConfigs;
+}
+
+const WorkspaceConfig *RouteTable::workspaceOfKey(const ApiKeyHash &key) const
+{
+    const auto it = std::lower_bound(this->apiKeys.begin(), this->apiKeys.end(), key,
+                                     [](const auto &entry, const ApiKeyHash &hash) { return entry.first < hash; });
+    return it == this->apiKeys.end() || it->first != key ? nullptr : &this->workspaceConfigs[it->second];
+}
+
 }
--- a/src/route/routetablebuilder.cpp
+++ b/src/route/routetablebuilder.cpp
@@ -1,5 +1,6 @@
 #include "cyclamencross/route/routetablebuilder.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace Cyclamen
@@ -32,9 +33,23 @@
     return *this;
 }
 
+RouteTableBuilder &RouteTableBuilder::add(WorkspaceConfig workspace, const std::vector<ApiKeyHash> &apiKeys)
+{
+    const auto index = std::uint32_t(this->table.workspaceConfigs.size());
+    this->table.workspaceConfigs.push_back(std::move(workspace));
+    for (const ApiKeyHash &key : apiKeys) {
+        this->table.apiKeys.emplace_back(key, index);
+    }
+    return *this;
+}
+
 RouteTable RouteTableBuilder::build() const
 {
-    return this->table;
+    RouteTable sorted = this->table;
+    std::sort(sorted.apiKeys.begin(), sorted.apiKeys.end());
+    const auto isSameKey = [](const auto &a, const auto &b) { return a.first == b.first; };
+    sorted.apiKeys.erase(std::unique(sorted.apiKeys.begin(), sorted.apiKeys.end(), isSameKey), sorted.apiKeys.end());
+    return sorted;
 }
 
 }
