Workspaces: keys checked until a request is sent, strict revocation, metrics

Cause: the core checked a key once, when the request arrived. A request that waited for capacity or for a retry was sent after its key was removed, under the name of the workspace that it had at its arrival, and a request that arrived before workspaces were configured passed its key on.

Change: CallerAccess (src/route) checks a request's key against the newest configuration in RequestHandler::shouldStop, before each send. A request that has not run is answered 401; one that may have run ends as a failure would. Settings revoke_ms and strict_revoke, both optional: a strict router that is not certain of the store's changes refuses requests that need a key with 503. Counters by workspace are bounded by BusiestLabels: the busiest 16 and 'other'. Refusals name the workspace in the log.

--- a/src/base/metrics.cpp
+++ b/src/base/metrics.cpp
@@ -25,7 +25,12 @@
 {
     mutable std::mutex mutex;
     prometheus::Registry registry;
-    std::map<std::string, prometheus::Family<prometheus::Counter> *> counters;
+    struct CounterFamily
+    {
+        prometheus::Family<prometheus::Counter> *family = nullptr;
+        std::map<Labels, prometheus::Counter *> series;
+    };
+    std::map<std::string, CounterFamily> counters;
     std::map<std::string, prometheus::Family<prometheus::Gauge> *> gauges;
     std::map<std::string, prometheus::Family<prometheus::Histogram> *> histograms;
 };
@@ -40,11 +45,30 @@
 void Metrics::count(const std::string &name, const Labels &labels, double amount)
 {
     const std::scoped_lock lock(this->impl->mutex);
-    auto &family = this->impl->counters[name];
-    if (family == nullptr) {
-        family = &prometheus::BuildCounter().Name(name).Register(this->impl->registry);
+    Impl::CounterFamily &counter = this->impl->counters[name];
+    if (counter.family == nullptr) {
+        counter.family = &prometheus::BuildCounter().Name(name).Register(this->impl->registry);
+    }
+    prometheus::Counter *&series = counter.series[labels];
+    if (series == nullptr) {
+        series = &counter.family->Add(labels);
+    }
+    series->Increment(amount);
+}
+
+void Metrics::removeCounters(const std::string &label, const std::string &value)
+{
+    const std::scoped_lock lock(this->impl->mutex);
+    for (auto &[name, counter] : this->impl->counters) {
+        std::erase_if(counter.series, [&, family = counter.family](const auto &series) {
+            const auto it = series.first.find(label);
+            const bool isRemoved = it != series.first.end() && it->second == value;
+            if (isRemoved) {
+                family->Remove(series.second);
+            }
+            return isRemoved;
+        });
     }
-    family->Add(labels).Increment(amount);
 }
 
 void Metrics::set(const std::string &name, double value, const Labels &labels)
--- a/src/gateway/requesthandler.cpp
+++ b/src/gateway/requesthandler.cpp
@@ -76,14 +76,15 @@
 
 RequestHandler::RequestHandler(RouterState &state, const BackendCodec &codec, HttpSession &session,
                                RouterRequest &request, std::shared_ptr<const RouteTable> table,
-                               const RouteConfig &route, const WorkspaceConfig *workspace, std::string service)
+                               const RouteConfig &route, CallerAccess access, std::string service)
     : state(state)
     , codec(codec)
     , session(session)
     , request(request)
     , table(std::move(table))
     , route(route)
-    , workspace(workspace)
+    , access(std::move(access))
+    , workspace(this->access.workspace())
     , service(std::move(service))
     , deadline(request.received + std::min(route.timeout, request.timeLeft.value_or(route.timeout)))
 {
@@ -167,7 +168,7 @@
     this->retryReserved = false;
     this->callStart = Clock::now();
     this->outputStart = std::nullopt;
-    if (this->table->hasWorkspaces()) {
+    if (this->access.hasWorkspaces()) {
         call.workspace = this->workspace != nullptr ? this->workspace->name : std::string();
     }
     call.backendId = server.id;
@@ -336,6 +337,14 @@
         this->session.abort();
         co_return;
     }
+    const CallerAccess::Verdict verdict = this->checkAccess();
+    if (!this->mayHaveExecuted && verdict != CallerAccess::Verdict::Granted) {
+        this->outcome = std::string("refused:") + refusalReason(verdict);
+        const int status = refusalStatus(verdict);
+        const HeaderList headers = status == 503 ? this->codec.refusalHeaders(this->retryAfterDelay()) : HeaderList();
+        co_await this->session.reply(status, "", headers, "");
+        co_return;
+    }
     if (!this->mayHaveExecuted) {
         this->outcome = "refused:" + reason;
         co_await this->session.reply(503, "", this->codec.refusalHeaders(this->retryAfterDelay()), "");
@@ -369,9 +378,10 @@
                                  std::move(body));
 }
 
-bool RequestHandler::shouldStop() const
+bool RequestHandler::shouldStop()
 {
-    return this->session.isCallerDisconnected() || this->cancelled || this->timeLeft() <= Millis(0)
+    return this->checkAccess() != CallerAccess::Verdict::Granted || this->session.isCallerDisconnected()
+        || this->cancelled || this->timeLeft() <= Millis(0)
         || (!this->isCrashTrial && this->state.crashes.findContained(this->suspects) != nullptr);
 }
 
@@ -441,12 +451,25 @@
     return names;
 }
 
-void RequestHandler::logEnd() const
+CallerAccess::Verdict RequestHandler::checkAccess()
+{
+    const CallerAccess::Verdict verdict =
+        this->access.check(this->state.table, this->route, this->state.mayTrustKeys(Clock::now()));
+    this->workspace = this->access.workspace();
+    return verdict;
+}
+
+void RequestHandler::logEnd()
 {
     const double seconds = toSeconds(Clock::now() - this->request.received);
     this->state.metrics.count(
         "cyclamencross_requests_total",
         {{"service", this->service}, {"outcome", this->outcome.substr(0, this->outcome.find(':'))}});
+    if (this->access.hasWorkspaces()) {
+        this->state.countForWorkspace("cyclamencross_workspace_requests_total",
+                                      this->workspace != nullptr ? this->workspace->name : std::string(),
+                                      {{"outcome", this->outcome.substr(0, this->outcome.find(':'))}});
+    }
     this->state.metrics.observe("cyclamencross_request_seconds", seconds, {{"service", this->service}});
     LogLine line("request-end");
     if (this->state.stopSchedule) {
--- a/src/gateway/requesthandler.h
+++ b/src/gateway/requesthandler.h
@@ -4,6 +4,7 @@
 #include "cyclamencross/gateway/backendcodec.h"
 #include "cyclamencross/gateway/connectionstatus.h"
 #include "cyclamencross/route/backendserver.h"
+#include "cyclamencross/route/calleraccess.h"
 #include "cyclamencross/route/calloutcome.h"
 #include "cyclamencross/route/memorylease.h"
 #include "cyclamencross/route/routeconfig.h"
@@ -38,9 +39,9 @@
     /// Number of unreachable backend servers after which a plain request is refused.
     static constexpr int MaxUnreachable = 4;
 
-    /// @param workspace of the caller; nullptr if the request needs none.
+    /// @param access result of the check of the caller's API key, which is repeated before each send.
     RequestHandler(RouterState &state, const BackendCodec &codec, HttpSession &session, RouterRequest &request,
-                   std::shared_ptr<const RouteTable> table, const RouteConfig &route, const WorkspaceConfig *workspace,
+                   std::shared_ptr<const RouteTable> table, const RouteConfig &route, CallerAccess access,
                    std::string service);
     virtual ~RequestHandler();
     RequestHandler(const RequestHandler &) = delete;
@@ -103,8 +104,8 @@
     boost::asio::awaitable<void> forwardResponse(std::string body);
 
     /// Returns whether the caller has disconnected, the deadline has passed, the request was cancelled, or it must not
-    /// be sent because of crashes.
-    bool shouldStop() const;
+    /// be sent because of crashes or because its API key is not valid any more. Updates `workspace`.
+    bool shouldStop();
     /// Returns why no backend server with capacity was found, and sets `overloaded`.
     std::string noCapacityReason();
     /// Returns whether the route allows another attempt.
@@ -129,9 +130,10 @@
     const BackendCodec &codec;
     HttpSession &session;
     RouterRequest &request;
-    std::shared_ptr<const RouteTable> table; ///< Owns `route` and `workspace`.
+    std::shared_ptr<const RouteTable> table; ///< Owns `route`.
     const RouteConfig &route;
-    const WorkspaceConfig *workspace; ///< nullptr if the request needs no workspace.
+    CallerAccess access; ///< Owns `workspace`.
+    const WorkspaceConfig *workspace; ///< By the newest configuration; nullptr if the request belongs to none.
     std::string service;
     TimePoint deadline;
     std::shared_ptr<HttpClientConnection> connection;
@@ -163,7 +165,9 @@
     /// Returns the crash suspects of the request: the shared parts of its prompt, and its target and body, by which its
     /// repeats are recognized.
     std::vector<std::string> findSuspects() const;
-    void logEnd() const;
+    void logEnd();
+    /// Checks the API key against the newest configuration and updates `workspace`.
+    CallerAccess::Verdict checkAccess();
 
     bool cancelled = false;
     std::vector<std::string> suspects; ///< From the most general to the most specific.
--- a/src/gateway/router.cpp
+++ b/src/gateway/router.cpp
@@ -189,20 +189,20 @@
         co_await this->refuse(session, request, 404, "no-route");
         co_return;
     }
-    const bool hasWorkspaces = table->hasWorkspaces();
-    const WorkspaceConfig *workspace = hasWorkspaces ? table->workspaceOfKey(ApiKeyHash(request.apiKey)) : nullptr;
-    if (hasWorkspaces && !route->isPublic && workspace == nullptr) {
-        co_await this->refuse(session, request, 401, "unknown-key");
+    CallerAccess access(request.apiKey);
+    const auto verdict = access.check(table, *route, this->state.mayTrustKeys(Clock::now()));
+    if (verdict != CallerAccess::Verdict::Granted) {
+        co_await this->refuse(session, request, refusalStatus(verdict), refusalReason(verdict), access.workspace());
         co_return;
     }
     const std::string service = this->chooseService(*route);
     std::unique_ptr<RequestHandler> handler;
     if (route->kind == RequestKind::Stream) {
         handler = std::make_unique<StreamRequestHandler>(this->state, this->platform.backendCodec, session, request,
-                                                         table, *route, workspace, service);
+                                                         table, *route, access, service);
     } else {
         handler = std::make_unique<PlainRequestHandler>(this->state, this->platform.backendCodec, session, request,
-                                                        table, *route, workspace, service);
+                                                        table, *route, access, service);
     }
     this->running.insert(handler.get());
     co_await handler->handle();
@@ -210,13 +210,14 @@
 }
 
 boost::asio::awaitable<void> Router::refuse(HttpSession &session, const RouterRequest &request, int status,
-                                            std::string reason)
+                                            std::string reason, const WorkspaceConfig *workspace)
 {
     this->state.metrics.count("cyclamencross_refusals_total", {{"reason", reason}});
     LogLine("request-refused")
         .add("request", request.id)
         .add("status", status)
         .add("reason", reason)
+        .add("workspace", workspace != nullptr ? workspace->name : std::string())
         .add("target", request.target)
         .add("config", this->state.table ? this->state.table->version() : 0)
         .write();
@@ -228,11 +229,15 @@
 HeaderList Router::refuseBody(RouterRequest &request)
 {
     this->platform.backendCodec.decodeRequest(request);
+    const WorkspaceConfig *workspace = this->state.table && !request.apiKey.empty()
+        ? this->state.table->workspaceOfKey(ApiKeyHash(request.apiKey))
+        : nullptr;
     this->state.metrics.count("cyclamencross_refusals_total", {{"reason", "memory"}});
     LogLine("request-refused")
         .add("request", request.id)
         .add("status", 503)
         .add("reason", "memory")
+        .add("workspace", workspace != nullptr ? workspace->name : std::string())
         .add("target", request.target)
         .add("body_bytes_held", std::int64_t(this->state.bodyMemory->heldBytes()))
         .write();
@@ -369,6 +374,8 @@
     RouterSettings &current = this->state.settings;
     current.stopGrace = settings->stopGrace;
     current.maxAddressTtlSeconds = settings->maxAddressTtlSeconds;
+    current.revokeTime = settings->revokeTime;
+    current.strictRevoke = settings->strictRevoke;
     LogLine("reloaded").add("changed", !(current == *settings)).write();
 }
 
--- a/src/gateway/router.h
+++ b/src/gateway/router.h
@@ -63,8 +63,10 @@
     /// Answers readiness checks and requests for caller addresses.
     boost::asio::awaitable<void> handleDirectory(HttpSession &session, RouterRequest &request);
     boost::asio::awaitable<void> handleMetrics(HttpSession &session, RouterRequest &request);
+    /// Logs, counts and sends a refusal before any placement.
+    /// @param workspace of the caller, for the log; nullptr if it is not known.
     boost::asio::awaitable<void> refuse(HttpSession &session, const RouterRequest &request, int status,
-                                        std::string reason);
+                                        std::string reason, const WorkspaceConfig *workspace = nullptr);
     /// Logs and counts a request that is refused since there is no memory for its body.
     /// @return the headers of the refusal.
     HeaderList refuseBody(RouterRequest &request);
--- a/src/gateway/routersettings.cpp
+++ b/src/gateway/routersettings.cpp
@@ -80,6 +80,24 @@
     return fractionRule([member](RouterSettings &settings, double number) { settings.*member = number; });
 }
 
+// Makes a setting optional: it may be missing or empty and then keeps its default.
+SettingRule optionalRule(SettingRule rule)
+{
+    rule.required = false;
+    rule.assign = [assign = std::move(rule.assign)](RouterSettings &settings, const std::string &value) {
+        return value.empty() || assign(settings, value);
+    };
+    return rule;
+}
+
+SettingRule flagRule(bool RouterSettings::*member)
+{
+    return SettingRule{true, "true or false", [member](RouterSettings &settings, const std::string &value) {
+                           settings.*member = value == "true";
+                           return value == "true" || value == "false";
+                       }};
+}
+
 const std::map<std::string, SettingRule> &rules()
 {
     static const std::map<std::string, SettingRule> Rules{
@@ -100,6 +118,8 @@
         {"bounds.retry_slack", ratioRule(&RouterSettings::retrySlack)},
         {"bounds.retry_window_s", durationRule(&RouterSettings::retryWindow, 1000)},
         {"bounds.order_pause_ms", durationRule(&RouterSettings::orderPause, 1)},
+        {"bounds.revoke_ms", optionalRule(durationRule(&RouterSettings::revokeTime, 1))},
+        {"bounds.strict_revoke", optionalRule(flagRule(&RouterSettings::strictRevoke))},
         {"bounds.answer_ttl_max_s", numberRule(&RouterSettings::maxAddressTtlSeconds, 1, 3600)},
     };
     return Rules;
--- a/src/gateway/routersettings_test.cpp
+++ b/src/gateway/routersettings_test.cpp
@@ -50,6 +50,23 @@
     }
 }
 
+TEST_CASE("The bounds on removed API keys may be missing or empty")
+{
+    // Guards against settings files of earlier versions, or platforms without these bounds, that keep a router from
+    // starting.
+    for (const char *line : {"", "revoke_ms =", "revoke_ms = 2500", "revoke_ms = 2500.5",
+                             "strict_revoke =", "strict_revoke = true", "strict_revoke = false"}) {
+        CHECK(invalidKey(std::string("stop_grace_s = 8\n") + line).empty());
+    }
+    for (const char *value : {"-1", "1e300", "soon"}) {
+        CHECK(invalidKey(std::string("stop_grace_s = 8\nrevoke_ms = ") + value) == "bounds.revoke_ms");
+    }
+    CHECK(invalidKey("stop_grace_s = 8\nstrict_revoke = maybe") == "bounds.strict_revoke");
+    const RouterSettings defaults;
+    CHECK(defaults.revokeTime == Millis(10000));
+    CHECK_FALSE(defaults.strictRevoke);
+}
+
 TEST_CASE("The memory for bodies is a part of the memory limit")
 {
     RouterSettings settings;
--- a/src/gateway/routerstate.h
+++ b/src/gateway/routerstate.h
@@ -11,6 +11,7 @@
 #include "cyclamencross/route/backendserver.h"
 #include "cyclamencross/route/backendstatements.h"
 #include "cyclamencross/route/backendworktracker.h"
+#include "cyclamencross/route/busiestlabels.h"
 #include "cyclamencross/route/callerwaitestimator.h"
 #include "cyclamencross/route/crashattribution.h"
 #include "cyclamencross/route/fleetretrybudget.h"
@@ -148,6 +149,12 @@
     const std::vector<RouterMember> &otherDelegates() const;
     /// Applies a peer's report. Reports that are not newer than the last one of the same router are ignored.
     void applyReport(const PeerReport &report, TimePoint now);
+    /// Returns whether this router may decide by the API keys that it knows: always, or if the settings are strict only
+    /// while it is certain enough of the store's changes.
+    bool mayTrustKeys(TimePoint now) const;
+    /// Adds 1 to the counter @p metric of a workspace. The number of workspaces with a series of their own is bounded.
+    /// @param workspace name; empty for requests that belong to none.
+    void countForWorkspace(const std::string &metric, const std::string &workspace, Metrics::Labels labels);
     /// Returns a uniformly distributed random number from 0 to 1.
     double random();
     /// Returns the delay after which a refused caller may retry, with jitter so that callers do not return together. A
@@ -161,6 +168,9 @@
     /// stopping.
     bool isReady() const;
 
+    /// Number of workspaces with series of their own in the metrics.
+    static constexpr std::size_t MaxWorkspaceLabels = 16;
+
     const RouterEnvironment environment; ///< Clocks, timer and random seed of all decisions.
     boost::asio::any_io_executor executor;
     RouterSettings settings;
@@ -186,6 +196,7 @@
     CrashAttribution crashes;
     ConnectionPool connections;
     Metrics metrics;
+    BusiestLabels workspaceLabels{MaxWorkspaceLabels};
     Leadership leadership; ///< As recorded in the store.
     /// Newest lease that the store has granted for the registration of this router; 0 if there is none.
     std::uint64_t registrationLease = 0;
--- a/src/gateway/streamrequestplacement.cpp
+++ b/src/gateway/streamrequestplacement.cpp
@@ -174,7 +174,7 @@
         // An engine may close an idle connection at any moment, which says nothing about the engine.
         this->connection->close();
         open = co_await this->openConnection(server, true);
-        if (!open || !this->state.isUsable(server, Clock::now())) {
+        if (!open || this->shouldStop() || !this->state.isUsable(server, Clock::now())) {
             this->decodeEngine = std::nullopt;
             co_return false;
         }
--- a/src/include/cyclamencross/base/metrics.h
+++ b/src/include/cyclamencross/base/metrics.h
@@ -22,6 +22,8 @@
     void set(const std::string &name, double value, const Labels &labels = {});
     /// Adds @p seconds to the latency histogram @p name.
     void observe(const std::string &name, double seconds, const Labels &labels = {});
+    /// Removes all counters whose label @p label has the value @p value.
+    void removeCounters(const std::string &label, const std::string &value);
     /// Returns all metrics in the Prometheus text format.
     std::string serialize() const;
 
--- a/src/include/cyclamencross/gateway/routersettings.h
+++ b/src/include/cyclamencross/gateway/routersettings.h
@@ -38,6 +38,10 @@
     double retrySlack = 100; ///< Retries that the whole fleet may make in addition, in a window.
     Millis retryWindow{10000}; ///< Sliding window of the retry budget.
     Millis orderPause{3000}; ///< Shortest time between the orders of two routers to the same engine.
+    Millis revokeTime{10000}; ///< Time after which a removed API key must not be served any more.
+    /// A router that cannot be certain that it knows of all keys removed before revokeTime serves no request that needs
+    /// a key.
+    bool strictRevoke = false;
     int maxAddressTtlSeconds = 5; ///< Longest time for which callers may cache an address.
 
     /// Returns the memory that the bodies of all requests and responses together may take, in bytes.
--- a/src/include/cyclamencross/route/storefreshness.h
+++ b/src/include/cyclamencross/route/storefreshness.h
@@ -38,6 +38,9 @@
     /// single silent connection takes to be noticed, shorter than three heartbeats of a backend server.
     static constexpr Millis MinOutage{1200};
 
+    /// Time from the decision about an API key until its request has reached a backend server, on a busy host.
+    static constexpr Millis RevokeMargin{250};
+
     /// Records that the store has answered this router or a peer at @p at.
     void recordAnswer(TimePoint at);
     /// Returns the end of the last time of at least MinOutage in which no answer of the store is known, neither to this
@@ -48,6 +51,9 @@
     void confirm(TimePoint at);
     /// Returns the time until which all changes are known; std::nullopt if there was no confirmation.
     std::optional<TimePoint> confirmedAt() const;
+    /// Returns whether all changes are known that are older than @p revokeTime less RevokeMargin, so that a request
+    /// that is sent now has no API key that was removed before @p revokeTime. The margin is at most half of that time.
+    bool knowsRevokedKeys(Millis revokeTime, TimePoint now) const;
     /// Returns whether the router must read the store now. The standby watchers of a group read a little earlier than
     /// the others, whom their reports then make certain, so that one read serves the group.
     /// @param watcherRank rank of the router in its group; 0 is the primary watcher, 1 and 2 are the standbys.
--- a/src/route/storefreshness.cpp
+++ b/src/route/storefreshness.cpp
@@ -38,6 +38,12 @@
     return this->knownUntil;
 }
 
+bool StoreFreshness::knowsRevokedKeys(Millis revokeTime, TimePoint now) const
+{
+    const Millis maxAge = revokeTime - std::min(RevokeMargin, revokeTime / 2);
+    return this->knownUntil && now - *this->knownUntil <= maxAge;
+}
+
 bool StoreFreshness::isReadDue(std::size_t watcherRank, TimePoint now) const
 {
     const Millis limit = watcherRank < WatcherAges.size() ? WatcherAges[watcherRank] : MaxAge;
--- a/src/route/storefreshness_test.cpp
+++ b/src/route/storefreshness_test.cpp
@@ -61,3 +61,18 @@
     freshness.recordAnswer(start + Millis(6000) + StoreFreshness::MinOutage);
     CHECK(freshness.outageEndedAt() == start + Millis(6000) + StoreFreshness::MinOutage);
 }
+
+TEST_CASE("Removed keys are known for certain until the revoke time less a margin")
+{
+    // Guards against a request that is decided in time but arrives after the bound.
+    constexpr Millis RevokeTime{3000};
+    StoreFreshness freshness;
+    const TimePoint start = Clock::now();
+    CHECK_FALSE(freshness.knowsRevokedKeys(RevokeTime, start));
+    freshness.confirm(start);
+    CHECK(freshness.knowsRevokedKeys(RevokeTime, start + RevokeTime - StoreFreshness::RevokeMargin));
+    CHECK_FALSE(freshness.knowsRevokedKeys(RevokeTime, start + RevokeTime - StoreFreshness::RevokeMargin + Millis(1)));
+    // A bound shorter than the margin still lets a certain router serve.
+    CHECK(freshness.knowsRevokedKeys(Millis(200), start + Millis(100)));
+    CHECK_FALSE(freshness.knowsRevokedKeys(Millis(200), start + Millis(101)));
+}
