--- /dev/null
+++ b/src/route/workspacequotas_test.cpp
@@ -0,0 +1,217 @@
+#include "quotaexchange_test.h"
+
+#include <set>
+#include <string>
+
+#include <catch2/catch.hpp>
+
+using namespace Cyclamen;
+
+namespace
+{
+
+using Scope = WorkspaceQuotas::Scope;
+
+// Workspaces with rates that fall like those of a skewed load, and bursts of one second.
+std::vector<WorkspaceConfig> skewed(std::size_t count, double largestRate, double burstSeconds = 1)
+{
+    std::vector<WorkspaceConfig> result;
+    for (std::size_t i = 0; i < count; ++i) {
+        const double rate = std::max(2.0, largestRate / double(i + 1));
+        result.push_back(WorkspaceConfig{
+            QuotaExchange::numbered("w", i), std::nullopt,
+            WorkspaceQuota{WorkspaceQuota::Unit::Requests, rate, std::max(2.0, rate * burstSeconds), 0}});
+    }
+    return result;
+}
+
+constexpr double Bound = 1.1;
+constexpr double MinUsed = 0.95;
+
+}
+
+TEST_CASE("All callers ask for seven times the quota at all routers, after a calm")
+{
+    // Guards against routers that all admit the same room before they hear of one another.
+    const auto [routers, count] =
+        GENERATE(table<std::size_t, std::size_t>({{15, 16}, {100, 16}, {300, 16}, {675, 16}, {15, 350}, {100, 350}}));
+    QuotaExchange exchange(routers, skewed(count, 400));
+    exchange.run(Millis(7500), exchange.load(0.9, exchange.anywhere()));
+    exchange.report("calm, spread");
+    CHECK(exchange.usedShare() >= MinUsed);
+    exchange.run(Millis(10000), exchange.load(7, exchange.anywhere()));
+    exchange.report("seven times, spread");
+    CHECK(exchange.worst <= Bound);
+    CHECK(exchange.usedShare() >= MinUsed);
+}
+
+TEST_CASE("All callers of a workspace use one router, or move between routers")
+{
+    // Guards against shares that stay with routers without callers.
+    const auto [routers, factor, stay] = GENERATE(table<std::size_t, double, int>(
+        {{15, 0.95, 100}, {15, 5, 100}, {15, 5, 2}, {15, 0.95, 2}, {100, 0.95, 2}, {100, 5, 2}, {300, 5, 1}}));
+    QuotaExchange exchange(routers, skewed(4, 400));
+    const auto moving = [&exchange, routers = routers, stay = stay] {
+        const auto turn = (exchange.now.time_since_epoch() / std::chrono::seconds(stay));
+        return std::size_t(turn * 7 % std::int64_t(routers));
+    };
+    exchange.run(Millis(16000), exchange.load(factor, moving));
+    exchange.report("moving");
+    CHECK(exchange.worst <= Bound);
+    CHECK(exchange.usedShare() >= MinUsed);
+}
+
+TEST_CASE("Routers that are killed, frozen or cut leave the sum within the bound")
+{
+    // Guards against admissions that are counted by nobody and against debts for what others were entitled to.
+    const std::size_t routers = GENERATE(15, 100);
+    const std::string fault = GENERATE("killed", "frozen", "cut", "halves", "all restarted");
+    CAPTURE(routers, fault);
+    QuotaExchange exchange(routers, skewed(8, 400));
+    const auto load = exchange.load(6, exchange.anywhere());
+    exchange.run(Millis(9000), load);
+    const std::size_t count = fault == "cut" ? 1 : fault == "halves" ? routers / 2 : routers / 4;
+    const auto isHit = [count](std::size_t router) { return router % 2 == 1 && router / 2 < count; };
+    for (std::size_t i = 0; i < routers; ++i) {
+        if (fault == "all restarted") {
+            exchange.restart(i, false);
+        } else if (isHit(i) && (fault == "killed" || fault == "frozen")) {
+            exchange.silent.insert(i);
+        }
+    }
+    if (fault == "cut" || fault == "halves") {
+        exchange.isCut = [isHit](std::size_t a, std::size_t b) { return isHit(a) != isHit(b); };
+    }
+    exchange.run(Millis(12000), load);
+    for (std::size_t i = 0; i < routers && fault == "killed"; ++i) {
+        if (isHit(i)) {
+            exchange.restart(i, false);
+        }
+    }
+    exchange.silent.clear();
+    exchange.isCut = [](std::size_t, std::size_t) { return false; };
+    exchange.run(Millis(12000), load);
+    exchange.report(fault.c_str());
+    CHECK(exchange.worst <= Bound);
+    CHECK(exchange.usedShare() >= (fault == "cut" || fault == "all restarted" ? 0.85 : 0.5));
+}
+
+TEST_CASE("A lowered quota holds from its configuration on, a raised one gives room at once")
+{
+    // Guards against a bucket that keeps the level of a larger burst, and against a top-up that has to fill up first.
+    QuotaExchange exchange(15, skewed(1, 100, 5));
+    const auto admittedIn8Seconds = [&exchange](int requestsPerTick) {
+        int admitted = 0;
+        exchange.run(Millis(8000), [&] {
+            for (int i = 0; i < requestsPerTick; ++i) {
+                admitted += exchange.request(exchange.anyRouter(), 0) ? 1 : 0;
+            }
+        });
+        return admitted;
+    };
+    const auto change = [&exchange](double rate, double burst) {
+        auto workspaces = exchange.workspaces;
+        workspaces[0].quota.ratePerSecond = rate;
+        workspaces[0].quota.burst = burst;
+        exchange.configure(workspaces);
+    };
+    exchange.run(Millis(3000), [] {});
+    change(20, 50); // The bucket held 500.
+    const double lowered = 20 * 8 + 50;
+    const int afterLowering = admittedIn8Seconds(1);
+    CHECK(afterLowering <= lowered * Bound + 10);
+    CHECK(afterLowering >= lowered * MinUsed);
+    change(20, 250); // The bucket is empty, and gets 200 at once.
+    const int afterTopUp = admittedIn8Seconds(1);
+    CHECK(afterTopUp <= (20 * 8 + 250) * Bound + 10);
+    CHECK(afterTopUp >= (20 * 8 + 200) * MinUsed);
+    change(0, 0);
+    CHECK(admittedIn8Seconds(10) == 8000);
+}
+
+TEST_CASE("Large requests run beside small ones at any router")
+{
+    // Guards against shares of a bucket that are too small for a request that the whole bucket holds.
+    const std::size_t routers = GENERATE(15, 100, 300);
+    const WorkspaceQuota quota{WorkspaceQuota::Unit::Tokens, 20000, 40000, 100};
+    QuotaExchange exchange(routers, {WorkspaceConfig{"w0", std::nullopt, quota}});
+    exchange.run(Millis(120000), [&] {
+        for (int i = exchange.poisson(0.5); i > 0; --i) {
+            exchange.request(exchange.anyRouter(), 0, 200); // 10,000 tokens a second.
+        }
+        if (exchange.poisson(0.002) > 0) { // 6,000 tokens a second.
+            exchange.request(exchange.anyRouter(), 0, 30000);
+        }
+    });
+    exchange.report("large");
+    CHECK(exchange.worst <= Bound);
+    CHECK(exchange.usedShare() >= MinUsed);
+    const auto tooLarge = [&](std::int64_t tokens) {
+        WorkspaceQuotas one(true);
+        one.configure(exchange.workspaces, exchange.now);
+        return one.admit("w0", tokens, 0.5, exchange.now).verdict == QuotaDecision::Verdict::TooLarge;
+    };
+    CHECK_FALSE(tooLarge(60000));
+    CHECK(tooLarge(60001));
+}
+
+TEST_CASE("A router that starts beside others begins with an empty bucket; the first start of all with a full one")
+{
+    // Guards against restarts that each give another burst, and against a first start that refuses what is allowed.
+    QuotaExchange exchange(15, skewed(1, 10, 5));
+    exchange.run(Millis(3000), [] {});
+    exchange.restart(3, false);
+    CHECK_FALSE(exchange.request(3, 0));
+    CHECK(exchange.request(4, 0));
+    exchange.run(Millis(6000), [] {});
+    CHECK(exchange.request(3, 0));
+    CHECK(exchange.request(3, 0));
+}
+
+TEST_CASE("What is given back can be used again, here and at other routers")
+{
+    // Guards against quotas used up by requests that no backend server has run.
+    QuotaExchange exchange(2, skewed(1, 2, 5));
+    exchange.run(Millis(1000), [] {});
+    WorkspaceQuotas one(true);
+    one.configure(exchange.workspaces, exchange.now);
+    for (int round = 0; round < 100; ++round) {
+        const auto decision = one.admit("w0", 0, 0.5, exchange.now);
+        REQUIRE(decision.verdict == QuotaDecision::Verdict::Admitted);
+        one.giveBack("w0", decision.cost, exchange.now);
+    }
+    CHECK(one.states(exchange.now).at(0).used == 0);
+    CHECK(one.states(exchange.now).at(0).level == 10);
+}
+
+TEST_CASE("Callers that return when a refusal says so find room")
+{
+    // Guards against callers that are told the same time and are refused again together.
+    WorkspaceQuotas quotas(false);
+    const auto workspaces = skewed(1, 10);
+    const TimePoint start = TimePoint(std::chrono::hours(1));
+    quotas.configure(workspaces, start);
+    std::set<Millis> delays;
+    for (int i = 0; i < 30; ++i) {
+        const auto decision = quotas.admit("w0", 0, 0.5, start);
+        REQUIRE_FALSE(decision.isAdmitted());
+        delays.insert(decision.retryAfter);
+    }
+    CHECK(delays.size() == 30);
+    int refusedAgain = 0;
+    for (const Millis delay : delays) {
+        refusedAgain += quotas.admit("w0", 0, 0.5, start + delay).isAdmitted() ? 0 : 1;
+    }
+    CHECK(refusedAgain == 0);
+    CHECK(*delays.rbegin() <= Millis(3200));
+}
+
+TEST_CASE("Without limited workspaces reports are empty and nothing is refused")
+{
+    WorkspaceQuotas quotas(false);
+    const TimePoint now = TimePoint(std::chrono::hours(1));
+    quotas.configure({WorkspaceConfig{"w", std::nullopt, WorkspaceQuota()}}, now);
+    CHECK(quotas.admit("w", 1000000, 1, now).verdict == QuotaDecision::Verdict::Unlimited);
+    CHECK(quotas.takeReport(Scope::Router, now) == QuotaReport());
+    CHECK(quotas.takeReport(Scope::Group, now) == QuotaReport());
+}
