Quotas: requests over the quota get 429, routers tell one another what they have admitted

Cause: WorkspaceQuotas decides and nothing asks it.

Change: RequestHandler::handle() takes the cost of a request before anything else and answers 429 with Retry-After, one log line and a count. The cost is given back if the caller is told that the request did not run, or left before it was sent. PeerReport carries the use of workspaces: the sender's, that of its group between delegates, that of the other groups from the delegate. Delegates report also if all groups have their own backend servers, if a workspace is limited. Metrics cyclamencross_quota_{used,rate_limit,level,refused} of the 16 busiest workspaces and the sums of the others; Metrics::removeGauge() for those that are not among them any more. A receiver that does not know a counter reads what was not reported yet from the rate; before, it lost up to a fifth.

--- a/src/base/metrics.cpp
+++ b/src/base/metrics.cpp
@@ -57,6 +57,15 @@
     family->Add(labels).Set(value);
 }
 
+void Metrics::removeGauge(const std::string &name, const Labels &labels)
+{
+    const std::scoped_lock lock(this->impl->mutex);
+    const auto family = this->impl->gauges.find(name);
+    if (family != this->impl->gauges.end()) {
+        family->second->Remove(&family->second->Add(labels));
+    }
+}
+
 void Metrics::observe(const std::string &name, double seconds, const Labels &labels)
 {
     const std::scoped_lock lock(this->impl->mutex);
--- a/src/gateway/fleetsyncitems.cpp
+++ b/src/gateway/fleetsyncitems.cpp
@@ -103,6 +103,7 @@
         .add("revision", item.revision)
         .write();
     this->state.table = std::make_shared<const RouteTable>(std::move(table));
+    this->state.quotas.configure(this->state.table->workspaces(), this->state.environment.now());
     this->state.metrics.set("cyclamencross_config_version", double(this->state.table->version()));
     return true;
 }
--- a/src/gateway/peerreport.cpp
+++ b/src/gateway/peerreport.cpp
@@ -91,6 +91,18 @@
     archive(changes.after, changes.upTo, changes.isSnapshotDiff, changes.items);
 }
 
+template<typename Archive>
+void serialize(Archive &archive, QuotaUsage &usage)
+{
+    archive(usage.workspace, usage.used, usage.admittedPerSecond, usage.demandPerSecond);
+}
+
+template<typename Archive>
+void serialize(Archive &archive, QuotaReport &report)
+{
+    archive(report.heard, report.usage);
+}
+
 template<typename Archive>
 void serialize(Archive &archive, PeerReport &report)
 {
@@ -101,6 +113,7 @@
     archive(report.router, report.incarnation, report.sequence, report.storeRevision, report.work, report.waiting,
             report.reportedCalls, report.namedLimits, report.statements, report.outcomes, report.streams,
             report.crashes, report.servedSuspects);
+    archive(report.quota, report.otherGroupsQuota);
 }
 
 namespace
@@ -172,7 +185,8 @@
         && areAllPlausible(report.otherGroupsWork) && areAllPlausible(report.waiting)
         && areAllPlausible(report.reportedCalls) && areAllPlausible(report.namedLimits)
         && areAllPlausible(report.outcomes) && areAllPlausible(report.streams) && areAllPlausible(report.crashes)
-        && areAllPlausible(report.servedSuspects);
+        && areAllPlausible(report.servedSuspects) && report.quota.isPlausible()
+        && report.otherGroupsQuota.isPlausible();
 }
 
 }
--- a/src/gateway/peerreport.h
+++ b/src/gateway/peerreport.h
@@ -6,6 +6,7 @@
 #include "cyclamencross/route/backendwork.h"
 #include "cyclamencross/route/crashedcall.h"
 #include "cyclamencross/route/namedlimit.h"
+#include "cyclamencross/route/quotareport.h"
 #include "cyclamencross/route/servedsuspect.h"
 #include "cyclamencross/route/statementnews.h"
 #include "cyclamencross/route/streamsample.h"
@@ -45,11 +46,15 @@
     StoreChanges changes; ///< Changes read from the store since the last report.
     std::map<std::string, BackendWork> work; ///< By backend server; replaces that of earlier reports.
     /// Work of the sender's whole group on the backend servers that all groups share. Only sent between the delegates
-    /// of the groups; such a report carries nothing else.
+    /// of the groups; such a report carries nothing else
+    /// but `quota`.
     std::map<std::string, BackendWork> groupWork;
     /// Work of all other groups on the shared backend servers. Only sent by the delegate of the receiver's group.
     std::map<std::string, BackendWork> otherGroupsWork;
     bool knowsOtherGroups = false; ///< `otherGroupsWork` is known, even if it is empty.
+    /// Use of limited workspaces: by the sender, or by its whole group in a report between delegates.
+    QuotaReport quota;
+    QuotaReport otherGroupsQuota; ///< By all other groups. Only sent by the delegate of the receiver's group.
     bool isGroupReport = false; ///< Sent between delegates.
     bool isCrashNews = false; ///< Contains only `crashes` and `servedSuspects`. Sent to routers of other groups.
     /// Requests that wait for capacity and can be on time, by service; replaces that of earlier reports.
--- a/src/gateway/requesthandler.cpp
+++ b/src/gateway/requesthandler.cpp
@@ -86,12 +86,33 @@
     , workspace(workspace)
     , service(std::move(service))
     , deadline(request.received + std::min(route.timeout, request.timeLeft.value_or(route.timeout)))
+    , quota(state, request, workspace)
 {
 }
 
 RequestHandler::~RequestHandler() = default;
 
 boost::asio::awaitable<void> RequestHandler::handle()
+{
+    if (const auto retryAfter = this->quota.refuse()) {
+        this->outcome = "over-quota";
+        co_await this->session.reply(429, "", this->codec.refusalHeaders(*retryAfter), "");
+    } else {
+        co_await this->run();
+        if (this->hasNotRun()) {
+            this->quota.giveBack();
+        }
+    }
+    this->logEnd();
+}
+
+bool RequestHandler::hasNotRun() const
+{
+    const bool wasNeverSent = this->outcome == "caller-gone" && this->callStart == TimePoint();
+    return wasNeverSent || this->outcome.starts_with("refused:");
+}
+
+boost::asio::awaitable<void> RequestHandler::run()
 {
     this->state.retryBudget.addRequest(this->service, Clock::now());
     this->session.onCallerDisconnect([this] {
@@ -117,7 +138,6 @@
     if (this->connection) {
         this->connection->close();
     }
-    this->logEnd();
 }
 
 void RequestHandler::cancel()
--- a/src/gateway/requesthandler.h
+++ b/src/gateway/requesthandler.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "quotaadmission.h"
+
 #include "cyclamencross/base/timing.h"
 #include "cyclamencross/gateway/backendcodec.h"
 #include "cyclamencross/gateway/connectionstatus.h"
@@ -163,8 +165,13 @@
     /// Returns the crash suspects of the request: the shared parts of its prompt, and its target and body, by which its
     /// repeats are recognized.
     std::vector<std::string> findSuspects() const;
+    /// Runs the request, which is within the quota of its workspace.
+    boost::asio::awaitable<void> run();
+    /// Returns whether no backend server has run the request, or can have.
+    bool hasNotRun() const;
     void logEnd() const;
 
+    QuotaAdmission quota;
     bool cancelled = false;
     std::vector<std::string> suspects; ///< From the most general to the most specific.
     bool isCrashTrial = false; ///< The request is sent in spite of crashes, to see whether they go on.
--- a/src/gateway/router.cpp
+++ b/src/gateway/router.cpp
@@ -318,6 +318,7 @@
         this->state.namedLimits->retain(isRegistered);
         this->state.namedLimits->advance(now, unixMillis());
         this->state.expireStatements(now);
+        this->quotaMetrics.publish(this->state.quotas, this->state.metrics, now);
         this->state.metrics.set("cyclamencross_active_requests", double(this->running.size()));
         this->state.metrics.set("cyclamencross_caller_connections", double(this->sessions.size()));
         this->state.metrics.set("cyclamencross_body_bytes_held", double(this->state.bodyMemory->heldBytes()));
--- a/src/gateway/router.h
+++ b/src/gateway/router.h
@@ -5,6 +5,7 @@
 #include "fleetsync.h"
 #include "httpsession.h"
 #include "peersocket.h"
+#include "quotametrics.h"
 #include "routerstate.h"
 #include "stagecontroller.h"
 
@@ -98,6 +99,7 @@
     std::vector<Listener> listeners;
     std::set<std::shared_ptr<HttpSession>> sessions;
     std::set<RequestHandler *> running; ///< Handlers of the requests that are being handled.
+    QuotaMetrics quotaMetrics;
     EventLoopMonitor loopMonitor;
     bool refusing = false; ///< The router is stopping and refuses new requests.
 };
--- a/src/gateway/routersettings.cpp
+++ b/src/gateway/routersettings.cpp
@@ -80,11 +80,21 @@
     return fractionRule([member](RouterSettings &settings, double number) { settings.*member = number; });
 }
 
+// An empty value stands for false.
+SettingRule optionalBoolRule(bool RouterSettings::*member)
+{
+    return SettingRule{false, "true or false", [member](RouterSettings &settings, const std::string &value) {
+                           settings.*member = value == "true";
+                           return value.empty() || value == "true" || value == "false";
+                       }};
+}
+
 const std::map<std::string, SettingRule> &rules()
 {
     static const std::map<std::string, SettingRule> Rules{
         {"router.name", textRule(&RouterSettings::name)},
         {"router.zone", textRule(&RouterSettings::zone)},
+        {"router.bootstrap", optionalBoolRule(&RouterSettings::bootstrap)},
         {"listen.callers", addressRule(&RouterSettings::callerAddress, true)},
         {"listen.ready", addressRule(&RouterSettings::readyAddress, true)},
         {"listen.directory", addressRule(&RouterSettings::directoryAddress, false)},
--- a/src/gateway/routersettings_test.cpp
+++ b/src/gateway/routersettings_test.cpp
@@ -56,3 +56,13 @@
     settings.memoryMiB = 100;
     CHECK(settings.bodyMemoryBytes() == std::size_t(double(100U << 20U) * RouterSettings::BodyMemoryShare));
 }
+
+TEST_CASE("Settings without the first start of the system, or with an empty value, are valid")
+{
+    // Guards against settings files of earlier versions that are refused, and against a typing error that stands for
+    // true or false.
+    for (const char *value : {"", "true", "false"}) {
+        CHECK(invalidKey(std::string("stop_grace_s = 8\n[router]\nbootstrap = ") + value).empty());
+    }
+    CHECK(invalidKey("stop_grace_s = 8\n[router]\nbootstrap = yes") == "router.bootstrap");
+}
--- a/src/gateway/routerstate.cpp
+++ b/src/gateway/routerstate.cpp
@@ -24,6 +24,7 @@
               this->logNamedLimit(backend, requestsPerSecond, before);
           }))
     , bodyMemory(std::make_shared<MemoryBudget>(this->settings.bodyMemoryBytes()))
+    , quotas(this->settings.bootstrap)
     , retryBudget(this->settings.retryRatio, this->settings.retrySlack, this->settings.retryWindow)
     , crashes([this](const std::string &suspect) { return this->isTrialRouter(suspect); },
               [this](const std::string &suspect, int count) {
@@ -212,6 +213,7 @@
             this->delegates.push_back(*member);
         }
     }
+    this->quotas.setRouters(1 + this->peersOfGroup.size() + this->routersOfOtherGroups.size(), this->groupCount);
     const std::uint64_t ownHash = hash64(this->settings.name);
     const auto lowerRanked = std::count_if(this->peersOfGroup.begin(), this->peersOfGroup.end(),
                                            [ownHash](const RouterMember &peer) { return hash64(peer.name) < ownHash; });
--- a/src/gateway/routerstate.h
+++ b/src/gateway/routerstate.h
@@ -27,6 +27,7 @@
 #include "cyclamencross/route/stopschedule.h"
 #include "cyclamencross/route/storefreshness.h"
 #include "cyclamencross/route/streamdurations.h"
+#include "cyclamencross/route/workspacequotas.h"
 
 #include <cstdint>
 #include <functional>
@@ -142,7 +143,7 @@
     /// requests too; std::nullopt if there are none. The rest of the report would fill the links of small hosts.
     static std::optional<PeerReport> crashNews(const PeerReport &report);
     /// Returns the next report to the delegates of the other groups; std::nullopt if this router is not the delegate of
-    /// its group, all groups have their own backend servers, or the last report is younger than GroupReportPeriod.
+    /// its group, all groups have their own backend servers and no workspace is limited, or the last report is younger than GroupReportPeriod.
     std::optional<PeerReport> takeGroupReport(TimePoint now);
     /// Returns the delegates of the other groups. The delegate of a group is its primary watcher.
     const std::vector<RouterMember> &otherDelegates() const;
@@ -178,6 +179,7 @@
     BackendStatements statements; ///< What backend servers say of themselves.
     /// Memory of the bodies of requests and responses. Shared with their leases, like `work`.
     const std::shared_ptr<MemoryBudget> bodyMemory;
+    WorkspaceQuotas quotas;
     BackendHealth health;
     FleetRetryBudget retryBudget;
     CallerWaitEstimator callerWaitEstimator;
@@ -239,6 +241,8 @@
     static constexpr Millis MaxStatementNewsAge{60000};
     /// The same for servers without a start time in their registration, whose restarts are harder to recognize.
     static constexpr Millis MaxUnidentifiedNewsAge{2000};
+    /// Limited workspaces that are reported together with changes of the store, so that a report fits into a datagram.
+    static constexpr std::size_t MaxWorkspacesBesideChanges = 32;
     /// Crashed calls that are reported at a time, so that a report fits into a datagram.
     static constexpr std::size_t MaxReportedCrashes = 32;
     /// Size of the sample that sampleOtherGroups() returns.
@@ -288,6 +292,7 @@
     std::map<std::string, BackendWork> otherGroupsWork; ///< Sum over all other groups.
     TimePoint otherGroupsWorkTime; ///< When the sum was last updated.
     TimePoint lastGroupReport;
+    std::uint32_t reportedOthersHeard = 0; ///< QuotaReport::heard of the last report on other groups.
     std::uint64_t groupReportSequence = 0;
     std::map<std::string, PeerSequence> groupReportSequences; ///< Newest group report by delegate.
     std::size_t rankInGroup = 0; ///< The first WatchersPerGroup routers of a group watch the store.
@@ -313,6 +318,8 @@
     void applyPace(const std::string &backend, double millisPerToken, TimePoint now, double weight);
     /// Returns the changes for the next report and keeps the rest.
     StoreChanges takeChanges();
+    /// Returns the use of limited workspaces in a scope for the next report.
+    QuotaReport takeQuotaReport(WorkspaceQuotas::Scope scope, TimePoint now);
     /// Recomputes the work of the other groups from the reports of their delegates.
     void sumGroupWork(TimePoint now);
     /// Applies the crashes and served suspects of a report.
--- a/src/gateway/routerstatereports.cpp
+++ b/src/gateway/routerstatereports.cpp
@@ -75,13 +75,27 @@
     return part;
 }
 
+QuotaReport RouterState::takeQuotaReport(WorkspaceQuotas::Scope scope, TimePoint now)
+{
+    const bool besideChanges = scope != WorkspaceQuotas::Scope::Group && this->pendingChanges.upTo != 0;
+    return this->quotas.takeReport(scope, now,
+                                   besideChanges ? MaxWorkspacesBesideChanges : WorkspaceQuotas::MaxReported);
+}
+
 std::optional<PeerReport> RouterState::takeReport(TimePoint now)
 {
     const auto isRepeatedEnough = [now](const auto &item) { return now - item.first > CrashRepeatTime; };
     std::erase_if(this->recentCrashes, isRepeatedEnough);
     std::erase_if(this->recentlyServed, isRepeatedEnough);
     std::erase_if(this->recentStatements, [now](const auto &item) { return now - item.second > StatementRepeatTime; });
-    const bool changed = this->work->own() != this->lastReportedWork
+    QuotaReport quota = this->takeQuotaReport(WorkspaceQuotas::Scope::Router, now);
+    QuotaReport otherGroupsQuota;
+    if (this->isPrimaryWatcher() && !this->delegates.empty()) {
+        otherGroupsQuota = this->takeQuotaReport(WorkspaceQuotas::Scope::OtherGroups, now);
+    }
+    const bool quotaChanged =
+        !quota.usage.empty() || !otherGroupsQuota.usage.empty() || otherGroupsQuota.heard != this->reportedOthersHeard;
+    const bool changed = quotaChanged || this->work->own() != this->lastReportedWork
         || this->waiting->own() != this->lastReportedWaiting || !this->pendingOutcomes.empty()
         || !this->pendingLimits.empty() || !this->recentStatements.empty() || !this->recentCrashes.empty()
         || !this->recentlyServed.empty() || this->pendingChanges.upTo != 0 || this->confirmationPending;
@@ -100,6 +114,9 @@
     }
     this->confirmationPending = false;
     report.changes = this->takeChanges();
+    report.quota = std::move(quota);
+    report.otherGroupsQuota = std::move(otherGroupsQuota);
+    this->reportedOthersHeard = report.otherGroupsQuota.heard;
     report.work = this->work->own();
     report.waiting = this->waiting->own();
     report.reportedCalls = std::exchange(this->pendingReportedCalls, {});
@@ -153,7 +170,8 @@
 
 std::optional<PeerReport> RouterState::takeGroupReport(TimePoint now)
 {
-    if (!this->isPrimaryWatcher() || this->delegates.empty() || this->sharedBackends.empty()
+    if (!this->isPrimaryWatcher() || this->delegates.empty()
+        || (this->sharedBackends.empty() && !this->quotas.isActive())
         || now - this->lastGroupReport < GroupReportPeriod) {
         return std::nullopt;
     }
@@ -164,6 +182,7 @@
     report.incarnation = this->incarnation;
     report.sequence = ++this->groupReportSequence;
     report.isGroupReport = true;
+    report.quota = this->takeQuotaReport(WorkspaceQuotas::Scope::Group, now);
     for (const std::string &id : this->sharedBackends) {
         const BackendWork total = this->work->total(id);
         if (total != BackendWork()) {
@@ -221,6 +240,8 @@
     if (report.isGroupReport) {
         if (this->isPrimaryWatcher() && isNewer(report, this->groupReportSequences)) {
             this->groupWork[report.router] = {report.groupWork, now};
+            this->quotas.applyReport(WorkspaceQuotas::Scope::Group, report.router, report.incarnation, report.quota,
+                                     now);
         }
         return;
     }
@@ -231,6 +252,11 @@
         this->otherGroupsWork = report.otherGroupsWork;
         this->otherGroupsWorkTime = now;
     }
+    this->quotas.applyReport(WorkspaceQuotas::Scope::Router, report.router, report.incarnation, report.quota, now);
+    if (!this->isPrimaryWatcher()) {
+        this->quotas.applyReport(WorkspaceQuotas::Scope::OtherGroups, report.router, report.incarnation,
+                                 report.otherGroupsQuota, now);
+    }
     this->newestPeerRevision = std::max(this->newestPeerRevision, report.storeRevision);
     if (report.watching) {
         this->lastWatcherReport = now;
--- a/src/include/cyclamencross/base/metrics.h
+++ b/src/include/cyclamencross/base/metrics.h
@@ -20,6 +20,8 @@
     void count(const std::string &name, const Labels &labels = {}, double amount = 1);
     /// Sets the gauge @p name.
     void set(const std::string &name, double value, const Labels &labels = {});
+    /// Removes the gauge @p name with the given labels.
+    void removeGauge(const std::string &name, const Labels &labels);
     /// Adds @p seconds to the latency histogram @p name.
     void observe(const std::string &name, double seconds, const Labels &labels = {});
     /// Returns all metrics in the Prometheus text format.
--- a/src/include/cyclamencross/gateway/routersettings.h
+++ b/src/include/cyclamencross/gateway/routersettings.h
@@ -38,6 +38,8 @@
     double retrySlack = 100; ///< Retries that the whole fleet may make in addition, in a window.
     Millis retryWindow{10000}; ///< Sliding window of the retry budget.
     Millis orderPause{3000}; ///< Shortest time between the orders of two routers to the same engine.
+    /// The whole system starts for the first time, so that nothing of the quotas of workspaces can have been used.
+    bool bootstrap = false;
     int maxAddressTtlSeconds = 5; ///< Longest time for which callers may cache an address.
 
     /// Returns the memory that the bodies of all requests and responses together may take, in bytes.
--- a/src/route/workspacequotareports.cpp
+++ b/src/route/workspacequotareports.cpp
@@ -68,6 +68,8 @@
             }
         }
     }
+    // A receiver that does not know the earlier counter reads what was not reported yet from the rate.
+    admitted = std::max(admitted, double(counter.used - counter.sentUsed) / FadingRate::FadingSeconds);
     usage.admittedPerSecond = float(admitted);
     usage.demandPerSecond = float(demand);
     return usage;
@@ -110,8 +112,10 @@
 void WorkspaceQuotas::applyReport(Scope scope, const std::string &senderName, std::uint64_t incarnation,
                                   const QuotaReport &report, TimePoint now)
 {
-    if (!this->isActive()) {
-        return;
+    const bool tellsNothing =
+        scope == Scope::OtherGroups && report.heard == 0 && !this->senders.contains({scope, senderName});
+    if (!this->isActive() || tellsNothing) {
+        return; // Only delegates know other groups.
     }
     Sender &sender = this->senders[{scope, senderName}];
     if (sender.incarnation != incarnation || now - sender.heardAt > ForgetTime) {
