--- a/src/gateway/routersettings.cpp
+++ b/src/gateway/routersettings.cpp
@@ -103,6 +103,7 @@
     static const std::map<std::string, SettingRule> Rules{
         {"router.name", textRule(&RouterSettings::name)},
         {"router.zone", textRule(&RouterSettings::zone)},
+        {"router.bootstrap", optionalRule(flagRule(&RouterSettings::bootstrap))},
         {"listen.callers", addressRule(&RouterSettings::callerAddress, true)},
         {"listen.ready", addressRule(&RouterSettings::readyAddress, true)},
         {"listen.directory", addressRule(&RouterSettings::directoryAddress, false)},
--- a/src/include/cyclamencross/gateway/routersettings.h
+++ b/src/include/cyclamencross/gateway/routersettings.h
@@ -42,6 +42,8 @@
     /// A router that cannot be certain that it knows of all keys removed before revokeTime serves no request that needs
     /// a key.
     bool strictRevoke = false;
+    /// The whole system starts for the first time, so that nothing of the quotas of workspaces can have been used.
+    bool bootstrap = false;
     int maxAddressTtlSeconds = 5; ///< Longest time for which callers may cache an address.
 
     /// Returns the memory that the bodies of all requests and responses together may take, in bytes.
