Groups of routers by availability zone

Cause: groups followed the hash of names, so each spanned all zones. With 114 routers in four zones, about three quarters of the pairs of peers and of the pairs of a router and an engine of its group were in different zones; bytes between zones are the largest cost there (0.7 GB in 48 s).

Change: in fleets of more than 24 routers of which at least two zones have 12 or more, groups lie within zones and use the engines of their zone (GroupPlan, docs/design/zones.md). A zone with less than 0.75 of its share of engines borrows the difference; a zone's pool that is too small for its groups is shared by them; pools too small for all groups are shared as before. A stream that finds no room in its group and can still be on time asks engines of other groups, first of its zone, for a reservation of its whole expected output; while they refuse, the router asks less often (OverflowPacer). Setting [groups] by_zone, auto or never. Delegates report only to groups that share servers with theirs. Log line group, zone and other_group in placement lines, metrics of groups and of reservations elsewhere. Reservations for a stream that moves from a silent engine now depend on the group of the new engine, not of the old one.

Measured, computed by the plan for 114 routers and 90 engines (32 prefill, 58 decode): pairs of peers in different zones 75% before, 0% after; pairs of router and engine 76% and 0%; prefill engines for each router from 0.25 to 0.31 (before 0.26 to 0.30), decode engines from 0.47 to 0.54 (0.48 to 0.52). One router or engine less moves at most 2 other names (295 routers: 2, before 6; 663 routers: 1, before 15). A zone without decode engines: 0.31 to 0.42 for each router. Computing the plan and a pool takes 0.07 ms, with 663 routers and 520 engines 0.8 ms.

--- a/src/gateway/plainrequesthandler.cpp
+++ b/src/gateway/plainrequesthandler.cpp
@@ -59,6 +59,7 @@
             .add("told_calls", chosen.reportedCalls.value_or(-1))
             .add("failure_rate", chosen.failureRate)
             .add("avoided", chosen.avoided)
+            .add("zone", chosen.server.zone)
             .write();
         const AttemptResult result = co_await this->attempt(chosen.server);
         if (result == AttemptResult::Done) {
--- a/src/gateway/routersettings.cpp
+++ b/src/gateway/routersettings.cpp
@@ -80,6 +80,14 @@
     return fractionRule([member](RouterSettings &settings, double number) { settings.*member = number; });
 }
 
+SettingRule choiceRule(bool RouterSettings::*member, const std::string &yes, const std::string &no)
+{
+    return SettingRule{false, yes + " or " + no, [=](RouterSettings &settings, const std::string &value) {
+                           settings.*member = value == yes;
+                           return value == yes || value == no;
+                       }};
+}
+
 const std::map<std::string, SettingRule> &rules()
 {
     static const std::map<std::string, SettingRule> Rules{
@@ -92,6 +100,7 @@
         {"listen.metrics", addressRule(&RouterSettings::metricsAddress, false)},
         {"store.address", addressRule(&RouterSettings::storeAddress, true)},
         {"store.min_lease_ms", durationRule(&RouterSettings::minLeaseLifetime, 1)},
+        {"groups.by_zone", choiceRule(&RouterSettings::groupsByZone, "auto", "never")},
         {"limits.memory_mib", numberRule(&RouterSettings::memoryMiB, 32, 1U << 20U)},
         {"limits.descriptors", numberRule(&RouterSettings::descriptors, 64, 1U << 24U)},
         {"bounds.stop_grace_s", durationRule(&RouterSettings::stopGrace, 1000)},
--- a/src/gateway/routersettings_test.cpp
+++ b/src/gateway/routersettings_test.cpp
@@ -56,3 +56,13 @@
     settings.memoryMiB = 100;
     CHECK(settings.bodyMemoryBytes() == std::size_t(double(100U << 20U) * RouterSettings::BodyMemoryShare));
 }
+
+TEST_CASE("Whether groups follow zones is optional and one of two words")
+{
+    // Guards against settings files without the key that become invalid, and against a misspelt word without effect.
+    CHECK(invalidKey("stop_grace_s = 8\n[groups]\nby_zone = auto").empty());
+    CHECK(invalidKey("stop_grace_s = 8\n[groups]\nby_zone = never").empty());
+    for (const char *word : {"", "Auto", "true", "always"}) {
+        CHECK(invalidKey(std::string("stop_grace_s = 8\n[groups]\nby_zone = ") + word) == "groups.by_zone");
+    }
+}
--- a/src/gateway/routerstate.cpp
+++ b/src/gateway/routerstate.cpp
@@ -57,49 +57,22 @@
     return result;
 }
 
-std::vector<PlacementCandidate> RouterState::sampleOtherGroups(const std::string &service, EngineStage stage,
-                                                               const std::set<std::string> &excluded, TimePoint now)
-{
-    std::vector<PlacementCandidate> result;
-    const auto pool = this->pools.find({service, stage});
-    if (pool == this->pools.end()) {
-        return result;
-    }
-    std::size_t seen = 0;
-    for (const std::string &id : pool->second.otherGroups) {
-        const BackendServer *server = this->backends.find(id);
-        if (server == nullptr || !this->mayTakeRequests(*server, now) || excluded.contains(id)) {
-            continue;
-        }
-        // Reservoir sampling: each eligible backend server is in the sample with the same probability.
-        const auto slot = std::size_t(this->random() * double(++seen));
-        if (result.size() < OtherGroupSampleSize) {
-            result.push_back(this->makeCandidate(*server, this->settings.zone, now));
-        } else if (slot < OtherGroupSampleSize) {
-            result[slot] = this->makeCandidate(*server, this->settings.zone, now);
-        }
-    }
-    for (PlacementCandidate &candidate : result) {
-        candidate.ofOtherGroup = true;
-    }
-    return result;
-}
-
 PlacementCandidate RouterState::makeCandidate(const BackendServer &server, const std::string &zone, TimePoint now) const
 {
     PlacementCandidate candidate;
     candidate.server = server;
     candidate.work = this->work->total(server.id);
-    if (this->sharedBackends.contains(server.id)) {
+    if (const auto shared = this->sharedBackends.find(server.id); shared != this->sharedBackends.end()) {
         const bool othersKnown = now - this->otherGroupsWorkTime <= GroupWorkLifetime;
         if (const auto others = this->otherGroupsWork.find(server.id);
             othersKnown && others != this->otherGroupsWork.end()) {
             candidate.work += others->second;
         } else if (!othersKnown) {
             // Extrapolates from the work of this group.
-            candidate.work.requests *= std::int64_t(this->groupCount);
-            candidate.work.promptTokens *= std::int64_t(this->groupCount);
-            candidate.work.kvCache *= std::int64_t(this->groupCount);
+            const auto groups = std::int64_t(shared->second.count);
+            candidate.work.requests *= groups;
+            candidate.work.promptTokens *= groups;
+            candidate.work.kvCache *= groups;
         }
         candidate.isShared = true;
         const auto reported = this->reportedCalls.find(server.id);
@@ -176,78 +149,6 @@
     return this->routersOfOtherGroups;
 }
 
-void RouterState::regroup()
-{
-    this->regroupPending = false;
-    std::vector<std::string> names;
-    this->members.forEach(
-        [&names](const std::string &name, const RouterMember & /*member*/) { names.push_back(name); });
-    this->groupCount = Subsetting::groupCount(names.size());
-    const auto groupOfRouter = Subsetting::assignGroups(names, this->groupCount);
-    const auto own = groupOfRouter.find(this->settings.name);
-    const std::size_t ownGroup = own == groupOfRouter.end() ? 0 : own->second;
-    for (const RouterMember &peer : this->peersOfGroup) {
-        if (this->members.find(peer.name) == nullptr) {
-            this->lapsed[peer.name] = {peer, this->environment.now() + LapsedPeerLifetime};
-        }
-    }
-    this->peersOfGroup.clear();
-    this->routersOfOtherGroups.clear();
-    this->members.forEach([&](const std::string &name, const RouterMember &member) {
-        if (name != this->settings.name) {
-            (groupOfRouter.at(name) == ownGroup ? this->peersOfGroup : this->routersOfOtherGroups).push_back(member);
-        }
-    });
-    // The delegate of each group is the router with the lowest hash.
-    std::map<std::size_t, std::pair<std::uint64_t, std::string>> lowestByGroup;
-    for (const auto &[name, group] : groupOfRouter) {
-        const std::pair<std::uint64_t, std::string> entry(hash64(name), name);
-        const auto [it, isFirst] = lowestByGroup.try_emplace(group, entry);
-        it->second = std::min(it->second, entry);
-    }
-    this->delegates.clear();
-    for (const auto &[group, entry] : lowestByGroup) {
-        const RouterMember *member = this->members.find(entry.second);
-        if (group != ownGroup && member != nullptr) {
-            this->delegates.push_back(*member);
-        }
-    }
-    const std::uint64_t ownHash = hash64(this->settings.name);
-    const auto lowerRanked = std::count_if(this->peersOfGroup.begin(), this->peersOfGroup.end(),
-                                           [ownHash](const RouterMember &peer) { return hash64(peer.name) < ownHash; });
-    this->rankInGroup = std::size_t(lowerRanked);
-    this->pools.clear();
-    this->sharedBackends.clear();
-    this->foreignBackends.clear();
-    std::map<PoolKey, std::vector<std::string>> idsByPool;
-    this->backends.forEach([&idsByPool](const std::string &id, const BackendServer &server) {
-        idsByPool[{server.service, server.stage}].push_back(id);
-    });
-    for (auto &[poolKey, ids] : idsByPool) {
-        Pool &pool = this->pools[poolKey];
-        if (this->groupCount == 1 || ids.size() < this->groupCount * Subsetting::MinBackendsPerGroup) {
-            if (this->groupCount > 1) {
-                this->sharedBackends.insert(ids.begin(), ids.end());
-            }
-            pool.own = std::move(ids);
-            continue;
-        }
-        for (const auto &[id, group] : Subsetting::assignGroups(ids, this->groupCount)) {
-            (group == ownGroup ? pool.own : pool.otherGroups).push_back(id);
-        }
-        this->foreignBackends.insert(pool.otherGroups.begin(), pool.otherGroups.end());
-    }
-    this->routerHashes.clear();
-    this->groupHashes.clear();
-    for (const auto &[name, group] : groupOfRouter) {
-        this->routerHashes.push_back(hash64(name));
-        if (group == ownGroup) {
-            this->groupHashes.push_back(hash64(name));
-        }
-    }
-    std::erase_if(this->reportedCalls, [this](const auto &item) { return !this->sharedBackends.contains(item.first); });
-}
-
 bool RouterState::isUsable(const BackendServer &server, TimePoint now) const
 {
     return this->isRegistered(server) && this->mayTakeRequests(server, now);
@@ -294,7 +195,8 @@
             load.prefillEngines = engines;
             load.prefillRequests = double(work.requests) * averageFactor * double(engines);
             // A smaller pool could not be divided among the groups any more.
-            load.minPrefillEngines = pool.otherGroups.empty() ? 1 : this->groupCount * Subsetting::MinBackendsPerGroup;
+            load.minPrefillEngines =
+                pool.otherGroups.empty() ? 1 : this->groupPlan.groupCount() * Subsetting::MinBackendsPerGroup;
         } else {
             load.decodeEngines = engines;
             load.decodeUse = double(work.kvCache.peak()) * averageFactor
@@ -341,7 +243,11 @@
     if (this->foreignBackends.contains(backend)) {
         return None;
     }
-    return this->sharedBackends.contains(backend) ? this->routerHashes : this->groupHashes;
+    const auto shared = this->sharedBackends.find(backend);
+    if (shared == this->sharedBackends.end()) {
+        return this->groupHashes;
+    }
+    return shared->second.count == this->groupPlan.groupCount() ? this->routerHashes : this->regionHashes;
 }
 
 void RouterState::logNamedLimit(const std::string &backend, double requestsPerSecond, double before)
--- a/src/gateway/routerstate.h
+++ b/src/gateway/routerstate.h
@@ -14,10 +14,12 @@
 #include "cyclamencross/route/callerwaitestimator.h"
 #include "cyclamencross/route/crashattribution.h"
 #include "cyclamencross/route/fleetretrybudget.h"
+#include "cyclamencross/route/groupplan.h"
 #include "cyclamencross/route/memorybudget.h"
 #include "cyclamencross/route/namedlimit.h"
 #include "cyclamencross/route/namedratelimits.h"
 #include "cyclamencross/route/outputestimator.h"
+#include "cyclamencross/route/overflowpacer.h"
 #include "cyclamencross/route/placementcandidate.h"
 #include "cyclamencross/route/registrationcache.h"
 #include "cyclamencross/route/routermember.h"
@@ -59,9 +61,19 @@
                                                const std::set<std::string> &excluded, const std::string &zone,
                                                TimePoint now) const;
     /// Returns a random sample of the backend servers of other router groups, to be used if those of this router's
-    /// group have no capacity.
+    /// group have no capacity. Leaves out engines that have just refused a reservation.
+    /// @param ofOwnZone whether they are in this router's zone or in others; both if it is not set.
     std::vector<PlacementCandidate> sampleOtherGroups(const std::string &service, EngineStage stage,
-                                                      const std::set<std::string> &excluded, TimePoint now);
+                                                      const std::set<std::string> &excluded, TimePoint now,
+                                                      std::optional<bool> ofOwnZone = std::nullopt);
+    /// Returns whether groups follow the availability zones, so that a request for which its group has no room may use
+    /// engines of other groups.
+    bool hasZoneGroups() const;
+    /// Returns whether engines of other groups may be asked for room now; see OverflowPacer.
+    /// @param ofOwnZone whether they are in this router's zone or in others.
+    bool mayAskOtherGroups(const std::string &service, bool ofOwnZone, TimePoint now) const;
+    /// Records the answer of an engine to the request for room, if another group uses it.
+    void recordOverflow(const std::string &service, const PlacementCandidate &engine, bool granted, TimePoint now);
     /// Returns the other routers of this router's group.
     const std::vector<RouterMember> &groupPeers() const;
     /// Returns the routers that were in this router's group until their registration was removed, for
@@ -144,7 +156,8 @@
     /// Returns the next report to the delegates of the other groups; std::nullopt if this router is not the delegate of
     /// its group, all groups have their own backend servers, or the last report is younger than GroupReportPeriod.
     std::optional<PeerReport> takeGroupReport(TimePoint now);
-    /// Returns the delegates of the other groups. The delegate of a group is its primary watcher.
+    /// Returns the delegates of the other groups that share backend servers with this router's group. The delegate of a
+    /// group is its primary watcher.
     const std::vector<RouterMember> &otherDelegates() const;
     /// Applies a peer's report. Reports that are not newer than the last one of the same router are ignored.
     void applyReport(const PeerReport &report, TimePoint now);
@@ -282,7 +295,7 @@
     /// See lapsedPeers(); by name, with the time until which they get reports.
     std::map<std::string, std::pair<RouterMember, TimePoint>> lapsed;
     std::vector<RouterMember> routersOfOtherGroups;
-    std::vector<RouterMember> delegates; ///< Of the other groups.
+    std::vector<RouterMember> delegates; ///< Of the other groups that share backend servers with this router's group.
     /// Work of the other groups on shared backend servers by delegate, if this router is the delegate of its group.
     std::map<std::string, std::pair<std::map<std::string, BackendWork>, TimePoint>> groupWork;
     std::map<std::string, BackendWork> otherGroupsWork; ///< Sum over all other groups.
@@ -295,16 +308,28 @@
     TimePoint lastWatcherReport;
     StoreChanges pendingChanges; ///< To be sent with the next report.
     std::map<PoolKey, Pool> pools;
-    std::set<std::string> sharedBackends; ///< Ids of the backend servers that all groups use.
+    /// Backend servers that this router's group and others use, with these groups.
+    std::map<std::string, GroupRange> sharedBackends;
     std::set<std::string> foreignBackends; ///< Ids of the backend servers that only another group uses.
     std::vector<std::uint64_t> routerHashes; ///< Of the names of all routers.
     std::vector<std::uint64_t> groupHashes; ///< Of the names of the routers of this router's group.
-    std::size_t groupCount = 1;
+    std::vector<std::uint64_t> regionHashes; ///< Of the names of the routers of the groups in the same region.
+    GroupPlan groupPlan;
+    std::size_t ownGroup = 0; ///< Index in `groupPlan`.
+    std::string reportedGroup; ///< Name and rank in the last log line about the group.
+    OverflowPacer overflowPacer;
     bool regroupPending = false;
     TimePoint lastRegroup;
 
     /// Returns the hashes of the names of the routers that use a backend server.
     const std::vector<std::uint64_t> &routersOf(const std::string &backend) const;
+    /// Computes the groups of routers: `groupPlan`, `ownGroup`, the peers and the rank in the group.
+    void groupRouters();
+    /// Divides the backend servers among the groups.
+    /// @return the other groups that share backend servers with this router's group.
+    std::set<std::size_t> divideBackends();
+    /// Logs the group if it has changed, and updates the metrics of the group.
+    void reportGroup();
     /// Logs and counts a change of a named limit.
     void logNamedLimit(const std::string &backend, double requestsPerSecond, double before);
     /// Returns whether this router is the one that tries requests with a contained crash suspect.
--- a/src/gateway/routerstatereports.cpp
+++ b/src/gateway/routerstatereports.cpp
@@ -164,7 +164,7 @@
     report.incarnation = this->incarnation;
     report.sequence = ++this->groupReportSequence;
     report.isGroupReport = true;
-    for (const std::string &id : this->sharedBackends) {
+    for (const auto &[id, groups] : this->sharedBackends) {
         const BackendWork total = this->work->total(id);
         if (total != BackendWork()) {
             report.groupWork[id] = total;
--- a/src/gateway/streamrequesthandler.cpp
+++ b/src/gateway/streamrequesthandler.cpp
@@ -119,6 +119,7 @@
         .add("prompt_tokens_ahead", chosen.work.promptTokens)
         .add("expected_ms", std::int64_t(expectedPrefill.count()))
         .add("used", usePrefillEngine)
+        .add("zone", chosen.server.zone)
         .write();
     if (!usePrefillEngine) {
         co_return;
--- a/src/gateway/streamrequesthandler.h
+++ b/src/gateway/streamrequesthandler.h
@@ -64,6 +64,10 @@
     /// Returns the decode engine to which the request would be sent now; std::nullopt if none has capacity as far as
     /// this router knows.
     std::optional<PlacementCandidate> findDecodeEngine(std::size_t &candidateCount) const;
+    /// Returns samples of the engines of other groups that may take the request, in the order in which they should be
+    /// considered.
+    /// @param ownUsable whether this router's group has engines that could take requests, but have no room now.
+    std::vector<std::vector<PlacementCandidate>> otherGroupsCandidates(bool ownUsable) const;
     /// Makes an engine the one to which the request is sent next, and adds the request to its work.
     void useDecodeEngine(const PlacementCandidate &chosen);
     /// Reserves room for the rest of the stream at another engine and a retry of the budget; sets `moveTarget`.
@@ -97,7 +101,7 @@
     /// Returns the work that the request still causes at a decode engine, as expected now.
     BackendWork requestWork() const;
     /// Returns the tokens to reserve at a decode engine before the request is sent there.
-    std::int64_t reservedTokens() const;
+    std::int64_t reservedTokens(const PlacementCandidate &engine) const;
     /// Adjusts the work recorded for the request to its progress, at most once every WorkUpdatePeriod.
     void updateWork(TimePoint now);
     /// Records the length and pace of the completed stream.
--- a/src/gateway/streamrequestplacement.cpp
+++ b/src/gateway/streamrequestplacement.cpp
@@ -151,6 +151,8 @@
         .add("expected_output", this->estimate.tokens)
         .add("failure_rate", this->decodeCandidate.failureRate)
         .add("avoided", this->decodeCandidate.avoided)
+        .add("other_group", this->decodeCandidate.ofOtherGroup)
+        .add("zone", this->decodeCandidate.server.zone)
         .write();
 }
 
@@ -167,7 +169,8 @@
         this->decodeEngine = std::nullopt;
         co_return false;
     }
-    const auto request = this->codec.reserveCall(this->reservedTokens(), std::min(maxLifetime, ReservationLifetime));
+    const auto request = this->codec.reserveCall(this->reservedTokens(this->decodeCandidate),
+                                                 std::min(maxLifetime, ReservationLifetime));
     const TimePoint until = std::min(this->deadline, Clock::now() + ReservationTimeout);
     ConnectionStatus status = co_await this->connection->performRequest(request.first, request.second, until);
     if (status == ConnectionStatus::Broken && this->connectionReused && !this->shouldStop()) {
@@ -194,6 +197,7 @@
     LogLine("reservation").add("request", this->request.id).add("backend", server.id).add("status", code).write();
     const auto token = code == 200 ? this->codec.decodeReservation(this->connection->takeBody()) : std::nullopt;
     this->releaseConnection(server);
+    this->state.recordOverflow(this->service, this->decodeCandidate, token.has_value(), Clock::now());
     if (token) {
         this->reservationToken = *token;
         if (this->state.isUsable(server, Clock::now())) {
@@ -239,14 +243,45 @@
     };
     auto candidates = this->state.candidates(this->service, stage, this->excluded, this->state.settings.zone, now);
     auto choice = choose(candidates);
-    if (!choice && !Placement::hasUsableCandidate(candidates)) {
-        candidates = this->state.sampleOtherGroups(this->service, stage, this->excluded, now);
-        choice = choose(candidates);
+    if (!choice) {
+        for (auto &sample : this->otherGroupsCandidates(Placement::hasUsableCandidate(candidates))) {
+            candidates = std::move(sample);
+            choice = choose(candidates);
+            if (choice) {
+                break;
+            }
+        }
     }
     candidateCount = candidates.size();
     return choice ? std::optional<PlacementCandidate>(candidates[*choice]) : std::nullopt;
 }
 
+std::vector<std::vector<PlacementCandidate>> StreamRequestHandler::otherGroupsCandidates(bool ownUsable) const
+{
+    const TimePoint now = Clock::now();
+    const EngineStage stage = this->servingStage();
+    if (!this->state.hasZoneGroups()) {
+        if (ownUsable) {
+            return {};
+        }
+        return {this->state.sampleOtherGroups(this->service, stage, this->excluded, now)};
+    }
+    const ServiceConfig *config = this->table->service(this->service);
+    const bool canRefuse = config != nullptr && config->engine && config->engine->reservationLifetime > Millis(0);
+    // Only engines that refuse what exceeds their room are safe from the requests of other groups. Late requests wait
+    // for those of the own group: room elsewhere is for requests that it can serve on time.
+    if (ownUsable && (!canRefuse || !this->capacityWait().isOnTime(now))) {
+        return {};
+    }
+    std::vector<std::vector<PlacementCandidate>> result;
+    for (const bool ofOwnZone : {true, false}) {
+        if (!ownUsable || this->state.mayAskOtherGroups(this->service, ofOwnZone, now)) {
+            result.push_back(this->state.sampleOtherGroups(this->service, stage, this->excluded, now, ofOwnZone));
+        }
+    }
+    return result;
+}
+
 bool StreamRequestHandler::chooseDecodeEngine()
 {
     this->workReservation = nullptr;
@@ -279,7 +314,8 @@
     const Millis maxLifetime = config != nullptr && config->engine ? config->engine->reservationLifetime : Millis(0);
     std::string token;
     if (maxLifetime > Millis(0)) {
-        const auto call = this->codec.reserveCall(this->reservedTokens(), std::min(maxLifetime, ReservationLifetime));
+        const auto call =
+            this->codec.reserveCall(this->reservedTokens(*target), std::min(maxLifetime, ReservationLifetime));
         RouterState &sharedState = this->state;
         const auto reserving = co_await sharedState.connections.open(target->server.address, ConnectTimeout);
         if (!reserving || callProgress->finished) {
@@ -293,6 +329,7 @@
         }
         const bool granted = status == ConnectionStatus::Ok && reserving->status() == 200;
         token = granted ? this->codec.decodeReservation(reserving->takeBody()).value_or("") : "";
+        sharedState.recordOverflow(this->service, *target, !token.empty(), Clock::now());
         if (token.empty()) {
             sharedState.markFull(target->server.id, Clock::now());
             co_return false;
@@ -323,10 +360,10 @@
                                                   this->estimate.millisPerToken * slowness)};
 }
 
-std::int64_t StreamRequestHandler::reservedTokens() const
+std::int64_t StreamRequestHandler::reservedTokens(const PlacementCandidate &engine) const
 {
     // At an engine of another group only the engine itself knows how full it is.
-    const double share = this->decodeCandidate.ofOtherGroup ? OutputMargin : ReservedOutputShare;
+    const double share = engine.ofOtherGroup ? OutputMargin : ReservedOutputShare;
     return this->request.promptTokens + std::int64_t(double(this->estimate.tokens) * share);
 }
 
--- a/src/include/cyclamencross/gateway/routersettings.h
+++ b/src/include/cyclamencross/gateway/routersettings.h
@@ -24,6 +24,10 @@
     std::string metricsAddress; ///< "IP:PORT"; empty: none.
     std::string storeAddress; ///< "IP:PORT" of the key-value store.
 
+    /// Whether groups of routers follow the availability zones where these have enough routers; see GroupPlan. Must be
+    /// the same at all routers: those that disagree count on peers that do not report to them.
+    bool groupsByZone = true;
+
     /// Share of the memory limit that the bodies of all requests and responses together may take. Caller connections
     /// take another 0.4 at the most; the rest is for everything else.
     static constexpr double BodyMemoryShare = 0.4;
