--- a/src/gateway/routersettings_test.cpp
+++ b/src/gateway/routersettings_test.cpp
@@ -83,3 +83,13 @@
     }
     CHECK(invalidKey("stop_grace_s = 8\n[router]\nbootstrap = yes") == "router.bootstrap");
 }
+
+TEST_CASE("Whether groups follow zones is optional and one of two words")
+{
+    // Guards against settings files without the key that become invalid, and against a misspelt word without effect.
+    CHECK(invalidKey("stop_grace_s = 8\n[groups]\nby_zone = auto").empty());
+    CHECK(invalidKey("stop_grace_s = 8\n[groups]\nby_zone = never").empty());
+    for (const char *word : {"", "Auto", "true", "always"}) {
+        CHECK(invalidKey(std::string("stop_grace_s = 8\n[groups]\nby_zone = ") + word) == "groups.by_zone");
+    }
+}
--- a/src/gateway/routerstatereports.cpp
+++ b/src/gateway/routerstatereports.cpp
@@ -170,7 +170,7 @@
 
 std::optional<PeerReport> RouterState::takeGroupReport(TimePoint now)
 {
-    if (!this->isPrimaryWatcher() || this->delegates.empty()
+    if (!this->isPrimaryWatcher() || this->otherDelegates().empty()
         || (this->sharedBackends.empty() && !this->quotas.isActive())
         || now - this->lastGroupReport < GroupReportPeriod) {
         return std::nullopt;
@@ -183,7 +183,7 @@
     report.sequence = ++this->groupReportSequence;
     report.isGroupReport = true;
     report.quota = this->takeQuotaReport(WorkspaceQuotas::Scope::Group, now);
-    for (const std::string &id : this->sharedBackends) {
+    for (const auto &[id, groups] : this->sharedBackends) {
         const BackendWork total = this->work->total(id);
         if (total != BackendWork()) {
             report.groupWork[id] = total;
@@ -196,11 +196,11 @@
 {
     std::erase_if(this->groupWork, [this, now](const auto &item) {
         const bool isDelegate =
-            std::any_of(this->delegates.begin(), this->delegates.end(),
+            std::any_of(this->sharingDelegates.begin(), this->sharingDelegates.end(),
                         [&item](const RouterMember &delegate) { return delegate.name == item.first; });
         return !isDelegate || now - item.second.second > GroupWorkLifetime;
     });
-    if (this->groupWork.size() < this->delegates.size()) {
+    if (this->groupWork.size() < this->sharingDelegates.size()) {
         return; // Without the work of each group, the extrapolation is more accurate.
     }
     this->otherGroupsWork.clear();
@@ -214,7 +214,7 @@
 
 const std::vector<RouterMember> &RouterState::otherDelegates() const
 {
-    return this->delegates;
+    return this->quotas.isActive() ? this->delegates : this->sharingDelegates;
 }
 
 bool RouterState::isNewer(const PeerReport &report, std::map<std::string, PeerSequence> &sequences)
