Quotas: fewer entries in reports, and counters that a new delegate does not count twice

A restarted delegate passed on what the former one had reported, and both counted until one was silent.

Change: only entries of a hundredth of the quota are repeated; what one delegate holds back counts once. The first report of a sender is the base of its counters, and a new delegate replaces the former one.

--- a/src/route/workspacequotareports.cpp
+++ b/src/route/workspacequotareports.cpp
@@ -19,6 +19,9 @@
 constexpr double NegligibleLevelShare = 0.1;
 constexpr double NegligibleDemandFactor = 8;
 constexpr Millis RepeatPeriod{500};
+// Part of the burst and of the rate of a second from which an entry is repeated, since it may have been lost. Smaller
+// ones become known with the next change.
+constexpr double RepeatedShare = 0.01;
 // Bounds the sum of the numbers of routers heard.
 constexpr std::uint32_t MaxHeard = 1'000'000;
 
@@ -38,7 +41,10 @@
         return false;
     }
     const WorkspaceBucket &bucket = workspace->second->bucket;
-    const double senderCount = double(scope == Scope::Router ? this->routers : this->groups);
+    // All receivers lack the same part of what one delegate holds back, so that it counts once.
+    const double senderCount = scope == Scope::Router ? double(this->routers)
+        : scope == Scope::Group                       ? double(this->groups)
+                                                      : 1;
     const double negligible =
         (bucket.quota().ratePerSecond * NegligibleSeconds + std::max(0.0, bucket.level()) * NegligibleLevelShare)
         / senderCount;
@@ -101,7 +107,10 @@
     due.resize(std::min(due.size(), maxEntries));
     for (const auto &[id, counter] : due) {
         report.usage.push_back(this->makeUsage(id, *counter, scope, now));
-        counter->repeat = std::exchange(counter->changed, false);
+        const WorkspaceQuota &quota = this->limitedById.at(id)->bucket.quota();
+        const double sent = std::abs(double(counter->used - counter->sentUsed));
+        counter->repeat =
+            std::exchange(counter->changed, false) && sent >= RepeatedShare * (quota.burst + quota.ratePerSecond);
         counter->offered = 0;
         counter->sentUsed = counter->used;
         counter->sentAt = now;
@@ -117,8 +126,15 @@
     if (!this->isActive() || tellsNothing) {
         return; // Only delegates know other groups.
     }
+    if (scope == Scope::OtherGroups) {
+        // A new delegate reports what the former one did; both together would count twice.
+        std::erase_if(this->senders, [&senderName](const auto &item) {
+            return item.first.first == Scope::OtherGroups && item.first.second != senderName;
+        });
+    }
     Sender &sender = this->senders[{scope, senderName}];
-    if (sender.incarnation != incarnation || now - sender.heardAt > ForgetTime) {
+    const bool isFirst = sender.incarnation != incarnation || now - sender.heardAt > ForgetTime;
+    if (isFirst) {
         sender = Sender{scope, incarnation, 0, now, {}};
     }
     const std::uint32_t heard = scope == Scope::Router ? 1 : std::min<std::uint32_t>(report.heard, MaxHeard);
@@ -132,9 +148,10 @@
             continue;
         }
         const auto [it, isNew] = sender.usage.try_emplace(entry.workspace);
-        // Of a sender whose earlier counter is not known, the admissions of the last moments count.
-        const double increase = isNew ? entry.admittedPerSecond * FadingRate::FadingSeconds
-                                      : double(std::int32_t(entry.used - it->second.used));
+        // The first report of a sender is the base of its counters: what it contains was withheld, or is known from
+        // the former delegate. Of a workspace that is reported later for the first time, the last moments count.
+        const double lately = isFirst ? 0 : entry.admittedPerSecond * FadingRate::FadingSeconds;
+        const double increase = isNew ? lately : double(std::int32_t(entry.used - it->second.used));
         it->second = Reported{entry.used, entry.admittedPerSecond, entry.demandPerSecond, now};
         this->advance(workspace->second->bucket, now);
         if (isReunited) {
--- a/src/route/workspacequotas_test.cpp
+++ b/src/route/workspacequotas_test.cpp
@@ -96,6 +96,27 @@
     CHECK(exchange.usedShare() >= (fault == "cut" || fault == "all restarted" ? 0.85 : 0.5));
 }
 
+TEST_CASE("Routers are replaced one after another, delegates among them")
+{
+    // Guards against restarts that each bring room of their own, and against counters that a new router takes for new.
+    const std::size_t routers = GENERATE(15, 100);
+    const double factor = GENERATE(0.8, 6.0);
+    QuotaExchange exchange(routers, skewed(8, 400));
+    const auto load = exchange.load(factor, exchange.anywhere());
+    exchange.run(Millis(3000), load);
+    for (std::size_t i = 0; i < 60; ++i) {
+        const std::size_t replaced = i * 7 % routers;
+        exchange.silent.insert(replaced);
+        exchange.run(Millis(300), load);
+        exchange.restart(replaced, false);
+        exchange.silent.erase(replaced);
+        exchange.run(Millis(100), load);
+    }
+    exchange.report("replaced");
+    CHECK(exchange.worst <= Bound);
+    CHECK(exchange.usedShare() >= 0.85);
+}
+
 TEST_CASE("A lowered quota holds from its configuration on, a raised one gives room at once")
 {
     // Guards against a bucket that keeps the level of a larger burst, and against a top-up that has to fill up first.
