Quotas: the slack that a deployment names extends the burst of small workspaces

Change: setting bounds.quota_slack; what it leaves above half a second of the rate, the error of the exchange, is added to the burst for four fifths. Buckets start with a tenth of it in a running system.

--- a/src/gateway/routersettings.cpp
+++ b/src/gateway/routersettings.cpp
@@ -126,6 +126,7 @@
         {"bounds.heartbeat_ms", durationRule(&RouterSettings::heartbeatPeriod, 1)},
         {"bounds.retry_ratio", ratioRule(&RouterSettings::retryRatio)},
         {"bounds.retry_slack", ratioRule(&RouterSettings::retrySlack)},
+        {"bounds.quota_slack", optionalRule(ratioRule(&RouterSettings::quotaSlack))},
         {"bounds.retry_window_s", durationRule(&RouterSettings::retryWindow, 1000)},
         {"bounds.order_pause_ms", durationRule(&RouterSettings::orderPause, 1)},
         {"bounds.revoke_ms", optionalRule(durationRule(&RouterSettings::revokeTime, 1))},
--- a/src/gateway/routersettings_test.cpp
+++ b/src/gateway/routersettings_test.cpp
@@ -82,6 +82,9 @@
         CHECK(invalidKey(std::string("stop_grace_s = 8\n[router]\nbootstrap = ") + value).empty());
     }
     CHECK(invalidKey("stop_grace_s = 8\n[router]\nbootstrap = yes") == "router.bootstrap");
+    CHECK(invalidKey("stop_grace_s = 8\nquota_slack =").empty());
+    CHECK(invalidKey("stop_grace_s = 8\nquota_slack = 190000").empty());
+    CHECK(invalidKey("stop_grace_s = 8\nquota_slack = much") == "bounds.quota_slack");
 }
 
 TEST_CASE("Whether groups follow zones is optional and one of two words")
--- a/src/gateway/routerstate.cpp
+++ b/src/gateway/routerstate.cpp
@@ -24,7 +24,7 @@
               this->logNamedLimit(backend, requestsPerSecond, before);
           }))
     , bodyMemory(std::make_shared<MemoryBudget>(this->settings.bodyMemoryBytes()))
-    , quotas(this->settings.bootstrap)
+    , quotas(this->settings.bootstrap, this->settings.quotaSlack)
     , retryBudget(this->settings.retryRatio, this->settings.retrySlack, this->settings.retryWindow)
     , crashes([this](const std::string &suspect) { return this->isTrialRouter(suspect); },
               [this](const std::string &suspect, int count) {
--- a/src/include/cyclamencross/gateway/routersettings.h
+++ b/src/include/cyclamencross/gateway/routersettings.h
@@ -48,6 +48,8 @@
     bool strictRevoke = false;
     /// The whole system starts for the first time, so that nothing of the quotas of workspaces can have been used.
     bool bootstrap = false;
+    /// How far the use of a workspace in some seconds may exceed its quota beyond a tenth, in requests or tokens.
+    double quotaSlack = 0;
     int maxAddressTtlSeconds = 5; ///< Longest time for which callers may cache an address.
 
     /// Returns the memory that the bodies of all requests and responses together may take, in bytes.
--- a/src/include/cyclamencross/route/workspacebucket.h
+++ b/src/include/cyclamencross/route/workspacebucket.h
@@ -12,7 +12,8 @@
 class WorkspaceBucket
 {
 public:
-    WorkspaceBucket(const WorkspaceQuota &quota, bool full, TimePoint now);
+    /// @param level what the bucket holds at first.
+    WorkspaceBucket(const WorkspaceQuota &quota, double level, TimePoint now);
 
     /// Refills the bucket.
     /// @param share part of the routers that are heard, from 0 to 1.
--- a/src/include/cyclamencross/route/workspacequotas.h
+++ b/src/include/cyclamencross/route/workspacequotas.h
@@ -45,7 +45,13 @@
     static constexpr std::size_t MaxReported = 256;
 
     /// @param startsFull whether the whole system starts for the first time, so that buckets are full.
-    explicit WorkspaceQuotas(bool startsFull);
+    /// @param slack how far the use in a window may exceed each quota, in its unit; see tolerantQuota().
+    explicit WorkspaceQuotas(bool startsFull, double slack = 0);
+
+    /// Returns the quota by which requests are admitted: that of the configuration, with a burst that is larger by what
+    /// the slack leaves once the error of the exchange between routers has been taken off. A limit that is measured
+    /// over seconds thus does not refuse the short bursts of a small workspace that it allows.
+    WorkspaceQuota tolerantQuota(const WorkspaceQuota &quota) const;
 
     /// Applies a configuration. Workspaces that the first one contains start as the constructor says, later ones full.
     void configure(const std::vector<WorkspaceConfig> &workspaces, TimePoint now);
@@ -140,6 +146,7 @@
     QuotaUsage makeUsage(std::uint64_t id, const Counter &counter, Scope scope, TimePoint now) const;
 
     bool startsFull;
+    double slack;
     bool configured = false;
     std::size_t routers = 1;
     std::size_t groups = 1;
--- a/src/route/workspacebucket.cpp
+++ b/src/route/workspacebucket.cpp
@@ -5,9 +5,9 @@
 namespace Cyclamen
 {
 
-WorkspaceBucket::WorkspaceBucket(const WorkspaceQuota &quota, bool full, TimePoint now)
+WorkspaceBucket::WorkspaceBucket(const WorkspaceQuota &quota, double level, TimePoint now)
     : limit(quota)
-    , available(full ? quota.burst : 0)
+    , available(level)
     , last(now)
     , wholeSince(now)
 {
--- a/src/route/workspacequotas.cpp
+++ b/src/route/workspacequotas.cpp
@@ -28,6 +28,12 @@
 constexpr double PeerLagSeconds = 0.06;
 constexpr double GroupLagSeconds = 0.11;
 constexpr double OtherGroupsLagSeconds = 0.16;
+// Largest error of the exchange that the slack has to cover, in time at the rate; see docs/design/quotas.md.
+constexpr double ExchangeErrorSeconds = 0.5;
+// Part of the rest of the slack that is added to the burst, and part of the slack with which buckets start in a running
+// system: what was used before a restart of all routers is not known.
+constexpr double BurstShareOfSlack = 0.8;
+constexpr double StartShareOfSlack = 0.1;
 // Longest wait that a refusal names. Callers that are told to wait longer would be late for a raised quota.
 constexpr Millis MaxRetryAfter{30000};
 constexpr Millis MinRetryAfter{50};
@@ -39,11 +45,20 @@
     return this->verdict == Verdict::Unlimited || this->verdict == Verdict::Admitted;
 }
 
-WorkspaceQuotas::WorkspaceQuotas(bool startsFull)
+WorkspaceQuotas::WorkspaceQuotas(bool startsFull, double slack)
     : startsFull(startsFull)
+    , slack(slack)
 {
 }
 
+WorkspaceQuota WorkspaceQuotas::tolerantQuota(const WorkspaceQuota &quota) const
+{
+    WorkspaceQuota tolerant = quota;
+    const double left = this->slack - quota.ratePerSecond * ExchangeErrorSeconds;
+    tolerant.burst += std::max(0.0, left) * BurstShareOfSlack;
+    return tolerant;
+}
+
 std::uint64_t WorkspaceQuotas::idOf(const WorkspaceConfig &workspace)
 {
     return hash64(workspace.name, std::uint64_t(workspace.quota.unit));
@@ -58,15 +73,17 @@
             continue;
         }
         const std::uint64_t id = idOf(config);
+        const WorkspaceQuota quota = this->tolerantQuota(config.quota);
         const auto known = before.find(config.name);
         if (known != before.end() && known->second.id == id) {
             this->advance(known->second.bucket, now);
-            known->second.bucket.changeQuota(config.quota);
+            known->second.bucket.changeQuota(quota);
             this->limited.insert(before.extract(known));
         } else {
             const bool full = this->startsFull || this->configured;
+            const double level = full ? quota.burst : std::min(quota.burst, this->slack * StartShareOfSlack);
             this->limited.emplace(config.name,
-                                  Workspace{config.name, id, WorkspaceBucket(config.quota, full, now), {}, {}, 0, now});
+                                  Workspace{config.name, id, WorkspaceBucket(quota, level, now), {}, {}, 0, now});
         }
         this->limitedById[id] = &this->limited.at(config.name);
     }
--- a/src/route/workspacequotas_test.cpp
+++ b/src/route/workspacequotas_test.cpp
@@ -1,5 +1,6 @@
 #include "quotaexchange_test.h"
 
+#include <algorithm>
 #include <set>
 #include <string>
 
@@ -236,3 +237,57 @@
     CHECK(quotas.takeReport(Scope::Router, now) == QuotaReport());
     CHECK(quotas.takeReport(Scope::Group, now) == QuotaReport());
 }
+
+TEST_CASE("Short bursts of a small workspace fit into the slack of its quota, and no window exceeds it")
+{
+    // Load: a workspace that is asked for four times its rate for 3 s, then five times for 20 s, as on a day with
+    // bursts. Guards against refusals of what a limit that is measured over 8 s allows, and against a burst beyond the
+    // limit.
+    constexpr double Rate = 17000;
+    constexpr double Slack = 190000;
+    constexpr double Cost = 3400;
+    constexpr Millis Step{10};
+    constexpr std::size_t WindowSteps = 800;
+    WorkspaceConfig config{"small", std::nullopt, WorkspaceQuota{WorkspaceQuota::Unit::Tokens, Rate, Rate, 200}};
+    WorkspaceQuotas quotas(true, Slack);
+    TimePoint now{std::chrono::hours(1)};
+    quotas.configure({config}, now);
+    std::vector<double> used;
+    const auto run = [&](int steps, double factor) {
+        int refused = 0;
+        double due = 0;
+        for (int i = 0; i < steps; ++i, now += Step) {
+            used.push_back(0);
+            for (due += Rate * factor * toSeconds(Step); due >= Cost; due -= Cost) {
+                const bool admitted = quotas.admit("small", std::int64_t(Cost), 0.5, now).isAdmitted();
+                used.back() += admitted ? Cost : 0;
+                refused += admitted ? 0 : 1;
+            }
+        }
+        return refused;
+    };
+    CHECK(run(300, 4) == 0);
+    CHECK(run(2000, 5) > 0);
+    double window = 0;
+    double worst = 0;
+    for (std::size_t i = 0; i < used.size(); ++i) {
+        window += used[i] - (i >= WindowSteps ? used[i - WindowSteps] : 0);
+        worst = std::max(worst, window);
+    }
+    CHECK(worst <= (Rate * 8 + Rate) * Bound + Slack);
+    CHECK(worst >= (Rate * 8 + Rate) * Bound);
+}
+
+TEST_CASE("The slack of a window is left to the exchange of reports if the workspace is large or the use is not known")
+{
+    // Guards against a large workspace whose routers overshoot while the burst has already taken the slack, and against
+    // a restart of all routers that gives a second burst.
+    WorkspaceConfig large{"large", std::nullopt, WorkspaceQuota{WorkspaceQuota::Unit::Tokens, 500000, 500000, 200}};
+    CHECK(WorkspaceQuotas(true, 190000).tolerantQuota(large.quota) == large.quota);
+    WorkspaceConfig small{"small", std::nullopt, WorkspaceQuota{WorkspaceQuota::Unit::Tokens, 17000, 17000, 200}};
+    WorkspaceQuotas restarted(false, 190000);
+    const TimePoint now{std::chrono::hours(1)};
+    restarted.configure({small}, now);
+    CHECK(restarted.admit("small", 15000, 0.5, now).isAdmitted());
+    CHECK_FALSE(restarted.admit("small", 15000, 0.5, now).isAdmitted());
+}
