Quotas: Retry-After leaves room for new requests and differs between routers

Cause: refusals promised the whole rate, which new requests take as well while the overload lasts, and each router promised its first turn at once. In a test in which callers return when told, after 3 s of six times the quota at 100 routers, 721 of 1,426 refused callers were refused again.

Change: refusals promise 0.7 of the rate. The first turn of a router is at a random time of its interval, by the part of the demand that others have.

--- a/src/include/cyclamencross/route/workspacequotas.h
+++ b/src/include/cyclamencross/route/workspacequotas.h
@@ -135,7 +135,7 @@
     Others others(std::uint64_t workspace, TimePoint now) const;
     Workspace *find(const std::string &name);
     /// Returns how long a refused request should wait.
-    Millis retryAfter(Workspace &workspace, const QuotaDecision &decision, TimePoint now) const;
+    Millis retryAfter(Workspace &workspace, const QuotaDecision &decision, double random, TimePoint now) const;
     bool isDue(const Counter &counter, std::uint64_t id, Scope scope, TimePoint now) const;
     QuotaUsage makeUsage(std::uint64_t id, const Counter &counter, Scope scope, TimePoint now) const;
 
--- a/src/route/quotaexchange_test.h
+++ b/src/route/quotaexchange_test.h
@@ -93,6 +93,7 @@
             this->tickUse[workspace] += cost;
             this->usedSum += cost / config.quota.ratePerSecond;
         }
+        this->lastRetryAfter = decision.retryAfter;
         return decision.isAdmitted();
     }
     /// Runs for a time; `load` sends the requests of one tick.
@@ -137,6 +138,10 @@
     {
         return [this] { return this->anyRouter(); };
     }
+    static TimePoint start()
+    {
+        return Start;
+    }
     /// Part of what one exact bucket admits.
     double usedShare() const
     {
@@ -160,6 +165,7 @@
     std::vector<WorkspaceConfig> workspaces;
     std::function<bool(std::size_t, std::size_t)> isCut = [](std::size_t, std::size_t) { return false; };
     std::set<std::size_t> silent; // Killed or frozen.
+    Millis lastRetryAfter{0}; ///< Of the last request that was refused.
     TimePoint now = Start;
     /// Largest use in 8 s over (rate x 8 s + burst), less the slack of half a second of the largest rate.
     double worst = 0;
--- a/src/route/workspacequotas.cpp
+++ b/src/route/workspacequotas.cpp
@@ -31,6 +31,10 @@
 // Longest wait that a refusal names. Callers that are told to wait longer would be late for a raised quota.
 constexpr Millis MaxRetryAfter{30000};
 constexpr Millis MinRetryAfter{50};
+constexpr double RandomDigits = 4096;
+// Part of the rate that refusals promise; new requests take the rest. With the whole rate, half of the callers are
+// refused again while the overload lasts.
+constexpr double PromisedShare = 0.7;
 
 }
 
@@ -66,7 +70,7 @@
         } else {
             const bool full = this->startsFull || this->configured;
             this->limited.emplace(config.name,
-                                  Workspace{config.name, id, WorkspaceBucket(config.quota, full, now), {}, {}, 0, now});
+                                  Workspace{config.name, id, WorkspaceBucket(config.quota, full, now), {}, {}, 0, {}});
         }
         this->limitedById[id] = &this->limited.at(config.name);
     }
@@ -207,7 +211,7 @@
         workspace->admitted.add(taken, now);
     } else if (!decision.isAdmitted()) {
         ++workspace->refused;
-        decision.retryAfter = this->retryAfter(*workspace, decision, now);
+        decision.retryAfter = this->retryAfter(*workspace, decision, random, now);
     }
     for (const Scope scope : {Scope::Router, Scope::Group}) {
         this->counters[std::size_t(scope)][workspace->id].add(taken, cost);
@@ -215,7 +219,8 @@
     return decision;
 }
 
-Millis WorkspaceQuotas::retryAfter(Workspace &workspace, const QuotaDecision &decision, TimePoint now) const
+Millis WorkspaceQuotas::retryAfter(Workspace &workspace, const QuotaDecision &decision, double random,
+                                   TimePoint now) const
 {
     if (decision.verdict == QuotaDecision::Verdict::TooLarge) {
         return MaxRetryAfter;
@@ -226,10 +231,14 @@
     // The callers that this router refuses get its part of the rate, one after another.
     const double maxSeconds = toSeconds(MaxRetryAfter);
     const double ownDemand = workspace.demand.at(now);
-    const double ownRate = decision.ratePerSecond * ownDemand / std::max(decision.demandPerSecond, ownDemand);
+    const double ownShare = ownDemand / std::max(decision.demandPerSecond, ownDemand);
+    const double ownRate = decision.ratePerSecond * ownShare * PromisedShare;
     const double room = std::max(0.0, (decision.cost - decision.level) / std::max(decision.ratePerSecond, 1e-9));
     const double turn = decision.cost / std::max(ownRate, 1e-9);
-    const TimePoint earliest = now + toDuration(std::min(room, maxSeconds));
+    // Other routers promise room from the same moment on. The first turn of each is at a random time of its interval;
+    // a refusal depends on the random number itself, but not on its lower digits.
+    const double phase = std::fmod(random * RandomDigits, 1) * (1 - ownShare) * turn;
+    const TimePoint earliest = now + toDuration(std::min(room + phase, maxSeconds));
     const TimePoint latest = now + MaxRetryAfter;
     workspace.promisedUntil =
         std::max(earliest, std::min(latest, workspace.promisedUntil + toDuration(std::min(turn, maxSeconds))));
