--- a/src/gateway/routerstate.h
+++ b/src/gateway/routerstate.h
@@ -143,7 +143,8 @@
     /// requests too; std::nullopt if there are none. The rest of the report would fill the links of small hosts.
     static std::optional<PeerReport> crashNews(const PeerReport &report);
     /// Returns the next report to the delegates of the other groups; std::nullopt if this router is not the delegate of
-    /// its group, all groups have their own backend servers and no workspace is limited, or the last report is younger than GroupReportPeriod.
+    /// its group, all groups have their own backend servers and no workspace is limited, or the last report is younger
+    /// than GroupReportPeriod.
     std::optional<PeerReport> takeGroupReport(TimePoint now);
     /// Returns the delegates of the other groups. The delegate of a group is its primary watcher.
     const std::vector<RouterMember> &otherDelegates() const;
