--- a/src/gateway/routerstate.h
+++ b/src/gateway/routerstate.h
@@ -156,7 +156,8 @@
     /// requests too; std::nullopt if there are none. The rest of the report would fill the links of small hosts.
     static std::optional<PeerReport> crashNews(const PeerReport &report);
     /// Returns the next report to the delegates of the other groups; std::nullopt if this router is not the delegate of
-    /// its group, all groups have their own backend servers and no workspace is limited, or the last report is younger than GroupReportPeriod.
+    /// its group, all groups have their own backend servers and no workspace is limited, or the last report is younger
+    /// than GroupReportPeriod.
     std::optional<PeerReport> takeGroupReport(TimePoint now);
     /// Returns the delegates of the other groups that get this router's group reports: those whose groups share backend
     /// servers with this one or, if workspaces are limited, all. The delegate of a group is its primary watcher.
