--- a/src/include/cyclamencross/route/backendworktracker.h
+++ b/src/include/cyclamencross/route/backendworktracker.h
@@ -30,6 +30,8 @@
     void expire(TimePoint now);
     /// Returns the work that all routers have placed on @p backend.
     BackendWork total(const std::string &backend) const;
+    /// Returns the work that all routers have placed on each key from @p from to before @p to.
+    std::map<std::string, BackendWork> totals(const std::string &from, const std::string &to) const;
     /// Returns the work of this router by backend server.
     const std::map<std::string, BackendWork> &own() const;
 
--- a/src/include/cyclamencross/route/capacitywait.h
+++ b/src/include/cyclamencross/route/capacitywait.h
@@ -17,6 +17,18 @@
         Try, ///< Try to find a backend server with free capacity.
         Yield, ///< Leave free capacity to requests that can still be on time.
         TryLast, ///< Try a last time, then give up: it is too late to be useful.
+        GiveUp, ///< Give up without a further try: the room belongs to others.
+    };
+
+    /// What a request knows of others that need room at the same backend servers, if these have an order.
+    struct Others
+    {
+        bool aheadHere = false; ///< One at this router goes first.
+        bool moreUrgentInGroup = false; ///< One of a more urgent class waits on time at a router of the group.
+        bool onTimeInGroup = false; ///< Any other waits on time at a router of the group.
+        Millis expectedWait{0}; ///< Behind the more urgent ones.
+
+        bool operator==(const Others &) const = default;
     };
 
     /// Shortest delay between two attempts, for requests that can still be on time and for late ones. The longer delay
@@ -36,6 +48,9 @@
     /// Returns what the request does at @p now.
     /// @param othersOnTime whether other requests that can still be on time wait for the same backend servers.
     Action nextAction(TimePoint now, bool othersOnTime) const;
+    /// Returns what a request does at @p now whose service has an order of urgency. A request that is not expected to
+    /// get room before its wait ends gives up at once, so that its caller can return while there is time.
+    Action nextAction(TimePoint now, const Others &others) const;
     /// Returns the delay before the next attempt, which is up to twice the shortest one.
     /// @param random number from 0 to 1; spreads the attempts of requests that arrived together.
     Millis retryDelay(TimePoint now, double random) const;
--- a/src/include/cyclamencross/route/fleetretrybudget.h
+++ b/src/include/cyclamencross/route/fleetretrybudget.h
@@ -29,8 +29,9 @@
     void addRequest(const std::string &service, TimePoint now);
     /// Takes one retry from the budget if it is not used up.
     /// @param routers number of routers that share the extra retries.
+    /// @param share part of the budget that the request may use up; the rest is kept for more urgent ones.
     /// @return whether the retry is allowed.
-    bool takeRetry(const std::string &service, std::size_t routers, TimePoint now);
+    bool takeRetry(const std::string &service, std::size_t routers, TimePoint now, double share = 1);
 
 private:
     struct Window
--- a/src/include/cyclamencross/route/retryafter.h
+++ b/src/include/cyclamencross/route/retryafter.h
@@ -22,6 +22,12 @@
 /// @param timeLeft time for which the caller still waits.
 /// @param random number from 0 to 1.
 Millis afterOverload(Millis timeLeft, double random);
+/// Returns the delay after a refusal behind more urgent requests: the expected wait for room, within the bounds of
+/// afterOverload().
+/// @param expectedWait until there is room for the request.
+/// @param timeLeft time for which the caller still waits.
+/// @param random number from 0 to 1.
+Millis behindUrgent(Millis expectedWait, Millis timeLeft, double random);
 /// Returns the delay after a refusal because all backend servers have told this router to pause. No request is served
 /// before the first pause ends; the callers of a longer pause are more, so they are spread over a longer time.
 /// @param remaining time until the first pause ends.
--- a/src/include/cyclamencross/route/routetable.h
+++ b/src/include/cyclamencross/route/routetable.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -32,6 +33,11 @@
     /// Returns the service called @p name, or nullptr if there is none.
     const ServiceConfig *service(const std::string &name) const;
     std::size_t routeCount() const;
+    /// Returns the priorities that requests to a service can have, by their routes and workspaces.
+    const std::set<int> &priorities(const std::string &service) const;
+    /// Returns whether requests to a service have an order of urgency: their priorities differ, or several workspaces
+    /// use it.
+    bool hasOrder(const std::string &service) const;
     /// Returns whether the configuration has workspaces, so that requests need an API key.
     bool hasWorkspaces() const;
     const std::vector<WorkspaceConfig> &workspaces() const;
@@ -47,6 +53,8 @@
     /// Routes by host and path prefix.
     std::map<std::string, std::map<std::string, RouteConfig, std::less<>>, std::less<>> routes;
     std::map<std::string, ServiceConfig> services;
+    std::map<std::string, std::set<int>> prioritiesByService;
+    std::set<std::string> sharedServices; ///< Those that several workspaces use.
     std::vector<WorkspaceConfig> workspaceConfigs;
     /// Sorted by hash, with the index of the workspace.
     std::vector<std::pair<ApiKeyHash, std::uint32_t>> apiKeys;
--- a/src/include/cyclamencross/route/routetablebuilder.h
+++ b/src/include/cyclamencross/route/routetablebuilder.h
@@ -21,6 +21,8 @@
     RouteTable build() const;
 
 private:
+    /// Sets what RouteTable::priorities() and RouteTable::hasOrder() return.
+    static void collectPriorities(RouteTable &table);
     RouteTable table;
 };
 
--- a/src/route/backendworktracker.cpp
+++ b/src/route/backendworktracker.cpp
@@ -53,6 +53,17 @@
     return sum;
 }
 
+std::map<std::string, BackendWork> BackendWorkTracker::totals(const std::string &from, const std::string &to) const
+{
+    std::map<std::string, BackendWork> result;
+    for (const auto *works : {&this->ownWork, &this->peerTotals}) {
+        for (auto it = works->lower_bound(from); it != works->end() && it->first < to; ++it) {
+            result[it->first] += it->second;
+        }
+    }
+    return result;
+}
+
 const std::map<std::string, BackendWork> &BackendWorkTracker::own() const
 {
     return this->ownWork;
--- a/src/route/capacitywait.cpp
+++ b/src/route/capacitywait.cpp
@@ -29,6 +29,15 @@
     return othersOnTime && !this->isOnTime(now) ? Action::Yield : Action::Try;
 }
 
+CapacityWait::Action CapacityWait::nextAction(TimePoint now, const Others &others) const
+{
+    const bool isBehind = others.aheadHere || (this->isOnTime(now) ? others.moreUrgentInGroup : others.onTimeInGroup);
+    if (!isBehind) {
+        return now >= this->end ? Action::TryLast : Action::Try;
+    }
+    return now + others.expectedWait >= this->end ? Action::GiveUp : Action::Yield;
+}
+
 Millis CapacityWait::retryDelay(TimePoint now, double random) const
 {
     const Millis shortest = this->isOnTime(now) ? OnTimeRetryDelay : LateRetryDelay;
--- a/src/route/fleetretrybudget.cpp
+++ b/src/route/fleetretrybudget.cpp
@@ -32,12 +32,12 @@
     removeBefore(window.requests, now - this->windowLength);
 }
 
-bool FleetRetryBudget::takeRetry(const std::string &service, std::size_t routers, TimePoint now)
+bool FleetRetryBudget::takeRetry(const std::string &service, std::size_t routers, TimePoint now, double share)
 {
     Window &window = this->windows[service];
     removeBefore(window.requests, now - this->windowLength);
     removeBefore(window.retries, now - this->windowLength);
-    const double allowed = SafetyFactor
+    const double allowed = share * SafetyFactor
         * (this->ratio * double(window.requests.size()) + this->slack / double(std::max<std::size_t>(routers, 1)));
     if (double(window.retries.size() + 1) > allowed) {
         return false;
--- a/src/route/routetable.cpp
+++ b/src/route/routetable.cpp
@@ -66,6 +66,18 @@
     return count;
 }
 
+const std::set<int> &RouteTable::priorities(const std::string &service) const
+{
+    static const std::set<int> none;
+    const auto it = this->prioritiesByService.find(service);
+    return it == this->prioritiesByService.end() ? none : it->second;
+}
+
+bool RouteTable::hasOrder(const std::string &service) const
+{
+    return this->priorities(service).size() > 1 || this->sharedServices.contains(service);
+}
+
 bool RouteTable::hasWorkspaces() const
 {
     return !this->workspaceConfigs.empty();
--- a/src/route/routetablebuilder.cpp
+++ b/src/route/routetablebuilder.cpp
@@ -43,12 +43,42 @@
     return *this;
 }
 
+void RouteTableBuilder::collectPriorities(RouteTable &table)
+{
+    std::set<int> ofWorkspaces;
+    bool routesDecide = table.workspaceConfigs.empty();
+    for (const WorkspaceConfig &workspace : table.workspaceConfigs) {
+        if (workspace.priority) {
+            ofWorkspaces.insert(*workspace.priority);
+        } else {
+            routesDecide = true;
+        }
+    }
+    for (const auto &[host, byPrefix] : table.routes) {
+        for (const auto &[prefix, route] : byPrefix) {
+            for (const WeightedService &service : route.services) {
+                std::set<int> &priorities = table.prioritiesByService[service.service];
+                if (routesDecide || route.isPublic) {
+                    priorities.insert(route.priority);
+                }
+                if (!route.isPublic) {
+                    priorities.insert(ofWorkspaces.begin(), ofWorkspaces.end());
+                }
+                if (!route.isPublic && table.workspaceConfigs.size() > 1) {
+                    table.sharedServices.insert(service.service);
+                }
+            }
+        }
+    }
+}
+
 RouteTable RouteTableBuilder::build() const
 {
     RouteTable sorted = this->table;
     std::sort(sorted.apiKeys.begin(), sorted.apiKeys.end());
     const auto isSameKey = [](const auto &a, const auto &b) { return a.first == b.first; };
     sorted.apiKeys.erase(std::unique(sorted.apiKeys.begin(), sorted.apiKeys.end(), isSameKey), sorted.apiKeys.end());
+    collectPriorities(sorted);
     return sorted;
 }
 
