Gateway: requests that need room go by urgency

Waiting requests poll at random, yield only if late, and nothing reads the priority.

Change: WaitOrder is the place of a request in the queue of its router and, by class, in the reports of the group; CapacityWaiter asks it. Requests behind more urgent ones neither try nor reserve; hopeless ones are refused at once, with a Retry-After for when there is likely to be room. Retries of the least urgent leave half of the budget. Engines get Request-Priority. Reports name the classes that wait and the twelve workspaces with the most work, in the map `waiting`, whose form stays. Log lines placement, no-room and waited-for-room say class, turn, who was ahead and why a request was refused; metrics cyclamencross_urgency_waiting, _yielded_total and _refused_total by priority. Services whose requests all have one priority and one workspace are not touched.

--- a/src/gateway/capacitywaiter.cpp
+++ b/src/gateway/capacitywaiter.cpp
@@ -2,22 +2,37 @@
 
 #include "asioutil.h"
 #include "routerstate.h"
+#include "waitorder.h"
 
 namespace Cyclamen
 {
 
-CapacityWaiter::CapacityWaiter(RouterState &state, std::string service, const CapacityWait &wait, bool endsWithStop)
+CapacityWaiter::CapacityWaiter(RouterState &state, std::string service, const CapacityWait &wait, bool endsWithStop,
+                               std::unique_ptr<WaitOrder> order)
     : state(state)
     , service(std::move(service))
     , wait(wait)
     , endsWithStop(endsWithStop)
+    , placeInOrder(std::move(order))
 {
 }
 
-CapacityWait::Action CapacityWaiter::nextAction() const
+CapacityWaiter::~CapacityWaiter() = default;
+
+CapacityWait::Action CapacityWaiter::nextAction()
 {
     const TimePoint now = Clock::now();
-    if (this->endsWithStop && this->state.stopSchedule && now >= this->state.stopSchedule->refuseAt()) {
+    const bool isStopped =
+        this->endsWithStop && this->state.stopSchedule && now >= this->state.stopSchedule->refuseAt();
+    if (this->placeInOrder) {
+        const CapacityWait::Others others = this->placeInOrder->others(this->reservation != nullptr, now);
+        const auto lastAction =
+            this->wait.isBehind(now, others) ? CapacityWait::Action::GiveUp : CapacityWait::Action::TryLast;
+        const CapacityWait::Action action = isStopped ? lastAction : this->wait.nextAction(now, others);
+        this->placeInOrder->recordAction(action, others, now);
+        return action;
+    }
+    if (isStopped) {
         return CapacityWait::Action::TryLast;
     }
     const bool othersOnTime = this->state.waiting->total(this->service).requests > (this->reservation ? 1 : 0);
@@ -33,7 +48,15 @@
         this->reservation =
             std::make_unique<WorkReservation>(this->state.waiting, this->service, BackendWork{1, 0, {}});
     }
+    if (this->placeInOrder) {
+        this->placeInOrder->report(now);
+    }
     co_await sleepFor(this->wait.retryDelay(now, this->state.random()));
 }
 
+WaitOrder *CapacityWaiter::order() const
+{
+    return this->placeInOrder.get();
+}
+
 }
--- a/src/gateway/peerreport.h
+++ b/src/gateway/peerreport.h
@@ -52,7 +52,8 @@
     bool knowsOtherGroups = false; ///< `otherGroupsWork` is known, even if it is empty.
     bool isGroupReport = false; ///< Sent between delegates.
     bool isCrashNews = false; ///< Contains only `crashes` and `servedSuspects`. Sent to routers of other groups.
-    /// Requests that wait for capacity and can be on time, by service; replaces that of earlier reports.
+    /// Requests that wait for capacity and can be on time, by service; for services with an order of urgency also by
+    /// class, and the work in progress of the largest workspaces (see WaitingKeys). Replaces that of earlier reports.
     std::map<std::string, BackendWork> waiting;
     /// Number of calls that backend servers reported in their latest responses.
     std::map<std::string, std::int64_t> reportedCalls;
--- a/src/gateway/plainrequesthandler.cpp
+++ b/src/gateway/plainrequesthandler.cpp
@@ -4,6 +4,7 @@
 #include "httpsession.h"
 #include "requestpermit.h"
 #include "routerstate.h"
+#include "waitorder.h"
 #include "workreservation.h"
 
 #include "cyclamencross/base/logline.h"
@@ -26,6 +27,8 @@
 constexpr double OnTimeShare = 0.4;
 // Share of the remaining time that a request waits for capacity. The rest is left for the caller's next attempt.
 constexpr double MaxWaitShare = 0.4;
+// Expected work of a call, for the shares of workspaces: nothing in a call tells more.
+constexpr std::int64_t CallWork = 1;
 
 }
 
@@ -77,8 +80,9 @@
     const Millis target = this->route.targetLatency;
     const auto maxWait = std::chrono::duration_cast<Millis>((this->deadline - start) * MaxWaitShare);
     const auto onTimeFor = std::chrono::duration_cast<Millis>(target * OnTimeShare);
-    CapacityWaiter waiter(this->state, this->service, CapacityWait(this->request.received, onTimeFor, maxWait),
-                          !this->mayHaveExecuted);
+    const CapacityWait wait(this->request.received, onTimeFor, maxWait);
+    CapacityWaiter waiter(this->state, this->service, wait, !this->mayHaveExecuted,
+                          this->makeWaitOrder(wait, CallWork));
     std::optional<std::vector<PlacementCandidate>> availableCandidates;
     while (!this->shouldStop()) {
         const CapacityWait::Action action = waiter.nextAction();
@@ -89,21 +93,29 @@
         }
         const auto available =
             Placement::choosePlain(candidates, 1 + Placement::MaxQueuedCallsPerSlot, [] { return 0.0; });
-        if (action != CapacityWait::Action::Yield && available) {
+        const bool tries = action == CapacityWait::Action::Try || action == CapacityWait::Action::TryLast;
+        if (tries && available) {
             availableCandidates = std::move(candidates);
+            this->recordRoom(waiter.order(), CallWork);
         }
-        if (availableCandidates || action == CapacityWait::Action::TryLast) {
+        if (availableCandidates || action == CapacityWait::Action::TryLast || action == CapacityWait::Action::GiveUp) {
             break;
         }
         co_await waiter.pause();
     }
     const auto waited = std::chrono::duration_cast<Millis>(Clock::now() - start);
     if (waited >= CapacityWait::OnTimeRetryDelay) {
-        LogLine("waited-for-room")
-            .add("request", this->request.id)
+        LogLine line("waited-for-room");
+        line.add("request", this->request.id)
             .add("ms", std::int64_t(waited.count()))
-            .add("found", availableCandidates.has_value())
-            .write();
+            .add("found", availableCandidates.has_value());
+        if (waiter.order() != nullptr) {
+            waiter.order()->describe(line);
+        }
+        line.write();
+    }
+    if (!availableCandidates) {
+        this->recordNoRoom(waiter.order());
     }
     co_return availableCandidates;
 }
--- a/src/gateway/requesthandler.cpp
+++ b/src/gateway/requesthandler.cpp
@@ -4,6 +4,7 @@
 #include "httpsession.h"
 #include "requestpermit.h"
 #include "routerstate.h"
+#include "workreservation.h"
 
 #include "cyclamencross/base/hash.h"
 #include "cyclamencross/base/logline.h"
@@ -43,6 +44,8 @@
     }
 }
 
+// Engines know the priorities 0 to 9.
+constexpr int LeastUrgentAtEngine = 9;
 // Longer ids of prompt parts are replaced by a hash, since crash reports must fit into a datagram.
 constexpr std::size_t MaxPartIdLength = 32;
 
@@ -170,6 +173,9 @@
     if (this->table->hasWorkspaces()) {
         call.workspace = this->workspace != nullptr ? this->workspace->name : std::string();
     }
+    if (call.stage != EngineStage::None && this->table->priorities(this->service).size() > 1) {
+        call.priority = std::clamp(this->priority(), 0, LeastUrgentAtEngine);
+    }
     call.backendId = server.id;
     call.timeLeft = std::max(Millis(1), this->timeLeft());
     std::string message = this->request.method + " " + this->request.target + " HTTP/1.1\r\n"
@@ -256,7 +262,8 @@
     if (this->budgetedCalls == 0 || this->retryReserved) {
         return true;
     }
-    this->retryReserved = this->state.retryBudget.takeRetry(this->service, this->state.routerCount(), Clock::now());
+    this->retryReserved =
+        this->state.retryBudget.takeRetry(this->service, this->state.routerCount(), Clock::now(), this->retryShare());
     this->state.metrics.count("cyclamencross_retries_total", {{"result", this->retryReserved ? "allowed" : "denied"}});
     return this->retryReserved;
 }
@@ -356,6 +363,9 @@
         const auto remaining = std::chrono::ceil<Millis>(*silentUntil - Clock::now());
         return RetryAfter::afterPause(remaining, this->state.random());
     }
+    if (this->overloaded && this->waitBehindUrgent) {
+        return RetryAfter::behindUrgent(*this->waitBehindUrgent, this->callerTimeLeft(), this->state.random());
+    }
     // It is not known when other servers replace those that leave.
     return this->overloaded || silentUntil ? RetryAfter::afterOverload(this->callerTimeLeft(), this->state.random())
                                            : this->state.retryAfterDelay();
--- a/src/gateway/requesthandler.h
+++ b/src/gateway/requesthandler.h
@@ -21,9 +21,12 @@
 
 class HttpClientConnection;
 class HttpSession;
+class CapacityWait;
 class RequestPermit;
 class RouterState;
 class RouteTable;
+class WaitOrder;
+class WorkReservation;
 struct RouterRequest;
 struct WorkspaceConfig;
 
@@ -109,6 +112,17 @@
     std::string noCapacityReason();
     /// Returns whether the route allows another attempt.
     bool hasAttemptsLeft() const;
+    /// Returns the place of the request in the order of urgency of its service; nullptr if the service has none.
+    /// @param wait during which the request looks for room.
+    /// @param tokens expected work.
+    std::unique_ptr<WaitOrder> makeWaitOrder(const CapacityWait &wait, std::int64_t tokens);
+    /// Counts the work of a request that has found room towards the share of its workspace, and the room for the
+    /// estimates of others.
+    /// @param order of the request; nullptr if its service has none.
+    void recordRoom(WaitOrder *order, std::int64_t tokens);
+    /// Records why the request found no room, for its refusal and the metrics.
+    /// @param order of the request; nullptr if its service has none.
+    void recordNoRoom(const WaitOrder *order);
     /// Returns the priority of the workspace or, if it has none, that of the route; 0 is the most urgent.
     int priority() const;
     Millis timeLeft() const;
@@ -142,6 +156,8 @@
     int unreachableCount = 0; ///< Backend servers that could not be reached.
     bool mayHaveExecuted = false; ///< A backend server may have executed the request.
     bool overloaded = false; ///< No backend server had capacity for as long as the request may wait.
+    /// Expected wait behind more urgent requests, if the request was refused for it.
+    std::optional<Millis> waitBehindUrgent;
     bool retryReserved = false; ///< A retry was taken from the budget and not sent yet.
     BackendResponseHead response; ///< Head of the current response.
     MemoryLease responseMemory; ///< Memory that the body of the current response takes.
@@ -165,7 +181,14 @@
     std::vector<std::string> findSuspects() const;
     void logEnd() const;
 
+    /// Returns the part of the retry budget that the request may use up.
+    double retryShare() const;
+
     bool cancelled = false;
+    /// Random numbers for the order of urgency, see Urgency::withTurn() and Urgency::withSize(). Drawn once, so that
+    /// each wait of the request has the same place.
+    std::optional<std::pair<double, double>> urgencyDraws;
+    std::unique_ptr<WorkReservation> shareReservation; ///< Of the request's work in the share of its workspace.
     std::vector<std::string> suspects; ///< From the most general to the most specific.
     bool isCrashTrial = false; ///< The request is sent in spite of crashes, to see whether they go on.
 };
--- a/src/gateway/routerstate.h
+++ b/src/gateway/routerstate.h
@@ -20,6 +20,7 @@
 #include "cyclamencross/route/outputestimator.h"
 #include "cyclamencross/route/placementcandidate.h"
 #include "cyclamencross/route/registrationcache.h"
+#include "cyclamencross/route/roomestimator.h"
 #include "cyclamencross/route/routermember.h"
 #include "cyclamencross/route/routetable.h"
 #include "cyclamencross/route/stageload.h"
@@ -27,6 +28,7 @@
 #include "cyclamencross/route/stopschedule.h"
 #include "cyclamencross/route/storefreshness.h"
 #include "cyclamencross/route/streamdurations.h"
+#include "cyclamencross/route/urgencyqueue.h"
 
 #include <cstdint>
 #include <functional>
@@ -171,8 +173,12 @@
     /// Unfinished work by backend server. Shared with the WorkReservations of requests, which may outlive this object:
     /// the coroutine frames of unfinished requests are destroyed with the event loop at the end of the process.
     const std::shared_ptr<BackendWorkTracker> work = std::make_shared<BackendWorkTracker>();
-    /// Requests of this router's group that wait for capacity and can still be on time, by service.
+    /// Requests of this router's group that wait for capacity and can still be on time, by service; for services with
+    /// an order of urgency also by class, and the work in progress of workspaces. See WaitingKeys.
     const std::shared_ptr<BackendWorkTracker> waiting = std::make_shared<BackendWorkTracker>();
+    /// Requests of this router that look for room at services with an order of urgency. Shared like `work`.
+    const std::shared_ptr<UrgencyQueue> urgencyQueue = std::make_shared<UrgencyQueue>();
+    RoomEstimator roomEstimator;
     /// Limits of backend servers on the requests of all routers. Shared with the permits of requests, like `work`.
     const std::shared_ptr<NamedRateLimits> namedLimits;
     BackendStatements statements; ///< What backend servers say of themselves.
@@ -272,6 +278,7 @@
     std::map<std::string, TimePoint> fullUntil; ///< By id of the engine.
     std::map<std::string, BackendWork> lastReportedWork;
     std::map<std::string, BackendWork> lastReportedWaiting;
+    std::set<std::pair<std::string, int>> waitingMetrics; ///< Services and priorities whose metric is set.
     std::map<std::string, PeerReport::Outcomes> pendingOutcomes; ///< To be sent with the next report.
     std::vector<StreamSample> pendingStreams; ///< To be sent with the next report.
     std::vector<std::pair<TimePoint, CrashedCall>> recentCrashes; ///< With the time to which their age refers.
@@ -311,6 +318,10 @@
     bool isTrialRouter(const std::string &suspect) const;
     /// Records a pace sample and logs whether the engine has become slow or recovered.
     void applyPace(const std::string &backend, double millisPerToken, TimePoint now, double weight);
+    /// Returns the own part of `waiting` for a report, with the largest workspaces only.
+    std::map<std::string, BackendWork> boundedWaiting() const;
+    /// Sets the metrics of requests that look for room by priority.
+    void updateWaitingMetrics();
     /// Returns the changes for the next report and keeps the rest.
     StoreChanges takeChanges();
     /// Recomputes the work of the other groups from the reports of their delegates.
--- a/src/gateway/routerstatereports.cpp
+++ b/src/gateway/routerstatereports.cpp
@@ -2,6 +2,9 @@
 
 #include "routerstate.h"
 
+#include "cyclamencross/route/waitingkeys.h"
+#include "cyclamencross/route/workspaceshares.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -75,8 +78,39 @@
     return part;
 }
 
+std::map<std::string, BackendWork> RouterState::boundedWaiting() const
+{
+    std::map<std::string, BackendWork> result = this->waiting->own();
+    std::vector<std::pair<std::int64_t, std::string>> workspaces;
+    for (const auto &[key, waitingWork] : result) {
+        if (WaitingKeys::isWorkspace(key)) {
+            workspaces.emplace_back(waitingWork.promptTokens, key);
+        }
+    }
+    std::sort(workspaces.rbegin(), workspaces.rend());
+    for (std::size_t i = WorkspaceShares::MaxReported; i < workspaces.size(); ++i) {
+        result.erase(workspaces[i].second);
+    }
+    return result;
+}
+
+void RouterState::updateWaitingMetrics()
+{
+    const auto counts = this->urgencyQueue->counts();
+    for (const auto &[key, count] : counts) {
+        this->waitingMetrics.insert(key);
+    }
+    for (const auto &key : this->waitingMetrics) {
+        const auto count = counts.find(key);
+        this->metrics.set("cyclamencross_urgency_waiting", count == counts.end() ? 0 : double(count->second),
+                          {{"service", key.first}, {"priority", std::to_string(key.second)}});
+    }
+    std::erase_if(this->waitingMetrics, [&counts](const auto &key) { return !counts.contains(key); });
+}
+
 std::optional<PeerReport> RouterState::takeReport(TimePoint now)
 {
+    this->updateWaitingMetrics();
     const auto isRepeatedEnough = [now](const auto &item) { return now - item.first > CrashRepeatTime; };
     std::erase_if(this->recentCrashes, isRepeatedEnough);
     std::erase_if(this->recentlyServed, isRepeatedEnough);
@@ -101,7 +135,7 @@
     this->confirmationPending = false;
     report.changes = this->takeChanges();
     report.work = this->work->own();
-    report.waiting = this->waiting->own();
+    report.waiting = this->boundedWaiting();
     report.reportedCalls = std::exchange(this->pendingReportedCalls, {});
     if (this->isPrimaryWatcher() && now - this->otherGroupsWorkTime <= GroupWorkLifetime) {
         report.knowsOtherGroups = true;
@@ -122,7 +156,7 @@
         report.servedSuspects.push_back(ServedSuspect{suspect, std::chrono::duration_cast<Millis>(now - time)});
     }
     this->lastReportedWork = report.work;
-    this->lastReportedWaiting = report.waiting;
+    this->lastReportedWaiting = this->waiting->own();
     this->lastReport = now;
     return report;
 }
--- a/src/gateway/streamrequesthandler.h
+++ b/src/gateway/streamrequesthandler.h
@@ -57,7 +57,8 @@
     /// @return whether the engine granted it or the service does not support reservations. Otherwise `decodeEngine` is
     /// unset.
     boost::asio::awaitable<bool> acquireReservation();
-    void logDecodePlacement() const;
+    /// @param order place of the request in the order of its service; nullptr if it did not wait in one.
+    void logDecodePlacement(const WaitOrder *order) const;
     /// Returns whether this router is stopping and may exit before the stream ends. While other routers can serve the
     /// request, it must fit even if it is as long as the longest of the latest streams of its route.
     bool isCutByStop() const;
--- a/src/gateway/streamrequestplacement.cpp
+++ b/src/gateway/streamrequestplacement.cpp
@@ -5,6 +5,7 @@
 #include "httpsession.h"
 #include "routerstate.h"
 #include "streamrequesthandler.h"
+#include "waitorder.h"
 
 #include "cyclamencross/base/logline.h"
 #include "cyclamencross/gateway/httpclientconnection.h"
@@ -71,19 +72,23 @@
     if (const auto moved = std::exchange(this->moveTarget, std::nullopt)) {
         this->useDecodeEngine(*moved);
         this->reservationToken = std::exchange(this->moveToken, std::string());
-        this->logDecodePlacement();
+        this->logDecodePlacement(nullptr);
         co_return true;
     }
     const TimePoint start = Clock::now();
     const CapacityWait wait = this->capacityWait();
+    const std::int64_t tokens = this->request.promptTokens + this->estimate.tokens;
     CapacityWaiter waiter(this->state, this->service, wait,
-                          !this->session.isResponseStarted() && !this->mayHaveExecuted);
+                          !this->session.isResponseStarted() && !this->mayHaveExecuted,
+                          this->makeWaitOrder(wait, tokens));
     while (!this->shouldStop()) {
         const CapacityWait::Action action = waiter.nextAction();
-        if (action != CapacityWait::Action::Yield && this->chooseDecodeEngine()) {
+        const bool tries = action == CapacityWait::Action::Try || action == CapacityWait::Action::TryLast;
+        if (tries && this->chooseDecodeEngine()) {
             const bool acquired = co_await this->acquireReservation();
             if (acquired) {
-                this->logDecodePlacement();
+                this->recordRoom(waiter.order(), tokens);
+                this->logDecodePlacement(waiter.order());
                 co_return true;
             }
             this->permit = nullptr;
@@ -95,19 +100,24 @@
             this->setSilenceFailure();
             break;
         }
-        if (action == CapacityWait::Action::TryLast || this->unreachableCount >= MaxUnreachableEngines) {
+        const bool isLast = action == CapacityWait::Action::TryLast || action == CapacityWait::Action::GiveUp;
+        if (isLast || this->unreachableCount >= MaxUnreachableEngines) {
             this->failure = this->noCapacityReason();
             this->overloaded = this->overloaded && this->unreachableCount < MaxUnreachableEngines;
+            this->recordNoRoom(waiter.order());
             break;
         }
         co_await waiter.pause();
     }
-    LogLine("no-room")
-        .add("request", this->request.id)
+    LogLine line("no-room");
+    line.add("request", this->request.id)
         .add("reason", this->failure)
         .add("waited_ms", std::int64_t(toSeconds(Clock::now() - start) * 1000))
-        .add("used_before_ms", std::int64_t(this->timeSpentBefore.count()))
-        .write();
+        .add("used_before_ms", std::int64_t(this->timeSpentBefore.count()));
+    if (waiter.order() != nullptr) {
+        waiter.order()->describe(line);
+    }
+    line.write();
     co_return false;
 }
 
@@ -138,10 +148,10 @@
     return !this->state.stopSchedule->canFinish(Clock::now(), this->route.targetLatency + generation);
 }
 
-void StreamRequestHandler::logDecodePlacement() const
+void StreamRequestHandler::logDecodePlacement(const WaitOrder *order) const
 {
-    LogLine("placement")
-        .add("request", this->request.id)
+    LogLine line("placement");
+    line.add("request", this->request.id)
         .add("stage", "decode")
         .add("candidates", std::int64_t(this->candidateCount))
         .add("backend", this->decodeCandidate.server.id)
@@ -150,8 +160,11 @@
         .add("memory_peak", this->decodeCandidate.work.kvCache.peak())
         .add("expected_output", this->estimate.tokens)
         .add("failure_rate", this->decodeCandidate.failureRate)
-        .add("avoided", this->decodeCandidate.avoided)
-        .write();
+        .add("avoided", this->decodeCandidate.avoided);
+    if (order != nullptr) {
+        order->describe(line);
+    }
+    line.write();
 }
 
 boost::asio::awaitable<bool> StreamRequestHandler::acquireReservation()
--- a/src/include/cyclamencross/gateway/backendcall.h
+++ b/src/include/cyclamencross/gateway/backendcall.h
@@ -21,6 +21,9 @@
     std::string kvCacheAddress; ///< Prefill engine to fetch the KV cache from; empty if there is none.
     std::string kvCacheHandle; ///< Handle of the KV cache at that engine.
     std::string reservationToken; ///< Token of a capacity reservation at this engine; empty if there is none.
+    /// Priority of the request at an engine, from 0, the most urgent, to 9; unset if the priorities of the service do
+    /// not differ.
+    std::optional<int> priority;
     std::optional<std::int64_t> resumeAfter; ///< Id of the last event that the caller has received.
 
     bool operator==(const BackendCall &) const = default;
--- a/src/include/cyclamencross/route/capacitywait.h
+++ b/src/include/cyclamencross/route/capacitywait.h
@@ -43,11 +43,15 @@
 
     /// Returns when the wait ends.
     TimePoint endsAt() const;
+    /// Returns until when a request that finds capacity can be on time.
+    TimePoint onTimeEnd() const;
     /// Returns whether a request that finds capacity now can still be on time.
     bool isOnTime(TimePoint now) const;
     /// Returns what the request does at @p now.
     /// @param othersOnTime whether other requests that can still be on time wait for the same backend servers.
     Action nextAction(TimePoint now, bool othersOnTime) const;
+    /// Returns whether others go before a request whose service has an order of urgency.
+    bool isBehind(TimePoint now, const Others &others) const;
     /// Returns what a request does at @p now whose service has an order of urgency. A request that is not expected to
     /// get room before its wait ends gives up at once, so that its caller can return while there is time.
     Action nextAction(TimePoint now, const Others &others) const;
--- a/src/route/capacitywait.cpp
+++ b/src/route/capacitywait.cpp
@@ -16,6 +16,11 @@
     return this->end;
 }
 
+TimePoint CapacityWait::onTimeEnd() const
+{
+    return this->onTimeUntil;
+}
+
 bool CapacityWait::isOnTime(TimePoint now) const
 {
     return now < this->onTimeUntil;
@@ -29,10 +34,14 @@
     return othersOnTime && !this->isOnTime(now) ? Action::Yield : Action::Try;
 }
 
+bool CapacityWait::isBehind(TimePoint now, const Others &others) const
+{
+    return others.aheadHere || (this->isOnTime(now) ? others.moreUrgentInGroup : others.onTimeInGroup);
+}
+
 CapacityWait::Action CapacityWait::nextAction(TimePoint now, const Others &others) const
 {
-    const bool isBehind = others.aheadHere || (this->isOnTime(now) ? others.moreUrgentInGroup : others.onTimeInGroup);
-    if (!isBehind) {
+    if (!this->isBehind(now, others)) {
         return now >= this->end ? Action::TryLast : Action::Try;
     }
     return now + others.expectedWait >= this->end ? Action::GiveUp : Action::Yield;
