Operations: why did this request wait

Cause: waiting requests now have an order, which operators have to be able to follow from a log line.

The metric of refusals of plain calls names its cause (it took the failure of the attempt before). Test: requests that wait and that yield are counted by priority.

--- a/src/gateway/requestorder.cpp
+++ b/src/gateway/requestorder.cpp
@@ -65,7 +65,7 @@
     this->state.metrics.count("cyclamencross_urgency_refused_total",
                               {{"service", this->service},
                                {"priority", std::to_string(this->priority())},
-                               {"cause", this->waitBehindUrgent ? "behind-urgent" : this->failure}});
+                               {"cause", this->waitBehindUrgent ? "behind-urgent" : "no-room"}});
 }
 
 double RequestHandler::retryShare() const
--- a/src/gateway/waitorder_test.cpp
+++ b/src/gateway/waitorder_test.cpp
@@ -30,6 +30,12 @@
         report.waiting = waiting;
         this->state.applyReport(report, this->now);
     }
+    // Returns whether the metric of priority 1 at service "s" has a value.
+    bool hasMetric(const std::string &name, int value) const
+    {
+        const std::string line = name + R"({priority="1",service="s"} )" + std::to_string(value);
+        return this->state.metrics.serialize().find(line + "\n") != std::string::npos;
+    }
     std::uint64_t sequence = 0;
 };
 
@@ -56,6 +62,23 @@
     REQUIRE(report);
     CHECK(report->waiting.at(WaitingKeys::ofClass("s", own)) == BackendWork{1, 100, {}});
     CHECK(report->waiting.size() == 1);
+    CHECK(fixture.hasMetric("cyclamencross_urgency_waiting", 1));
+}
+
+TEST_CASE("Requests that wait and that have yielded are counted by priority")
+{
+    Fixture fixture;
+    {
+        WaitOrder order(fixture.state, "s", "r", "", fixture.urgency(1), 1);
+        order.recordAction(CapacityWait::Action::Yield, {}, fixture.now);
+        order.recordAction(CapacityWait::Action::Yield, {}, fixture.now);
+        fixture.state.takeReport(fixture.now);
+        CHECK(fixture.hasMetric("cyclamencross_urgency_waiting", 1));
+        CHECK(fixture.hasMetric("cyclamencross_urgency_yielded_total", 1));
+    }
+    // Guards against a request that is shown as waiting after its end.
+    fixture.state.takeReport(fixture.now);
+    CHECK(fixture.hasMetric("cyclamencross_urgency_waiting", 0));
 }
 
 TEST_CASE("A stream that has begun holds back the group only for a while")
