--- a/src/gateway/fleetsync.cpp
+++ b/src/gateway/fleetsync.cpp
@@ -145,7 +145,8 @@
         if (!this->state.isDesignatedWatcher()) {
             this->contact.resyncNeeded = false; // The watchers of the group read the store and report the changes.
         }
-        if (!this->watchRevision || this->contact.lost || (!overdue && !this->contact.resyncNeeded)) {
+        if (!this->watchRevision || this->contact.lost || this->readingMissing
+            || (!overdue && !this->contact.resyncNeeded)) {
             continue;
         }
         this->logCatchUp(this->contact.resyncNeeded ? "regained" : "behind-peers");
@@ -168,7 +169,7 @@
         // After an outage, the watchers read the whole store and report the changes.
         const bool resyncing = this->contact.resyncNeeded && now - this->contact.foundAt < WatcherHeadStart;
         // While the store is away, the lease renewals detect its return.
-        if (!this->watchRevision || this->contact.lost || resyncing
+        if (!this->watchRevision || this->contact.lost || this->readingMissing || resyncing
             || !this->state.freshness.isReadDue(this->state.watcherRank(), now)) {
             continue;
         }
@@ -197,10 +198,12 @@
 
 boost::asio::awaitable<FleetSync::ReadResult> FleetSync::readMissing(std::string prefix)
 {
+    this->readingMissing = true;
     ReadResult result = co_await this->readChanges(prefix);
     if (result == ReadResult::Incomplete) {
         result = co_await this->readAllAgain(prefix);
     }
+    this->readingMissing = false;
     co_return result;
 }
 
--- a/src/gateway/fleetsync.h
+++ b/src/gateway/fleetsync.h
@@ -158,6 +158,7 @@
     StateStore store;
     FleetCodec codec;
     /// Revision up to which changes were read; unset before the first complete read.
+    bool readingMissing = false; ///< A read of changes is under way; another one would only halve its speed.
     std::optional<std::uint64_t> watchRevision;
     StoreContact contact;
     Clock::duration leaseConfirmedAt{0}; ///< On the boot-time clock: start of the last call that confirmed the lease.
--- a/src/gateway/httpclientconnection.cpp
+++ b/src/gateway/httpclientconnection.cpp
@@ -197,7 +197,7 @@
 boost::asio::awaitable<ConnectionStatus> HttpClientConnection::performRequest(std::string call,
                                                                               std::optional<std::string> json,
                                                                               TimePoint deadline,
-                                                                              HeaderList extraHeaders)
+                                                                              HeaderList extraHeaders, Millis bodyPause)
 {
     std::string message = call + " HTTP/1.1\r\nHost: " + this->impl->address + "\r\n";
     if (json) {
@@ -209,8 +209,19 @@
     message += extraHeaders.text() + "\r\n" + json.value_or("");
     this->startRequest(std::move(message), false);
     ConnectionStatus status = co_await this->readHead(deadline);
-    if (status == ConnectionStatus::Ok) {
-        status = co_await this->readBody(deadline);
+    if (bodyPause <= Millis(0)) {
+        if (status == ConnectionStatus::Ok) {
+            status = co_await this->readBody(deadline);
+        }
+        co_return status;
+    }
+    const TimePoint end = Clock::now() + MaxBodyTime;
+    while (status == ConnectionStatus::Ok && !this->isComplete()) {
+        const TimePoint now = Clock::now();
+        if (now >= end) {
+            co_return ConnectionStatus::TimedOut;
+        }
+        status = co_await this->readSome(std::min(end, std::max(deadline, now + bodyPause)));
     }
     co_return status;
 }
--- a/src/include/cyclamencross/gateway/httpclientconnection.h
+++ b/src/include/cyclamencross/gateway/httpclientconnection.h
@@ -22,6 +22,9 @@
 public:
     /// @param address "IP:PORT" of the server.
     HttpClientConnection(const boost::asio::any_io_executor &executor, std::string address);
+    /// Longest time for a body that goes on after its deadline, since it may have no end.
+    static constexpr Millis MaxBodyTime{8000};
+
     ~HttpClientConnection();
     HttpClientConnection(const HttpClientConnection &) = delete;
     HttpClientConnection &operator=(const HttpClientConnection &) = delete;
@@ -65,8 +68,11 @@
     /// @param call method and target, such as "GET /path".
     /// @param json JSON body, if there is one.
     /// @param extraHeaders further headers of the request.
+    /// @param bodyPause if positive, the body may go on after the deadline, for MaxBodyTime at the most, as long as no
+    /// pause in it is longer than this.
     boost::asio::awaitable<ConnectionStatus> performRequest(std::string call, std::optional<std::string> json,
-                                                            TimePoint deadline, HeaderList extraHeaders = {});
+                                                            TimePoint deadline, HeaderList extraHeaders = {},
+                                                            Millis bodyPause = Millis(0));
 
     /// Starts watching an idle connection, which is closed if the server closes it or sends unexpected bytes.
     void watchIdle();
