Slow readers: bounded queues for callers, cut by a rule; engines are read on

Cause: while a caller did not read, its engine was not read for up to 8 s; a plain backend server counted as busy until the caller had its answer; the kernel held up to 4 MB for each caller. 1,000 callers that read nothing took all connections of a router with 96 MiB and kept others out.

Change: HttpSession queues events, written in the background and counted in the memory for bodies. SlowCallerRule: up to 64 KiB unsent the engine is read on, then not for at most 1 s, then the caller is cut by a reset. Backend servers, their connections and capacity are free when they have answered. SO_SNDBUF of callers 32 KiB, both buffers of backend connections 64 KiB.

--- a/src/gateway/httpclientconnection.cpp
+++ b/src/gateway/httpclientconnection.cpp
@@ -34,6 +34,10 @@
 // without end.
 constexpr std::size_t MaxBufferedBytes = 128U << 10U;
 
+// Size of the kernel's buffers of a connection in each direction, which doubles it for its own use. Without it, the
+// kernel holds up to 32 MB of a response that is not read.
+constexpr int KernelBufferBytes = 64 << 10;
+
 // Longer keep-alive timeouts count as this one. The product with the milliseconds of a second must not overflow.
 constexpr std::uint64_t MaxKeepAliveSeconds = 86400;
 
@@ -94,6 +98,10 @@
     }
     this->impl->stream.expires_after(timeout);
     boost::system::error_code error;
+    // The kernel agrees with the server on the largest window when it connects.
+    this->impl->stream.socket().open(endpoint->protocol(), error);
+    this->impl->stream.socket().set_option(boost::asio::socket_base::receive_buffer_size(KernelBufferBytes), error);
+    this->impl->stream.socket().set_option(boost::asio::socket_base::send_buffer_size(KernelBufferBytes), error);
     co_await this->impl->stream.async_connect(*endpoint, awaitableWithError(error));
     if (error || this->impl->closed) {
         const bool cancelled = this->impl->closed;
--- a/src/gateway/httpsession.cpp
+++ b/src/gateway/httpsession.cpp
@@ -1,6 +1,7 @@
 #include "httpsession.h"
 
 #include "asioutil.h"
+#include "tcpprogress.h"
 
 #include <algorithm>
 #include <array>
@@ -33,6 +34,9 @@
 constexpr std::size_t MaxReadAhead = 64U << 10U;
 // Buffer size of one read: a memory page, which most requests fit in.
 constexpr std::size_t ReadBytes = 4096;
+// Size of the kernel's buffer for bytes on their way to a caller, which doubles it for its own use. Without it, the
+// kernel holds up to 4 MB for each caller that does not read.
+constexpr int SendBufferBytes = 32 << 10;
 // How long a caller's remaining bytes are read before the connection is closed. Closing with unread bytes would reset
 // the connection, and the caller could lose the response.
 constexpr Millis LingerTime{1000};
@@ -140,6 +144,8 @@
         : stream(std::move(socket))
         , limits(std::move(limitsHook))
         , handler(std::move(requestHandler))
+        , writeTimer(stream.get_executor())
+        , roomSignal(stream.get_executor())
     {
     }
 
@@ -166,6 +172,17 @@
     bool headRequest = false;
     std::uint64_t watchId = 0; ///< Id of the current watch of the caller; 0 if there is none.
     std::uint64_t lastWatchId = 0;
+    std::string queue; ///< Chunks that are not being written yet.
+    std::string queueWrite; ///< The part of the queue that is being written.
+    std::size_t writingBytes = 0; ///< Size of the current write; 0 if there is none.
+    boost::asio::steady_timer writeTimer; ///< Of the current write.
+    std::uint64_t writeId = 0; ///< Of the current write, for its timer.
+    boost::asio::steady_timer roomSignal; ///< Cancelled when a write ends or the caller is gone.
+    MemoryLease queueMemory;
+    std::optional<TcpProgress> lastProgress; ///< Of the last checkProgress().
+    std::optional<TimePoint> stalledSince;
+    std::string cutReason;
+    std::size_t unsentAtCut = 0;
 };
 
 HttpSession::HttpSession(tcp::socket socket, std::function<CallerLimits()> limits, Handler handler)
@@ -179,6 +196,7 @@
                               std::function<HeaderList(RouterRequest &request)> onRefused)
 {
     this->impl->bodyMemory = std::move(memory);
+    this->impl->queueMemory = MemoryLease(this->impl->bodyMemory, MemoryBudget::Use::ResponseBody);
     this->impl->bodyRefusedHook = std::move(onRefused);
 }
 
@@ -187,6 +205,7 @@
     const auto self = this->shared_from_this();
     boost::system::error_code error;
     this->impl->stream.socket().set_option(tcp::no_delay(true), error);
+    this->impl->stream.socket().set_option(boost::asio::socket_base::send_buffer_size(SendBufferBytes), error);
     while (!this->impl->closing && !this->impl->gone) {
         const bool requestStarted = co_await this->waitForRequest();
         if (!requestStarted) {
@@ -334,9 +353,138 @@
     if (bytes.empty()) {
         co_return;
     }
+    this->queueChunk(bytes);
+    co_await this->flush();
+}
+
+bool HttpSession::queueChunk(const std::string &bytes)
+{
+    Impl &session = *this->impl;
+    if (bytes.empty() || session.gone) {
+        return true;
+    }
     std::array<char, 20> size{};
     const auto end = std::to_chars(size.data(), size.data() + size.size(), bytes.size(), 16).ptr;
-    co_await this->write(std::string(size.data(), end) + "\r\n" + bytes + "\r\n");
+    session.queue.append(size.data(), end);
+    session.queue += "\r\n";
+    session.queue += bytes;
+    session.queue += "\r\n";
+    const bool admitted = session.queueMemory.growTo(this->unsentBytes());
+    if (session.writingBytes == 0) {
+        this->writeQueue();
+    }
+    return admitted;
+}
+
+std::size_t HttpSession::unsentBytes() const
+{
+    return this->impl->queue.size() + this->impl->writingBytes;
+}
+
+void HttpSession::checkProgress(TimePoint now)
+{
+    Impl &session = *this->impl;
+    const auto progress = session.gone ? std::nullopt : TcpProgress::read(session.stream.socket().native_handle());
+    const bool stalled = progress && progress->hasOutstanding && session.lastProgress == progress;
+    session.lastProgress = progress;
+    session.stalledSince = stalled ? session.stalledSince.value_or(now) : std::optional<TimePoint>();
+}
+
+std::optional<TimePoint> HttpSession::stalledSince() const
+{
+    return this->impl->stalledSince;
+}
+
+boost::asio::awaitable<void> HttpSession::waitForRoom(std::size_t bytes, TimePoint until)
+{
+    const auto self = this->shared_from_this();
+    while (!this->impl->gone && this->unsentBytes() > bytes && Clock::now() < until) {
+        this->impl->roomSignal.expires_at(until);
+        boost::system::error_code error;
+        co_await this->impl->roomSignal.async_wait(awaitableWithError(error));
+    }
+}
+
+boost::asio::awaitable<void> HttpSession::flush()
+{
+    // Each write has a timeout, so this ends.
+    while (!this->impl->gone && this->unsentBytes() > 0) {
+        co_await this->waitForRoom(0, Clock::now() + WriteTimeout);
+    }
+}
+
+void HttpSession::writeQueue()
+{
+    Impl &session = *this->impl;
+    const std::size_t count = std::min(session.queue.size(), QueueWriteBytes);
+    session.queueWrite = session.queue.substr(0, count);
+    session.queue.erase(0, count);
+    session.writingBytes = count;
+    session.stream.expires_never();
+    this->startWriteTimer();
+    boost::asio::async_write(
+        session.stream, boost::asio::buffer(session.queueWrite),
+        [self = this->shared_from_this()](const boost::system::error_code &error, std::size_t /*count*/) {
+            Impl &current = *self->impl;
+            self->stopWriteTimer();
+            if (error || current.gone) {
+                current.queue = std::string();
+                current.queueMemory.release();
+                self->markCallerDisconnected();
+                return;
+            }
+            if (!current.queue.empty()) {
+                self->writeQueue();
+            } else {
+                current.queueMemory.release();
+            }
+            current.roomSignal.cancel();
+        });
+}
+
+void HttpSession::startWriteTimer()
+{
+    Impl &session = *this->impl;
+    session.writeTimer.expires_after(WriteTimeout);
+    session.writeTimer.async_wait(
+        [weak = this->weak_from_this(), id = ++session.writeId](const boost::system::error_code &error) {
+            // The handler may be queued already when the write ends.
+            const auto self = weak.lock();
+            if (!error && self && self->impl->writeId == id && self->impl->writingBytes > 0) {
+                self->cut("write-timeout");
+            }
+        });
+}
+
+void HttpSession::stopWriteTimer()
+{
+    this->impl->writingBytes = 0;
+    this->impl->writeTimer.cancel();
+}
+
+void HttpSession::cut(const std::string &reason)
+{
+    Impl &session = *this->impl;
+    if (session.gone) {
+        return;
+    }
+    session.cutReason = reason;
+    session.unsentAtCut = this->unsentBytes();
+    // Otherwise the kernel would keep the unread bytes for minutes.
+    boost::system::error_code error;
+    session.stream.socket().set_option(boost::asio::socket_base::linger(true, 0), error);
+    this->markCallerDisconnected();
+    session.stream.close();
+}
+
+std::size_t HttpSession::unsentAtCut() const
+{
+    return this->impl->unsentAtCut;
+}
+
+const std::string &HttpSession::cutReason() const
+{
+    return this->impl->cutReason;
 }
 
 boost::asio::awaitable<void> HttpSession::endStream()
@@ -347,6 +495,7 @@
 void HttpSession::abort()
 {
     this->impl->gone = true;
+    this->impl->roomSignal.cancel();
     this->impl->stream.close();
 }
 
@@ -355,10 +504,17 @@
     if (this->impl->gone) {
         co_return;
     }
-    this->impl->stream.expires_after(WriteTimeout);
+    co_await this->flush();
+    if (this->impl->gone) {
+        co_return;
+    }
+    this->impl->stream.expires_never();
+    this->impl->writingBytes = bytes.size() + body.size();
+    this->startWriteTimer();
     boost::system::error_code error;
     const std::array buffers{boost::asio::buffer(std::as_const(bytes)), boost::asio::buffer(std::as_const(body))};
     co_await boost::asio::async_write(this->impl->stream, buffers, awaitableWithError(error));
+    this->stopWriteTimer();
     if (error) {
         this->markCallerDisconnected();
     }
@@ -433,6 +589,7 @@
     if (std::exchange(this->impl->gone, true)) {
         return;
     }
+    this->impl->roomSignal.cancel();
     if (const auto hook = std::exchange(this->impl->callerDisconnectHook, nullptr)) {
         hook();
     }
--- a/src/gateway/httpsession.h
+++ b/src/gateway/httpsession.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include <boost/asio/awaitable.hpp>
@@ -21,9 +22,11 @@
 public:
     /// Handles a request; must respond by reply(), by startStream() and endStream(), or by abort().
     using Handler = std::function<boost::asio::awaitable<void>(HttpSession &session, RouterRequest &request)>;
-    /// Timeout of a write, after which a caller that does not read counts as gone. Callers themselves abandon streams
-    /// after gaps of a few seconds.
+    /// Timeout of a write, after which a caller that does not read is cut. Callers themselves abandon streams after
+    /// gaps of a few seconds.
     static constexpr Millis WriteTimeout{8000};
+    /// Largest number of bytes of a queue that one write, and its timeout, is for.
+    static constexpr std::size_t QueueWriteBytes = 16U << 10U;
 
     /// @param limits returns the limits in force; called again for each request.
     HttpSession(boost::asio::ip::tcp::socket socket, std::function<CallerLimits()> limits, Handler handler);
@@ -31,7 +34,8 @@
     HttpSession(const HttpSession &) = delete;
     HttpSession &operator=(const HttpSession &) = delete;
 
-    /// Bounds the memory of the bodies of requests. Must be called before run(). Without it, only CallerLimits apply.
+    /// Bounds the memory of the bodies of requests and of queued chunks. Must be called before run(). Without it, only
+    /// CallerLimits apply.
     /// @param memory what all sessions together may take.
     /// @param onRefused called for the head of each request that is refused with 503 since there is no memory for its
     /// body; returns the headers of the refusal.
@@ -47,6 +51,26 @@
     boost::asio::awaitable<void> startStream(int status, std::string reason, HeaderList headers);
     /// Sends @p bytes as one chunk of the body.
     boost::asio::awaitable<void> sendChunk(std::string bytes);
+    /// Queues @p bytes as one chunk of the body and returns at once.
+    /// @return whether the memory for bodies admits what is queued. It is queued in any case, so the function may not
+    /// be called again before there is room.
+    bool queueChunk(const std::string &bytes);
+    /// Returns the number of bytes that the kernel has not taken yet.
+    std::size_t unsentBytes() const;
+    /// Waits until at most @p bytes are unsent, the caller is gone or the time is @p until.
+    boost::asio::awaitable<void> waitForRoom(std::size_t bytes, TimePoint until);
+    /// Notes whether the caller's host has acknowledged bytes since the last call.
+    void checkProgress(TimePoint now);
+    /// Returns since when, as far as checkProgress() has seen, bytes for the caller are outstanding without any being
+    /// acknowledged; std::nullopt if that is not so.
+    std::optional<TimePoint> stalledSince() const;
+    /// Ends the connection of a caller that does not read, and discards what it has not read, also in the kernel.
+    /// @param reason for the log and the metrics.
+    void cut(const std::string &reason);
+    /// Returns why the caller was cut; empty if it was not.
+    const std::string &cutReason() const;
+    /// Returns the number of bytes that the kernel had not taken when the caller was cut.
+    std::size_t unsentAtCut() const;
     /// Completes a response begun by startStream().
     boost::asio::awaitable<void> endStream();
     /// Closes the connection, so that the caller sees that a response already begun is incomplete.
@@ -82,6 +106,12 @@
     boost::asio::awaitable<void> refuseBody(RouterRequest &request);
     /// Sends @p bytes and then @p body.
     boost::asio::awaitable<void> write(std::string bytes, std::string body = std::string());
+    /// Writes the next part of the queue in the background, and all that follows.
+    void writeQueue();
+    /// Waits until the queue is sent or the caller is gone.
+    boost::asio::awaitable<void> flush();
+    void startWriteTimer();
+    void stopWriteTimer();
     /// Closes the connection after discarding what the caller still sends, for at most LingerTime.
     boost::asio::awaitable<void> closeGracefully();
     /// Detects in the background that the caller closes the connection; buffers pipelined requests.
--- a/src/gateway/plainrequesthandler.cpp
+++ b/src/gateway/plainrequesthandler.cpp
@@ -110,7 +110,7 @@
 
 boost::asio::awaitable<PlainRequestHandler::AttemptResult> PlainRequestHandler::attempt(BackendServer server)
 {
-    const WorkReservation reservation(this->state.work, server.id, BackendWork{1, 0, {}});
+    auto reservation = std::make_unique<WorkReservation>(this->state.work, server.id, BackendWork{1, 0, {}});
     RequestPermit permit(this->state.namedLimits, server.id);
     const bool open = co_await this->openConnection(server, !this->route.mayRepeat());
     if (!open) {
@@ -157,8 +157,8 @@
             co_return AttemptResult::Fail;
         }
     }
-    co_await this->forwardResponse(this->connection->takeBody());
-    this->releaseConnection(server);
+    reservation = nullptr; // The backend server has done its work, however slowly the caller reads.
+    co_await this->forwardResponse(server);
     co_return AttemptResult::Done;
 }
 
--- a/src/gateway/requesthandler.cpp
+++ b/src/gateway/requesthandler.cpp
@@ -118,6 +118,9 @@
     if (this->connection) {
         this->connection->close();
     }
+    if (!this->session.cutReason().empty()) {
+        this->recordCutCaller();
+    }
     this->logEnd();
 }
 
@@ -370,12 +373,32 @@
                                            : this->state.retryAfterDelay();
 }
 
-boost::asio::awaitable<void> RequestHandler::forwardResponse(std::string body)
+boost::asio::awaitable<void> RequestHandler::forwardResponse(BackendServer server)
 {
     this->outcome = "answered";
     this->request.body = RequestBody(); // The request is not sent again.
-    co_await this->session.reply(this->connection->status(), this->connection->reason(), this->connection->headers(),
-                                 std::move(body));
+    const int status = this->connection->status();
+    std::string reason = this->connection->reason();
+    HeaderList headers = this->connection->headers();
+    std::string body = this->connection->takeBody();
+    // Counted until the caller has taken the body.
+    const MemoryLease memory = std::move(this->responseMemory);
+    this->releaseConnection(server);
+    co_await this->session.reply(status, std::move(reason), std::move(headers), std::move(body));
+}
+
+void RequestHandler::recordCutCaller()
+{
+    const std::string &reason = this->session.cutReason();
+    this->outcome = "caller-gone:" + reason;
+    this->state.metrics.count("cyclamencross_slow_callers_cut_total", {{"reason", reason}});
+    LogLine("slow-caller-cut")
+        .add("request", this->request.id)
+        .add("workspace", this->workspace != nullptr ? this->workspace->name : std::string())
+        .add("reason", reason)
+        .add("unsent_bytes", std::uint64_t(this->session.unsentAtCut()))
+        .add("events", this->eventCount)
+        .warn();
 }
 
 bool RequestHandler::shouldStop()
--- a/src/gateway/requesthandler.h
+++ b/src/gateway/requesthandler.h
@@ -100,8 +100,9 @@
     /// Ends the request without a backend server's response: refuses it with 503, or fails it with 502 or 504 if it may
     /// have been executed. Closes the connection of a caller that has received part of a response.
     boost::asio::awaitable<void> finishWithFailure(std::string reason);
-    /// Sends the caller the response on the current connection with the given body.
-    boost::asio::awaitable<void> forwardResponse(std::string body);
+    /// Sends the caller the complete response on the current connection. Returns the connection to the pool before, so
+    /// that a caller that reads slowly does not hold it.
+    boost::asio::awaitable<void> forwardResponse(BackendServer server);
 
     /// Returns whether the caller has disconnected, the deadline has passed, the request was cancelled, or it must not
     /// be sent because of crashes or because its API key is not valid any more. Updates `workspace`.
@@ -165,6 +166,8 @@
     /// Returns the crash suspects of the request: the shared parts of its prompt, and its target and body, by which its
     /// repeats are recognized.
     std::vector<std::string> findSuspects() const;
+    /// Records that the caller was cut because it does not read.
+    void recordCutCaller();
     void logEnd();
     /// Checks the API key against the newest configuration and updates `workspace`.
     CallerAccess::Verdict checkAccess();
--- a/src/gateway/router.h
+++ b/src/gateway/router.h
@@ -55,6 +55,13 @@
     boost::asio::awaitable<void> accept(Listener listener);
     /// Starts a session on a new connection, or closes the connection if there are too many.
     void startSession(boost::asio::ip::tcp::socket socket, const HttpSession::Handler &handler);
+    /// Cuts the caller that has not taken what is sent to it for the longest time, so that a new one can connect.
+    /// @return false if no caller is slow enough for that.
+    bool cutSlowestCaller();
+    /// Returns how many caller connections the settings allow.
+    std::size_t maxSessions() const;
+    /// Updates what is known of callers that do not read.
+    void checkSessions(TimePoint now);
     /// Starts sessions on the connections that wait in the queues of the ports, and closes the ports.
     void closePorts();
     boost::asio::awaitable<void> serveSession(std::shared_ptr<HttpSession> session);
--- a/src/gateway/streamrequesthandler.cpp
+++ b/src/gateway/streamrequesthandler.cpp
@@ -7,6 +7,7 @@
 #include "cyclamencross/base/logline.h"
 #include "cyclamencross/gateway/httpclientconnection.h"
 #include "cyclamencross/route/placement.h"
+#include "cyclamencross/route/slowcallerrule.h"
 
 #include <algorithm>
 
@@ -292,8 +293,8 @@
         this->connection->close();
         co_return AttemptResult::MayHaveExecuted;
     }
-    co_await this->forwardResponse(this->connection->takeBody());
-    this->releaseConnection(server);
+    this->endWork();
+    co_await this->forwardResponse(server);
     co_return AttemptResult::Done;
 }
 
@@ -323,12 +324,13 @@
     // An engine that crashes before the first event ends a stream of this form like one that has finished.
     const bool lacksEvents = this->connection->endsWithConnection() && !this->outputStart;
     if (status == ConnectionStatus::Ok && valid && !lacksEvents && !this->splitter.hasPartialEvent()) {
-        co_await this->session.endStream();
         this->recordOutcome(server, CallOutcome::Served);
         this->recordServed(Clock::now());
         this->recordStream(this->lastChunkTime);
         this->outcome = "streamed";
+        this->endWork();
         this->releaseConnection(server);
+        co_await this->session.endStream();
         co_return AttemptResult::Done;
     }
     const bool endedEarly = status == ConnectionStatus::Ok && valid;
@@ -360,11 +362,37 @@
     }
     if (!events.empty()) {
         this->recordChunk();
-        co_await this->session.sendChunk(std::move(events));
+        co_await this->passOn(events);
     }
     co_return inOrder && !this->splitter.isOverlong();
 }
 
+boost::asio::awaitable<void> StreamRequestHandler::passOn(const std::string &events)
+{
+    const TimePoint start = Clock::now();
+    const bool admitted = this->session.queueChunk(events);
+    while (!this->session.isCallerDisconnected()) {
+        const std::size_t unsent = this->session.unsentBytes();
+        const auto paused = std::chrono::duration_cast<Millis>(Clock::now() - start);
+        const SlowCallerRule::Action action = SlowCallerRule::nextAction(unsent, admitted, paused);
+        if (action == SlowCallerRule::Action::ReadOn) {
+            break;
+        }
+        if (action == SlowCallerRule::Action::Cut) {
+            this->session.cut(admitted ? "buffer-full" : "no-memory");
+            break;
+        }
+        co_await this->session.waitForRoom(SlowCallerRule::pauseLimit(admitted), start + SlowCallerRule::MaxPause);
+        this->progress->lastActivity = Clock::now(); // The engine was not read, so its silence says nothing.
+    }
+}
+
+void StreamRequestHandler::endWork()
+{
+    this->progress->finished = true;
+    this->workReservation = nullptr;
+}
+
 void StreamRequestHandler::recordChunk()
 {
     const TimePoint now = Clock::now();
--- a/src/gateway/streamrequesthandler.h
+++ b/src/gateway/streamrequesthandler.h
@@ -90,6 +90,10 @@
     /// Forwards the events that @p bytes complete.
     /// @return false if an event id does not increase or an event is too long.
     boost::asio::awaitable<bool> forwardEvents(const std::string &bytes);
+    /// Queues events for the caller. Waits, and cuts a caller that does not read, as SlowCallerRule says.
+    boost::asio::awaitable<void> passOn(const std::string &events);
+    /// Records that the engine has sent its whole response, so that a caller that reads slowly holds no capacity.
+    void endWork();
     /// Updates the times for the log and the stall check when events are forwarded.
     void recordChunk();
     /// Frees the KV cache at the prefill engine if no decode engine was told to fetch it.
