Placement by the pace that servers tell of their machines

Cause: servers that share machines with others turn slow for parts of a second (seen: 15% of the machines at 2.5 times the usual, anew about every 600 ms). Measured slowness follows after some samples and hardly fades before the machine is fast again; for plain services nothing was measured.

Change: the fourth figure of Server-Load, if there is one, is decoded, smoothed and forgotten after a second (SlowdownTracker), and reported to the group with its age if it differs by half from what was expected, at most four in a report. Prefill samples are divided by it. placement lines have told_slowdown, told_age_ms and told_to; gauge cyclamencross_told_slow_backends. Without the figure, choices are as before.

--- a/src/gateway/peerreport.cpp
+++ b/src/gateway/peerreport.cpp
@@ -65,6 +65,13 @@
     archiveMillis(archive, limit.age);
 }
 
+template<typename Archive>
+void serialize(Archive &archive, ToldSlowdown &told)
+{
+    archive(told.factor);
+    archiveMillis(archive, told.age);
+}
+
 template<typename Archive>
 void serialize(Archive &archive, StatementNews &news)
 {
@@ -99,8 +106,8 @@
     archive(report.isCrashNews, report.isGroupReport, report.groupWork, report.knowsOtherGroups,
             report.otherGroupsWork);
     archive(report.router, report.incarnation, report.sequence, report.storeRevision, report.work, report.waiting,
-            report.reportedCalls, report.namedLimits, report.statements, report.outcomes, report.streams,
-            report.crashes, report.servedSuspects);
+            report.reportedCalls, report.slowdowns, report.namedLimits, report.statements, report.outcomes,
+            report.streams, report.crashes, report.servedSuspects);
 }
 
 namespace
@@ -133,6 +140,11 @@
     return isPlausible(limit.age) && !std::isnan(limit.requestsPerSecond);
 }
 
+bool isPlausible(const ToldSlowdown &told)
+{
+    return isPlausible(told.age) && std::isfinite(told.factor) && told.factor > 0;
+}
+
 bool isPlausible(const PeerReport::Outcomes &outcomes)
 {
     return std::isfinite(outcomes.paceSum);
@@ -170,9 +182,9 @@
 {
     return isPlausible(report.changesKnownAge) && areAllPlausible(report.work) && areAllPlausible(report.groupWork)
         && areAllPlausible(report.otherGroupsWork) && areAllPlausible(report.waiting)
-        && areAllPlausible(report.reportedCalls) && areAllPlausible(report.namedLimits)
-        && areAllPlausible(report.outcomes) && areAllPlausible(report.streams) && areAllPlausible(report.crashes)
-        && areAllPlausible(report.servedSuspects);
+        && areAllPlausible(report.reportedCalls) && areAllPlausible(report.slowdowns)
+        && areAllPlausible(report.namedLimits) && areAllPlausible(report.outcomes) && areAllPlausible(report.streams)
+        && areAllPlausible(report.crashes) && areAllPlausible(report.servedSuspects);
 }
 
 }
--- a/src/gateway/peerreport.h
+++ b/src/gateway/peerreport.h
@@ -9,6 +9,7 @@
 #include "cyclamencross/route/servedsuspect.h"
 #include "cyclamencross/route/statementnews.h"
 #include "cyclamencross/route/streamsample.h"
+#include "cyclamencross/route/toldslowdown.h"
 
 #include <cstdint>
 #include <map>
@@ -56,6 +57,8 @@
     std::map<std::string, BackendWork> waiting;
     /// Number of calls that backend servers reported in their latest responses.
     std::map<std::string, std::int64_t> reportedCalls;
+    /// Figures of backend servers on the pace of their machines that differ from what the sender expected. Few.
+    std::map<std::string, ToldSlowdown> slowdowns;
     std::map<std::string, NamedLimit> namedLimits; ///< Read from answers of backend servers since the last report.
     /// What backend servers have said to the sender of themselves, by id; recent ones, repeated in several reports.
     std::map<std::string, StatementNews> statements;
--- a/src/gateway/pieces_test.cpp
+++ b/src/gateway/pieces_test.cpp
@@ -129,6 +129,9 @@
     CHECK_FALSE(isAccepted([](PeerReport &one) { one.reportedCalls["e"] = Most; }));
     CHECK_FALSE(isAccepted([](PeerReport &one) { one.namedLimits["e"].age = Millis(Most); }));
     CHECK_FALSE(isAccepted([&](PeerReport &one) { one.namedLimits["e"].requestsPerSecond = notANumber; }));
+    CHECK_FALSE(isAccepted([&](PeerReport &one) { one.slowdowns["e"].factor = notANumber; }));
+    CHECK_FALSE(isAccepted([](PeerReport &one) { one.slowdowns["e"].factor = 0; }));
+    CHECK_FALSE(isAccepted([](PeerReport &one) { one.slowdowns["e"].age = Millis(Most); }));
     CHECK_FALSE(isAccepted([&](PeerReport &one) { one.outcomes["e"].paceSum = notANumber; }));
     CHECK_FALSE(isAccepted([&](PeerReport &one) { one.streams.push_back({"r", "s", 1, 1, notANumber}); }));
     CHECK_FALSE(isAccepted([](PeerReport &one) { one.streams.push_back({"r", "s", Most, 1, 1}); }));
--- a/src/gateway/plainrequesthandler.cpp
+++ b/src/gateway/plainrequesthandler.cpp
@@ -60,6 +60,9 @@
             .add("failure_rate", chosen.failureRate)
             .add("avoided", chosen.avoided)
             .add("zone", chosen.server.zone)
+            .add("told_slowdown", chosen.toldSlowdown.factor)
+            .add("told_age_ms", std::int64_t(chosen.toldSlowdown.age.count()))
+            .add("told_to", chosen.toldSlowdown.isFromPeer ? "peer" : "own")
             .write();
         const AttemptResult result = co_await this->attempt(chosen.server);
         if (result == AttemptResult::Done) {
--- a/src/gateway/routerstate.cpp
+++ b/src/gateway/routerstate.cpp
@@ -85,6 +85,7 @@
     candidate.isPausedForPeer = this->statements.isPausedForPeer(server.id, now);
     candidate.avoided = this->health.isAvoided(server.id, now);
     candidate.failureRate = this->health.failureRate(server.id, now);
+    candidate.toldSlowdown = this->slowdowns.find(server.id, now);
     candidate.slowness = this->health.slowness(server.id, now);
     candidate.prefillMillisPerToken = this->health.prefillMillisPerToken(server.id);
     const auto full = this->fullUntil.find(server.id);
--- a/src/gateway/routerstate.h
+++ b/src/gateway/routerstate.h
@@ -24,6 +24,7 @@
 #include "cyclamencross/route/registrationcache.h"
 #include "cyclamencross/route/routermember.h"
 #include "cyclamencross/route/routetable.h"
+#include "cyclamencross/route/slowdowntracker.h"
 #include "cyclamencross/route/stageload.h"
 #include "cyclamencross/route/stageplan.h"
 #include "cyclamencross/route/stopschedule.h"
@@ -192,6 +193,7 @@
     /// Memory of the bodies of requests and responses. Shared with their leases, like `work`.
     const std::shared_ptr<MemoryBudget> bodyMemory;
     BackendHealth health;
+    SlowdownTracker slowdowns; ///< What backend servers tell of the pace of their machines.
     FleetRetryBudget retryBudget;
     CallerWaitEstimator callerWaitEstimator;
     OutputEstimator outputEstimator;
@@ -254,6 +256,8 @@
     static constexpr Millis MaxUnidentifiedNewsAge{2000};
     /// Crashed calls that are reported at a time, so that a report fits into a datagram.
     static constexpr std::size_t MaxReportedCrashes = 32;
+    /// Figures on the pace of machines that are reported at a time: with ten reports a second, 1.5 KB/s to each peer.
+    static constexpr std::size_t MaxReportedSlowdowns = 4;
     /// Size of the sample that sampleOtherGroups() returns.
     static constexpr std::size_t OtherGroupSampleSize = 3;
 
@@ -281,6 +285,8 @@
     std::map<std::string, std::pair<std::int64_t, TimePoint>> reportedCalls;
     /// Limits read from answers, to be sent with the next report, with the time to which their age refers.
     std::map<std::string, std::pair<NamedLimit, TimePoint>> pendingLimits;
+    /// Figures to be sent with the next report, with the time of the answer.
+    std::map<std::string, std::pair<double, TimePoint>> pendingSlowdowns;
     std::map<std::string, std::int64_t> pendingReportedCalls; ///< To be sent with the next report.
     std::map<std::string, TimePoint> fullUntil; ///< By id of the engine.
     std::map<std::string, BackendWork> lastReportedWork;
@@ -358,6 +364,12 @@
     void reportStatement(const std::string &id, TimePoint now);
     /// Returns the statements for a report at @p now.
     std::map<std::string, StatementNews> takeStatementNews(TimePoint now);
+    /// Records how slow the machine of a backend server is, as it told this router.
+    void recordSlowdown(const std::string &backend, double factor, TimePoint now);
+    /// Returns the figures on the pace of machines for a report at @p now.
+    std::map<std::string, ToldSlowdown> takeSlowdowns(TimePoint now);
+    /// Applies the figures of a report.
+    void applySlowdowns(const std::map<std::string, ToldSlowdown> &told, TimePoint now);
     /// Applies what a backend server has said to a peer.
     void applyStatementNews(const std::string &id, const StatementNews &news, TimePoint now);
     PlacementCandidate makeCandidate(const BackendServer &server, const std::string &zone, TimePoint now) const;
--- a/src/gateway/routerstatereports.cpp
+++ b/src/gateway/routerstatereports.cpp
@@ -111,6 +111,7 @@
         pending.first.age = std::chrono::duration_cast<Millis>(now - pending.second);
         report.namedLimits[backend] = pending.first;
     }
+    report.slowdowns = this->takeSlowdowns(now);
     report.statements = this->takeStatementNews(now);
     report.outcomes = std::exchange(this->pendingOutcomes, {});
     report.streams = std::exchange(this->pendingStreams, {});
@@ -251,6 +252,7 @@
             this->reportedCalls[backend] = {calls, now};
         }
     }
+    this->applySlowdowns(report.slowdowns, now);
     for (const auto &[backend, limit] : report.namedLimits) {
         const bool isPlausible =
             limit.requestsPerSecond >= 0 && limit.age >= Millis(0) && limit.age < NamedRateLimits::EndLifetime;
--- a/src/gateway/routerstatestatements.cpp
+++ b/src/gateway/routerstatestatements.cpp
@@ -48,6 +48,9 @@
     if (this->isEarlierIncarnation(server)) {
         return;
     }
+    if (head.slowdown && !head.wrongBackend && !isStray) {
+        this->recordSlowdown(server.id, *head.slowdown, now);
+    }
     if (head.leaving && this->recordLeaving(server, StatementSource::OwnAnswer, now)) {
         this->reportStatement(server.id, now);
     }
@@ -62,6 +65,44 @@
     }
 }
 
+void RouterState::recordSlowdown(const std::string &backend, double factor, TimePoint now)
+{
+    if (this->slowdowns.record(backend, factor, now, false)) {
+        this->pendingSlowdowns[backend] = {factor, now};
+    } else {
+        this->pendingSlowdowns.erase(backend); // An earlier figure is not news any more.
+    }
+}
+
+std::map<std::string, ToldSlowdown> RouterState::takeSlowdowns(TimePoint now)
+{
+    std::map<std::string, ToldSlowdown> result;
+    std::erase_if(this->pendingSlowdowns,
+                  [now](const auto &item) { return now - item.second.second > SlowdownTracker::MaxAge; });
+    while (!this->pendingSlowdowns.empty() && result.size() < MaxReportedSlowdowns) {
+        const auto newest = std::max_element(
+            this->pendingSlowdowns.begin(), this->pendingSlowdowns.end(),
+            [](const auto &left, const auto &right) { return left.second.second < right.second.second; });
+        const auto &[factor, time] = newest->second;
+        result[newest->first] = ToldSlowdown{factor, std::chrono::duration_cast<Millis>(now - time)};
+        this->pendingSlowdowns.erase(newest);
+    }
+    return result;
+}
+
+void RouterState::applySlowdowns(const std::map<std::string, ToldSlowdown> &told, TimePoint now)
+{
+    if (told.size() > MaxReportedSlowdowns) {
+        return; // No router sends that many.
+    }
+    for (const auto &[backend, slowdown] : told) {
+        const bool isRecent = slowdown.age >= Millis(0) && slowdown.age <= SlowdownTracker::MaxAge;
+        if (isRecent && this->backends.find(backend) != nullptr) {
+            this->slowdowns.record(backend, slowdown.factor, now - slowdown.age, true);
+        }
+    }
+}
+
 bool RouterState::isEarlierIncarnation(const BackendServer &server) const
 {
     const BackendServer *known = this->backends.find(server.id);
@@ -141,6 +182,8 @@
 
 void RouterState::expireStatements(TimePoint now)
 {
+    this->slowdowns.expire(now);
+    this->metrics.set("cyclamencross_told_slow_backends", double(this->slowdowns.slowCount(now)));
     this->statements.expire([this](const std::string &id) { return this->backends.find(id) != nullptr; }, now);
     this->metrics.set("cyclamencross_leaving_backends", double(this->statements.leavingCount()));
     this->metrics.set("cyclamencross_paused_backends", double(this->statements.pausedCount(now)));
--- a/src/gateway/streamrequesthandler.cpp
+++ b/src/gateway/streamrequesthandler.cpp
@@ -107,7 +107,8 @@
     const PlacementCandidate &chosen = candidates[*choice];
     const double millisPerToken = chosen.expectedMillisPerToken();
     const double queuedTokens = double(chosen.work.promptTokens);
-    const Millis expectedPrefill{std::int64_t((queuedTokens + tokens) * millisPerToken)};
+    const double slowdown = Placement::expectedSlowdowns(candidates)[*choice];
+    const Millis expectedPrefill{std::int64_t((queuedTokens + tokens) * millisPerToken * slowdown)};
     const Millis directPrefill{std::int64_t(tokens * millisPerToken * DirectPrefillFactor)};
     const Millis acceptableWait{std::int64_t(double(this->route.targetLatency.count()) * AcceptableWaitShare)};
     const bool usePrefillEngine = expectedPrefill <= std::max(directPrefill, acceptableWait);
@@ -120,6 +121,9 @@
         .add("expected_ms", std::int64_t(expectedPrefill.count()))
         .add("used", usePrefillEngine)
         .add("zone", chosen.server.zone)
+        .add("told_slowdown", chosen.toldSlowdown.factor)
+        .add("told_age_ms", std::int64_t(chosen.toldSlowdown.age.count()))
+        .add("told_to", chosen.toldSlowdown.isFromPeer ? "peer" : "own")
         .write();
     if (!usePrefillEngine) {
         co_return;
@@ -150,8 +154,11 @@
     if (this->kvCache) {
         --this->budgetedCalls; // A successful prefill call does not count against the retry budget.
         this->prefillEngine = server;
-        this->state.health.addPrefillSample(server.id,
-                                            toSeconds(Clock::now() - start) * 1000 / (queuedTokens + tokens));
+        // The average is that of the usual pace of the machine, which the choice multiplies with the present one.
+        const Slowdown after = this->state.slowdowns.find(server.id, Clock::now());
+        const double meanSlowdown = (chosen.toldSlowdown.known() + after.known()) / 2;
+        this->state.health.addPrefillSample(
+            server.id, toSeconds(Clock::now() - start) * 1000 / (queuedTokens + tokens) / meanSlowdown);
         this->recordOutcome(server, CallOutcome::Served);
         this->releaseConnection(server);
         co_return;
--- a/src/gateway/streamrequestplacement.cpp
+++ b/src/gateway/streamrequestplacement.cpp
@@ -153,6 +153,10 @@
         .add("avoided", this->decodeCandidate.avoided)
         .add("other_group", this->decodeCandidate.ofOtherGroup)
         .add("zone", this->decodeCandidate.server.zone)
+        .add("slowness", this->decodeCandidate.slowness)
+        .add("told_slowdown", this->decodeCandidate.toldSlowdown.factor)
+        .add("told_age_ms", std::int64_t(this->decodeCandidate.toldSlowdown.age.count()))
+        .add("told_to", this->decodeCandidate.toldSlowdown.isFromPeer ? "peer" : "own")
         .write();
 }
 
--- a/src/include/cyclamencross/gateway/backendresponsehead.h
+++ b/src/include/cyclamencross/gateway/backendresponsehead.h
@@ -18,6 +18,8 @@
     bool hasContentEncoding = false; ///< The body has a content encoding, which no backend server uses.
     /// Number of calls running and queued at the backend server when it responded, if reported.
     std::optional<std::int64_t> reportedCalls;
+    /// How long work takes on the machine of the backend server relative to the usual time, if it tells that.
+    std::optional<double> slowdown;
     /// Requests per second that the backend server takes from all routers together, infinity if it names no limit.
     /// Unset if that is not known, such as for an answer of another server or with a malformed limit.
     std::optional<double> requestsPerSecond;
--- a/src/include/cyclamencross/route/placement.h
+++ b/src/include/cyclamencross/route/placement.h
@@ -25,11 +25,16 @@
 /// for requests that other groups have placed there but not reported yet.
 constexpr double MaxSharedForecastShare = 0.85;
 
+/// Returns the expected slowdown of each candidate's machine, from what it tells. Candidates of which nothing is known
+/// count as the average of the others, so that they do not attract all work while others are slow. 1 for all candidates
+/// if none tells anything.
+std::vector<double> expectedSlowdowns(const std::vector<PlacementCandidate> &candidates);
 /// Returns whether any candidate can take requests now or once it has capacity again. Only without one should a router
 /// use the engines of other groups: it does not know their load, and in bursts it would overload engines whose own
 /// routers have no way of knowing it.
 bool hasUsableCandidate(const std::vector<PlacementCandidate> &candidates);
-/// Chooses the backend server of a plain service with the lowest load per slot.
+/// Chooses the backend server of a plain service with the lowest load per slot. One that tells that its machine is
+/// slower than that of the others counts as fuller.
 /// @param maxCallsPerSlot number of calls per slot from which a backend server counts as full and is left out. The
 /// number of calls that the backend server itself reported takes precedence over the number that the routers have
 /// placed.
--- a/src/include/cyclamencross/route/placementcandidate.h
+++ b/src/include/cyclamencross/route/placementcandidate.h
@@ -2,6 +2,7 @@
 
 #include "cyclamencross/route/backendserver.h"
 #include "cyclamencross/route/backendwork.h"
+#include "cyclamencross/route/slowdown.h"
 
 #include <cstdint>
 #include <optional>
@@ -26,6 +27,7 @@
     bool avoided = false; ///< To be used only if no other backend server can serve the request.
     double failureRate = 0; ///< From 0 to 1.
     double slowness = 1; ///< Time for a generated token relative to the average engine.
+    Slowdown toldSlowdown; ///< Pace of its machine as it tells itself.
     double prefillMillisPerToken = 0; ///< Prefill time in milliseconds per prompt token; 0 if not known.
     /// Prefill time assumed until an engine has processed its first prompt, in milliseconds per prompt token.
     static constexpr double DefaultMillisPerToken = 0.02;
--- a/src/route/placement.cpp
+++ b/src/route/placement.cpp
@@ -38,8 +38,47 @@
 // many routers would choose the same engine.
 constexpr double SharedTieBreakCost = 0.06;
 
+// Part of a difference in slowdown that counts for a decode engine. A stream lasts several times longer than a figure
+// holds, and its first events, for which the figure holds, matter most to its caller.
+constexpr double DecodeSlowdownShare = 0.3;
+// Load that the slowdown of a plain server multiplies at least: a call takes longer there even if no other is running.
+constexpr double MinSlowedLoad = 0.5;
+// Slowdown relative to the average from which it counts. All routers of a group know nearly the same figures, so if
+// small differences counted, all would choose the same server, and its queue would be known only after the next
+// reports.
+constexpr double MinSlowdownCounted = 1.3;
+// Weight of the usual pace in the average slowdown, in servers that tell theirs.
+constexpr double UsualPaceWeight = 1;
+
+// Returns the average slowdown of the candidates, weighted by what is known of them.
+double averageSlowdown(const std::vector<PlacementCandidate> &candidates)
+{
+    double weight = UsualPaceWeight;
+    double sum = UsualPaceWeight;
+    for (const PlacementCandidate &candidate : candidates) {
+        weight += candidate.toldSlowdown.trust;
+        sum += candidate.toldSlowdown.trust * candidate.toldSlowdown.factor;
+    }
+    return sum / weight;
+}
+
+// Returns how much slower than the average each candidate is expected to be; 1 for those that differ little from it.
+std::vector<double> relativeSlowdowns(const std::vector<PlacementCandidate> &candidates)
+{
+    const double average = averageSlowdown(candidates);
+    std::vector<double> result;
+    result.reserve(candidates.size());
+    for (const PlacementCandidate &candidate : candidates) {
+        const Slowdown &told = candidate.toldSlowdown;
+        const double relative = 1 + told.trust * (told.factor / average - 1);
+        result.push_back(relative < MinSlowdownCounted ? 1 : relative);
+    }
+    return result;
+}
+
 // Returns the index of the candidate with the lowest cost; an infinite cost excludes a candidate. Considers avoided
 // candidates only if all are avoided, and candidates at their limit never.
+// @param cost takes the index of a candidate.
 template<typename Cost>
 std::optional<std::size_t> lowestCostCandidate(const std::vector<PlacementCandidate> &candidates, const Cost &cost)
 {
@@ -51,7 +90,7 @@
         if (candidates[i].atNamedLimit || (candidates[i].avoided && !allAvoided)) {
             continue;
         }
-        const double candidateCost = cost(candidates[i]);
+        const double candidateCost = cost(i);
         if (candidateCost < bestCost) {
             best = i;
             bestCost = candidateCost;
@@ -68,6 +107,16 @@
 
 }
 
+std::vector<double> expectedSlowdowns(const std::vector<PlacementCandidate> &candidates)
+{
+    std::vector<double> result = relativeSlowdowns(candidates);
+    const double average = averageSlowdown(candidates);
+    for (double &slowdown : result) {
+        slowdown *= average;
+    }
+    return result;
+}
+
 bool hasUsableCandidate(const std::vector<PlacementCandidate> &candidates)
 {
     return std::any_of(candidates.begin(), candidates.end(),
@@ -77,23 +126,29 @@
 std::optional<std::size_t> choosePlain(const std::vector<PlacementCandidate> &candidates, double maxCallsPerSlot,
                                        const std::function<double()> &random)
 {
-    return lowestCostCandidate(candidates, [&random, maxCallsPerSlot](const PlacementCandidate &candidate) {
+    const std::vector<double> slowdowns = relativeSlowdowns(candidates);
+    return lowestCostCandidate(candidates, [&](std::size_t index) {
+        const PlacementCandidate &candidate = candidates[index];
         const int slots = std::max(1, candidate.server.slots);
         const double load = double(candidate.work.requests) / slots;
         // An estimate is good enough to compare candidates, but not to treat a backend server as full.
         const double knownLoad = candidate.workIsEstimated ? 0 : load;
         const double callsPerSlot = candidate.reportedCalls ? double(*candidate.reportedCalls) / slots : knownLoad;
         return callsPerSlot >= maxCallsPerSlot ? std::numeric_limits<double>::infinity()
-                                               : load + commonCost(candidate, CrossZoneCallCost, random);
+                                               : load + (slowdowns[index] - 1) * std::max(load, MinSlowedLoad)
+                + commonCost(candidate, CrossZoneCallCost, random);
     });
 }
 
 std::optional<std::size_t> choosePrefill(const std::vector<PlacementCandidate> &candidates, double tokens,
                                          const std::function<double()> &random)
 {
-    return lowestCostCandidate(candidates, [&](const PlacementCandidate &candidate) {
+    const std::vector<double> slowdowns = relativeSlowdowns(candidates);
+    return lowestCostCandidate(candidates, [&](std::size_t index) {
+        const PlacementCandidate &candidate = candidates[index];
         const double queuedPrompts = (double(candidate.work.promptTokens) + tokens) / std::max(1.0, tokens);
-        return queuedPrompts * candidate.expectedMillisPerToken() / PlacementCandidate::DefaultMillisPerToken
+        return queuedPrompts * slowdowns[index] * candidate.expectedMillisPerToken()
+            / PlacementCandidate::DefaultMillisPerToken
             + commonCost(candidate, CrossZonePromptCost, random);
     });
 }
@@ -102,7 +157,9 @@
                                         const KvCacheForecast &request, double capacity,
                                         const std::function<double()> &random)
 {
-    return lowestCostCandidate(candidates, [&](const PlacementCandidate &candidate) {
+    const std::vector<double> slowdowns = relativeSlowdowns(candidates);
+    return lowestCostCandidate(candidates, [&](std::size_t index) {
+        const PlacementCandidate &candidate = candidates[index];
         const auto peak = double(candidate.work.kvCache.peakWith(request));
         // A request larger than the whole KV cache of an engine is placed only on an empty engine.
         const double limit =
@@ -110,8 +167,10 @@
         if (capacity > 0 && (candidate.reservationRefused || peak > limit)) {
             return std::numeric_limits<double>::infinity();
         }
-        // A slow engine counts as fuller in proportion, so it gets less work but never none.
-        const double load = candidate.slowness
+        // A slow engine counts as fuller in proportion, so it gets less work but never none. What the routers measure
+        // and what the engine tells may have the same cause, so only the larger one counts.
+        const double slowdown = std::max(candidate.slowness, 1 + DecodeSlowdownShare * (slowdowns[index] - 1));
+        const double load = slowdown
             * (capacity > 0 ? peak / capacity : double(candidate.work.requests) / std::max(1, candidate.server.slots));
         const double spread = candidate.isShared ? SharedTieBreakCost * random() : 0;
         return load + spread + commonCost(candidate, CrossZoneCost, random);
