--- a/src/route/workspacequotas_test.cpp
+++ b/src/route/workspacequotas_test.cpp
@@ -94,7 +94,7 @@
     exchange.run(Millis(12000), load);
     exchange.report(fault.c_str());
     CHECK(exchange.worst <= Bound);
-    CHECK(exchange.usedShare() >= (fault == "cut" || fault == "all restarted" ? 0.85 : 0.5));
+    CHECK(exchange.usedShare() >= 0.9);
 }
 
 TEST_CASE("Routers are replaced one after another, delegates among them")
@@ -115,7 +115,7 @@
     }
     exchange.report("replaced");
     CHECK(exchange.worst <= Bound);
-    CHECK(exchange.usedShare() >= 0.85);
+    CHECK(exchange.usedShare() >= 0.9);
 }
 
 TEST_CASE("A lowered quota holds from its configuration on, a raised one gives room at once")
