--- a/src/gateway/peerreport.cpp
+++ b/src/gateway/peerreport.cpp
@@ -197,8 +197,8 @@
         && areAllPlausible(report.otherGroupsWork) && areAllPlausible(report.waiting)
         && areAllPlausible(report.reportedCalls) && areAllPlausible(report.slowdowns)
         && areAllPlausible(report.namedLimits) && areAllPlausible(report.outcomes) && areAllPlausible(report.streams)
-        && areAllPlausible(report.crashes) && areAllPlausible(report.servedSuspects)
-        && report.quota.isPlausible() && report.otherGroupsQuota.isPlausible();
+        && areAllPlausible(report.crashes) && areAllPlausible(report.servedSuspects) && report.quota.isPlausible()
+        && report.otherGroupsQuota.isPlausible();
 }
 
 }
