Stage balance by the load of all groups that report to the leader

Cause: the leader extrapolated the load of prefill and decode engines from its own group. With groups by zone that is one zone, so a burst of that zone would move engines of all zones to another stage.

Change: group reports between delegates carry the load of the engines that the group uses; a delegate counts each group by its engines (StageLoads). Without such reports, as with groups that share no servers, it extrapolates as before.

--- a/src/gateway/peerreport.cpp
+++ b/src/gateway/peerreport.cpp
@@ -72,6 +72,16 @@
     archiveMillis(archive, told.age);
 }
 
+template<typename Archive>
+void serialize(Archive &archive, StageLoad &load)
+{
+    auto prefillEngines = std::uint64_t(load.prefillEngines);
+    auto decodeEngines = std::uint64_t(load.decodeEngines);
+    archive(prefillEngines, decodeEngines, load.prefillRequests, load.decodeUse);
+    load.prefillEngines = std::size_t(prefillEngines);
+    load.decodeEngines = std::size_t(decodeEngines);
+}
+
 template<typename Archive>
 void serialize(Archive &archive, StatementNews &news)
 {
@@ -103,7 +113,7 @@
 {
     archive(report.watching, report.changes);
     archiveMillis(archive, report.changesKnownAge);
-    archive(report.isCrashNews, report.isGroupReport, report.groupWork, report.knowsOtherGroups,
+    archive(report.isCrashNews, report.isGroupReport, report.groupWork, report.stageLoads, report.knowsOtherGroups,
             report.otherGroupsWork);
     archive(report.router, report.incarnation, report.sequence, report.storeRevision, report.work, report.waiting,
             report.reportedCalls, report.slowdowns, report.namedLimits, report.statements, report.outcomes,
@@ -145,6 +155,13 @@
     return isPlausible(told.age) && std::isfinite(told.factor) && told.factor > 0;
 }
 
+bool isPlausible(const StageLoad &load)
+{
+    return load.prefillEngines <= std::uint64_t(MaxAmount) && load.decodeEngines <= std::uint64_t(MaxAmount)
+        && load.prefillRequests >= 0 && load.prefillRequests <= double(MaxAmount) && load.decodeUse >= 0
+        && load.decodeUse <= double(MaxAmount);
+}
+
 bool isPlausible(const PeerReport::Outcomes &outcomes)
 {
     return std::isfinite(outcomes.paceSum);
@@ -181,8 +198,8 @@
 bool isPlausible(const PeerReport &report)
 {
     return isPlausible(report.changesKnownAge) && areAllPlausible(report.work) && areAllPlausible(report.groupWork)
-        && areAllPlausible(report.otherGroupsWork) && areAllPlausible(report.waiting)
-        && areAllPlausible(report.reportedCalls) && areAllPlausible(report.slowdowns)
+        && areAllPlausible(report.stageLoads) && areAllPlausible(report.otherGroupsWork)
+        && areAllPlausible(report.waiting) && areAllPlausible(report.reportedCalls) && areAllPlausible(report.slowdowns)
         && areAllPlausible(report.namedLimits) && areAllPlausible(report.outcomes) && areAllPlausible(report.streams)
         && areAllPlausible(report.crashes) && areAllPlausible(report.servedSuspects);
 }
--- a/src/gateway/peerreport.h
+++ b/src/gateway/peerreport.h
@@ -7,6 +7,7 @@
 #include "cyclamencross/route/crashedcall.h"
 #include "cyclamencross/route/namedlimit.h"
 #include "cyclamencross/route/servedsuspect.h"
+#include "cyclamencross/route/stageload.h"
 #include "cyclamencross/route/statementnews.h"
 #include "cyclamencross/route/streamsample.h"
 #include "cyclamencross/route/toldslowdown.h"
@@ -48,6 +49,8 @@
     /// Work of the sender's whole group on the backend servers that all groups share. Only sent between the delegates
     /// of the groups; such a report carries nothing else.
     std::map<std::string, BackendWork> groupWork;
+    /// Load of the engines that the sender's group uses, by service. Only sent between delegates.
+    std::map<std::string, StageLoad> stageLoads;
     /// Work of all other groups on the shared backend servers. Only sent by the delegate of the receiver's group.
     std::map<std::string, BackendWork> otherGroupsWork;
     bool knowsOtherGroups = false; ///< `otherGroupsWork` is known, even if it is empty.
--- a/src/gateway/pieces_test.cpp
+++ b/src/gateway/pieces_test.cpp
@@ -49,6 +49,11 @@
 {
     const RouterMember member{"r1", 7, "z", "10.0.0.1:80", "10.0.0.1:81"};
     CHECK(decodeMember("r1", encodeMember(member)) == member);
+    // Guards against a record of an earlier version that makes its router invisible.
+    const auto withoutZone =
+        decodeMember("r1", R"({"incarnation":7,"caller_address":"10.0.0.1:80","peer_address":"10.0.0.1:81"})");
+    REQUIRE(withoutZone.has_value());
+    CHECK(withoutZone->zone.empty());
     CHECK_FALSE(decodeMember("r1", "{}").has_value());
     CHECK_FALSE(decodeMember("r1", "not json").has_value());
     CHECK_FALSE(decodeMember("r1",
@@ -129,6 +134,9 @@
     CHECK_FALSE(isAccepted([](PeerReport &one) { one.reportedCalls["e"] = Most; }));
     CHECK_FALSE(isAccepted([](PeerReport &one) { one.namedLimits["e"].age = Millis(Most); }));
     CHECK_FALSE(isAccepted([&](PeerReport &one) { one.namedLimits["e"].requestsPerSecond = notANumber; }));
+    CHECK_FALSE(isAccepted([&](PeerReport &one) { one.stageLoads["s"].decodeUse = notANumber; }));
+    CHECK_FALSE(isAccepted([](PeerReport &one) { one.stageLoads["s"].prefillRequests = -1; }));
+    CHECK_FALSE(isAccepted([](PeerReport &one) { one.stageLoads["s"].prefillEngines = std::size_t(Most); }));
     CHECK_FALSE(isAccepted([&](PeerReport &one) { one.slowdowns["e"].factor = notANumber; }));
     CHECK_FALSE(isAccepted([](PeerReport &one) { one.slowdowns["e"].factor = 0; }));
     CHECK_FALSE(isAccepted([](PeerReport &one) { one.slowdowns["e"].age = Millis(Most); }));
--- a/src/gateway/routerstate.cpp
+++ b/src/gateway/routerstate.cpp
@@ -172,41 +172,6 @@
     return this->isEligible(server) && !this->statements.isSilent(server.id, now);
 }
 
-std::map<std::string, StageLoad> RouterState::stageLoads() const
-{
-    std::map<std::string, StageLoad> result;
-    for (const auto &[poolKey, pool] : this->pools) {
-        const auto &[service, stage] = poolKey;
-        const ServiceConfig *config = this->table ? this->table->service(service) : nullptr;
-        const auto otherStage =
-            this->pools.find({service, stage == EngineStage::Prefill ? EngineStage::Decode : EngineStage::Prefill});
-        if (stage == EngineStage::None || config == nullptr || !config->engine || otherStage == this->pools.end()) {
-            continue;
-        }
-        BackendWork work;
-        std::size_t eligible = 0;
-        for (const PlacementCandidate &candidate : this->candidates(service, stage, {}, "", this->environment.now())) {
-            work += candidate.work;
-            ++eligible;
-        }
-        StageLoad &load = result[service];
-        const std::size_t engines = pool.own.size() + pool.otherGroups.size();
-        const double averageFactor = 1.0 / double(std::max<std::size_t>(1, eligible));
-        if (stage == EngineStage::Prefill) {
-            load.prefillEngines = engines;
-            load.prefillRequests = double(work.requests) * averageFactor * double(engines);
-            // A smaller pool could not be divided among the groups any more.
-            load.minPrefillEngines =
-                pool.otherGroups.empty() ? 1 : this->groupPlan.groupCount() * Subsetting::MinBackendsPerGroup;
-        } else {
-            load.decodeEngines = engines;
-            load.decodeUse = double(work.kvCache.peak()) * averageFactor
-                / double(std::max<std::int64_t>(1, config->engine->kvCacheTokens));
-        }
-    }
-    return result;
-}
-
 bool RouterState::isLeader() const
 {
     return this->leadership.router == this->settings.name && this->leadership.incarnation == this->incarnation
--- a/src/gateway/routerstate.h
+++ b/src/gateway/routerstate.h
@@ -115,7 +115,7 @@
     /// Drops statements that have ended and updates their metrics.
     void expireStatements(TimePoint now);
     /// Returns the load of the engines of each model service that has engines of both stages. Extrapolates from the
-    /// engines of this router's group to all.
+    /// engines of this router's group, and of those whose delegates report to this router, to all.
     std::map<std::string, StageLoad> stageLoads() const;
     /// Returns whether this router is the leader, by a record under its newest lease. A record under an earlier lease
     /// is gone from the store even if this router has not read that yet, and another router may lead.
@@ -304,6 +304,8 @@
     std::vector<RouterMember> delegates; ///< Of the other groups that share backend servers with this router's group.
     /// Work of the other groups on shared backend servers by delegate, if this router is the delegate of its group.
     std::map<std::string, std::pair<std::map<std::string, BackendWork>, TimePoint>> groupWork;
+    /// Loads of the engines of other groups by delegate and service, likewise.
+    std::map<std::string, std::pair<std::map<std::string, StageLoad>, TimePoint>> groupStageLoads;
     std::map<std::string, BackendWork> otherGroupsWork; ///< Sum over all other groups.
     TimePoint otherGroupsWorkTime; ///< When the sum was last updated.
     TimePoint lastGroupReport;
@@ -329,6 +331,8 @@
 
     /// Returns the hashes of the names of the routers that use a backend server.
     const std::vector<std::uint64_t> &routersOf(const std::string &backend) const;
+    /// Returns the load of the engines of this router's group that take requests now, by service.
+    std::map<std::string, StageLoad> ownStageLoads() const;
     /// Computes the groups of routers: `groupPlan`, `ownGroup`, the peers and the rank in the group.
     void groupRouters();
     /// Divides the backend servers among the groups.
--- a/src/gateway/routerstategroups.cpp
+++ b/src/gateway/routerstategroups.cpp
@@ -4,6 +4,8 @@
 
 #include "cyclamencross/base/hash.h"
 #include "cyclamencross/base/logline.h"
+#include "cyclamencross/route/stageloads.h"
+#include "cyclamencross/route/subsetting.h"
 
 #include <algorithm>
 
@@ -190,6 +192,60 @@
     return result;
 }
 
+std::map<std::string, StageLoad> RouterState::ownStageLoads() const
+{
+    std::map<std::string, StageLoad> result;
+    for (const auto &[poolKey, pool] : this->pools) {
+        const auto &[service, stage] = poolKey;
+        const ServiceConfig *config = this->table ? this->table->service(service) : nullptr;
+        const auto otherStage =
+            this->pools.find({service, stage == EngineStage::Prefill ? EngineStage::Decode : EngineStage::Prefill});
+        if (stage == EngineStage::None || config == nullptr || !config->engine || otherStage == this->pools.end()) {
+            continue;
+        }
+        BackendWork work;
+        std::size_t eligible = 0;
+        for (const PlacementCandidate &candidate : this->candidates(service, stage, {}, "", this->environment.now())) {
+            work += candidate.work;
+            ++eligible;
+        }
+        StageLoad &load = result[service];
+        if (stage == EngineStage::Prefill) {
+            load.prefillEngines = eligible;
+            load.prefillRequests = double(work.requests);
+        } else {
+            load.decodeEngines = eligible;
+            load.decodeUse = double(work.kvCache.peak()) / double(std::max<std::size_t>(1, eligible))
+                / double(std::max<std::int64_t>(1, config->engine->kvCacheTokens));
+        }
+    }
+    return result;
+}
+
+std::map<std::string, StageLoad> RouterState::stageLoads() const
+{
+    std::map<std::string, StageLoad> result;
+    const TimePoint now = this->environment.now();
+    for (const auto &[service, own] : this->ownStageLoads()) {
+        std::vector<StageLoad> groups{own};
+        for (const auto &[delegate, loads] : this->groupStageLoads) {
+            const auto load = loads.first.find(service);
+            if (load != loads.first.end() && now - loads.second <= GroupWorkLifetime) {
+                groups.push_back(load->second);
+            }
+        }
+        const Pool &prefill = this->pools.at({service, EngineStage::Prefill});
+        const Pool &decode = this->pools.at({service, EngineStage::Decode});
+        StageLoad &load = result[service];
+        load = StageLoads::ofAll(groups, prefill.own.size() + prefill.otherGroups.size(),
+                                 decode.own.size() + decode.otherGroups.size());
+        // A smaller pool could not be divided among the groups any more.
+        load.minPrefillEngines =
+            prefill.otherGroups.empty() ? 1 : this->groupPlan.groupCount() * Subsetting::MinBackendsPerGroup;
+    }
+    return result;
+}
+
 bool RouterState::hasZoneGroups() const
 {
     return this->groupPlan.isByZone();
--- a/src/gateway/routerstategroups_test.cpp
+++ b/src/gateway/routerstategroups_test.cpp
@@ -1,5 +1,7 @@
 #include "routerstate.h"
 
+#include "cyclamencross/route/routetablebuilder.h"
+
 #include <algorithm>
 #include <memory>
 #include <vector>
@@ -155,3 +157,46 @@
     CHECK(state->mayAskOtherGroups("big", true, now));
     CHECK(state->mayAskOtherGroups("other", false, now));
 }
+
+TEST_CASE("A delegate weighs the stages by the engines of all groups that report to it")
+{
+    // Guards against a leader that moves engines of all zones to another stage because its own zone has a burst.
+    boost::asio::io_context context;
+    EngineConfig engineConfig;
+    engineConfig.kvCacheTokens = 1000;
+    std::vector<std::unique_ptr<RouterState>> delegates;
+    for (int zone = 0; zone < 2; ++zone) {
+        for (int i = 0; i < 20; ++i) {
+            auto state = makeState(context, numbered("r", zone, i), zone, {20, 20}, {10, 10});
+            for (int z = 0; z < 2; ++z) {
+                for (int engine = 0; engine < 8; ++engine) {
+                    const std::string id = numbered("p", z, engine);
+                    state->backends.put(
+                        id, BackendServer{id, "big", "10.0.1.1:1", zoneName(z), false, EngineStage::Prefill, 4, 0}, 1);
+                }
+            }
+            state->backends.put("app", BackendServer{"app", "app", "10.0.1.2:1", "z0", false, EngineStage::None, 4, 0},
+                                1);
+            ServiceConfig service;
+            service.name = "big";
+            service.engine = engineConfig;
+            state->table = std::make_shared<const RouteTable>(RouteTableBuilder().add(service).build());
+            state->regroup();
+            if (state->isPrimaryWatcher()) {
+                delegates.push_back(std::move(state));
+            }
+        }
+    }
+    REQUIRE(delegates.size() == 2);
+    RouterState &busy = *delegates.front();
+    for (int engine = 0; engine < 8; ++engine) {
+        busy.work->add(numbered("p", 0, engine), BackendWork{4, 0, {}});
+    }
+    CHECK(busy.stageLoads().at("big").prefillRequests == Approx(64));
+    const TimePoint now = Clock::now();
+    busy.applyReport(*delegates.back()->takeGroupReport(now), now);
+    CHECK(busy.stageLoads().at("big").prefillRequests == Approx(32));
+    CHECK(busy.stageLoads().at("big").prefillEngines == 16);
+    delegates.back()->applyReport(*busy.takeGroupReport(now), now);
+    CHECK(delegates.back()->stageLoads().at("big").prefillRequests == Approx(32));
+}
--- a/src/gateway/routerstatereports.cpp
+++ b/src/gateway/routerstatereports.cpp
@@ -165,6 +165,7 @@
     report.incarnation = this->incarnation;
     report.sequence = ++this->groupReportSequence;
     report.isGroupReport = true;
+    report.stageLoads = this->ownStageLoads();
     for (const auto &[id, groups] : this->sharedBackends) {
         const BackendWork total = this->work->total(id);
         if (total != BackendWork()) {
@@ -222,6 +223,9 @@
     if (report.isGroupReport) {
         if (this->isPrimaryWatcher() && isNewer(report, this->groupReportSequences)) {
             this->groupWork[report.router] = {report.groupWork, now};
+            std::erase_if(this->groupStageLoads,
+                          [now](const auto &item) { return now - item.second.second > GroupWorkLifetime; });
+            this->groupStageLoads[report.router] = {report.stageLoads, now};
         }
         return;
     }
--- a/src/include/cyclamencross/route/zonedname.h
+++ b/src/include/cyclamencross/route/zonedname.h
@@ -12,7 +12,6 @@
     std::string zone; ///< Empty if not known.
 
     bool operator==(const ZonedName &) const = default;
-    auto operator<=>(const ZonedName &) const = default;
 };
 
 }
--- a/src/route/groupplan.cpp
+++ b/src/route/groupplan.cpp
@@ -42,7 +42,8 @@
 
 GroupPlan::GroupPlan(std::vector<ZonedName> routers, bool byZone)
 {
-    std::sort(routers.begin(), routers.end());
+    std::sort(routers.begin(), routers.end(),
+              [](const ZonedName &left, const ZonedName &right) { return left.name < right.name; });
     std::map<std::string, std::vector<std::string>> byZoneName;
     std::vector<std::string> all;
     for (const ZonedName &router : routers) {
