--- a/src/gateway/routerstatereports.cpp
+++ b/src/gateway/routerstatereports.cpp
@@ -218,6 +218,7 @@
     report.sequence = ++this->groupReportSequence;
     report.isGroupReport = true;
     report.quota = this->takeQuotaReport(WorkspaceQuotas::Scope::Group, now);
+    report.stageLoads = this->ownStageLoads();
     for (const auto &[id, groups] : this->sharedBackends) {
         const BackendWork total = this->work->total(id);
         if (total != BackendWork()) {
@@ -277,6 +278,9 @@
             this->groupWork[report.router] = {report.groupWork, now};
             this->quotas.applyReport(WorkspaceQuotas::Scope::Group, report.router, report.incarnation, report.quota,
                                      now);
+            std::erase_if(this->groupStageLoads,
+                          [now](const auto &item) { return now - item.second.second > GroupWorkLifetime; });
+            this->groupStageLoads[report.router] = {report.stageLoads, now};
         }
         return;
     }
