--- a/src/gateway/httpsession.cpp
+++ b/src/gateway/httpsession.cpp
@@ -390,6 +390,12 @@
     session.stalledSince = stalled ? session.stalledSince.value_or(now) : std::optional<TimePoint>();
 }
 
+void HttpSession::forgetProgress()
+{
+    this->impl->lastProgress = std::nullopt;
+    this->impl->stalledSince = std::nullopt;
+}
+
 std::optional<TimePoint> HttpSession::stalledSince() const
 {
     return this->impl->stalledSince;
--- a/src/gateway/httpsession.h
+++ b/src/gateway/httpsession.h
@@ -61,6 +61,8 @@
     boost::asio::awaitable<void> waitForRoom(std::size_t bytes, TimePoint until);
     /// Notes whether the caller's host has acknowledged bytes since the last call.
     void checkProgress(TimePoint now);
+    /// Forgets what checkProgress() has noted, since it is not called for a while.
+    void forgetProgress();
     /// Returns since when, as far as checkProgress() has seen, bytes for the caller are outstanding without any being
     /// acknowledged; std::nullopt if that is not so.
     std::optional<TimePoint> stalledSince() const;
--- a/src/gateway/router.h
+++ b/src/gateway/router.h
@@ -60,6 +60,8 @@
     bool cutSlowestCaller();
     /// Returns how many caller connections the settings allow.
     std::size_t maxSessions() const;
+    /// Returns from how many caller connections on some are kept free for new callers.
+    std::size_t reserveFrom() const;
     /// Updates what is known of callers that do not read.
     void checkSessions(TimePoint now);
     /// Starts sessions on the connections that wait in the queues of the ports, and closes the ports.
