Soak: workspaces, API keys, a quota, told load and slow readers

Runs with an odd seed have three workspaces in their configuration. Callers show known, removed and unknown keys or none and try to name a workspace themselves. Checked are the headers that backend servers see, 401 for requests without a known key, no 401 for a proper one, that removed keys reach no backend server once the change is in force, and the quota of one workspace over any 8 s. A fault replaces a key in use. Requests that wait, or whose backend server is disturbed, count for the quota from their sending, as their run may begin long after the admission. Backend servers of these runs tell a time of work that changes, and two callers read slowly.

Writes of the configuration wait for each other: a repeated write could replace a newer version. Repeated headers are joined by the stand-ins, so that a second one is seen.

--- a/testsuite/soak/backend.py
+++ b/testsuite/soak/backend.py
@@ -1,6 +1,9 @@
-"""Emulates one backend server. Usage: backend.py ID SERVICE STAGE PORT PUBLIC_ADDRESS STORE_ADDRESS SEED CAPACITY SLOTS
+"""Emulates one backend server.
+
+Usage: backend.py ID SERVICE STAGE PORT PUBLIC_ADDRESS STORE_ADDRESS SEED CAPACITY SLOTS TELLS_LOAD
 
 CAPACITY is the memory in tokens. A plain service with one slot takes longer for a request and runs one at a time.
+With TELLS_LOAD 1, answers carry Server-Load with a time of work in percent of the usual one that changes at random.
 
 STAGE is prefill, decode or none. Prints a JSON line for each request that begins or ends here. On SIGTERM it registers
 as draining, serves requests for another DRAIN_SECONDS, removes its registration and ends. From SIGUSR1 to SIGUSR2 its
@@ -23,7 +26,7 @@
 LIMIT = 2.0
 BAD_PART = "bad"
 ID, SERVICE, STAGE, PORT, ADDRESS, STORE, SEED = sys.argv[1:8]
-CAPACITY, SLOTS = (int(text) for text in sys.argv[8:10])
+CAPACITY, SLOTS, TELLS_LOAD = (int(text) for text in sys.argv[8:11])
 WORK_SECONDS = (0.005, 0.06) if SLOTS > 1 else (0.1, 0.5)
 
 
@@ -33,7 +36,9 @@
     def __init__(self):
         self.random = random.Random(SEED)
         self.draining = self.left = False
-        self.used_tokens = 0
+        self.used_tokens = self.running = 0
+        self.load_random = random.Random(SEED + ID)  # apart, so that the figures do not change the work of a seed
+        self.percent, self.percent_until = 100, 0.0
         self.handles = {}
         self.holds = {}
         self.limit_headers = {}
@@ -85,12 +90,23 @@
         self.limit_headers = {} if limit is None else {"Server-Limit": f"{limit:.1f}"}
         self.log_event("limit", limit=limit)
 
+    def load_headers(self):
+        """Returns the header with the load and the time that work takes, which changes about every 0.6 s."""
+        if not TELLS_LOAD:
+            return {}
+        if time.monotonic() > self.percent_until:
+            self.percent = self.load_random.choice((100, 100, 100, 100, 60, 250, 400))
+            self.percent_until = time.monotonic() + self.load_random.uniform(0.1, 1.1)
+        running = min(self.running, SLOTS)
+        return {"Server-Load": f"{running},{self.running - running},{SLOTS},{self.percent}"}
+
     async def run_request(self, reader, writer, head, body):
         """Answers one request of a caller. Returns whether the connection can be reused."""
         method, target, _ = head[0].split()
         headers = head[1]
         request = headers.get("request-id", "")
-        answer_headers = {"Request-Id": request, "Server-Stamp": f"{ID}.{request}", **self.limit_headers}
+        answer_headers = {"Request-Id": request, "Server-Stamp": f"{ID}.{request}", **self.limit_headers,
+                          **self.load_headers()}
         refusal_headers = {"Request-Id": request, "Not-Executed": "1", **self.limit_headers}
         if headers.get("expect-instance") not in (None, ID):
             writer.write(wirehttp.message("HTTP/1.1 421 X", {**refusal_headers, "Instance-Id": ID}))
@@ -112,6 +128,7 @@
             writer.write(wirehttp.message("HTTP/1.1 503 X", refusal_headers))
             return True
         self.used_tokens += tokens
+        self.running += 1
         left = int(headers.get("deadline-ms", "-1"))
         self.log_event("run", request, method=method, target=target, body=body.decode("latin1"), left=left,
                        forged=headers.get("kv-backup", ""))
@@ -137,6 +154,7 @@
                     missing = 0
         finally:
             self.used_tokens -= tokens
+            self.running -= 1
             self.log_event("end", request, complete=not missing, missing=missing, broke_off=self.left)
             disconnect.cancel()
         return False
@@ -169,6 +187,9 @@
             while head := await wirehttp.read_head(reader):
                 method, target, _ = head[0].split()
                 body = await wirehttp.read_body(reader, head[1])
+                if "x-api-key" in head[1] or not target.startswith("/cyclamencross/"):
+                    self.log_event("seen", head[1].get("request-id", ""), tenant=head[1].get("tenant"),
+                                   key="x-api-key" in head[1])
                 if target == "/cyclamencross/hold-take":
                     reservation = json.loads(body)
                     if self.used_tokens + self.reserved_tokens() + reservation["Tokens"] > CAPACITY:
--- a/testsuite/soak/callers.py
+++ b/testsuite/soak/callers.py
@@ -7,6 +7,7 @@
 
 from link import Link
 from requestkinds import KINDS, STREAM_PATHS, VARIED_EVENTS
+from workspaces import headers_of
 import wirehttp
 
 BAD_PART_SHARE = 0.2  # share of the streams that contain the part, while there is one
@@ -14,6 +15,7 @@
 READ_PAUSES = (0, 0, 0, 0.05, 0.12)  # seconds between two pieces that a caller reads
 IDLE_RATES = (8, 8, 0.7)  # requests per second of time between requests
 PIECES_SHARE = 0.4  # share of the bodies that are sent in pieces
+SLOW_CALLERS, SLOW_PAUSE = 2, 0.12  # in runs with workspaces: callers that read slowly, and their pause
 LARGE_MAXIMUM = (300, 1500, 4000)  # maximum output in tokens of streams of varied length
 
 
@@ -23,6 +25,7 @@
     def __init__(self, fleet, guarantees, seed):
         self.fleet, self.guarantees = fleet, guarantees
         self.random = random.Random(seed)
+        self.key_random = random.Random(seed)  # apart, so that keys do not change the requests of a seed
         self.addresses, self.addresses_expire = [], 0.0
         self.reader = self.writer = None
         self.request_count, self.seed = 0, seed
@@ -39,6 +42,9 @@
             self.link_delay, self.read_pause = self.random.choice(LINK_DELAYS), self.random.choice(READ_PAUSES)
             self.idle_rate = self.random.choice(IDLE_RATES)
             self.kinds |= {"read-large": 1}
+        elif guarantees.workspaces and seed % 1000 < SLOW_CALLERS:
+            self.link_delay, self.read_pause = 0, SLOW_PAUSE
+            self.kinds |= {"read-large": 1}
 
     async def resolve(self):
         """Updates the cached addresses if they have expired. Asks up to three routers."""
@@ -123,6 +129,9 @@
                 "begun_at": begun, "sent_at": begun, "whole_sent": False}
         headers = {"Host": "h.example", "Request-Id": request, "Deadline-Ms": str(deadline_ms),
                    "Kv-Backup": "127.0.0.1:9"}
+        if self.guarantees.workspaces:
+            sent["key"] = self.guarantees.workspaces.choose(self.key_random)
+            headers |= headers_of(sent["key"])
         if path in STREAM_PATHS:
             maximum = 200 if kind == "stream-long" else 100
             maximum = self.random.choice(LARGE_MAXIMUM) if path.startswith("/varied") else maximum
@@ -142,6 +151,7 @@
                 if head is None:
                     raise wirehttp.ConnectionBroken("closed")
                 status = int(head[0].split()[1])
+                sent["retry_after"] = head[1].get("retry-after")
                 if head[1].get("transfer-encoding") == "chunked":
                     while part := await wirehttp.read_chunk(self.reader):
                         answer += part
--- a/testsuite/soak/faults.py
+++ b/testsuite/soak/faults.py
@@ -8,6 +8,7 @@
 from requestkinds import KINDS
 from stops import PlannedStops
 import wirehttp
+from workspaces import FIXED_KEY, IN_FORCE_SECONDS, headers_of
 
 FAULT_FREE_SECONDS = 3.0  # time without faults before guarantees with a time limit are checked
 RESTART_SECONDS = 1.5  # time after which a crashed engine starts again
@@ -52,6 +53,7 @@
         self.long_service = "llm"
         self.drained_backends = []
         self.callers = []
+        self.writing = asyncio.Lock()  # a repeated write must not replace a newer version
 
     def record_fault(self, begin, end, what):
         """Records a fault for the report and for the guarantees with a time limit."""
@@ -78,6 +80,9 @@
         # Not among the defaults, so that the seeds of earlier runs still give the same faults.
         kinds += [stops.stop_young, stops.stop_with_signals, stops.roll_repeatedly, self.move_route]
         weights += [2, 2, 0.3, 2]
+        if self.guarantees.workspaces:
+            kinds, weights = [*kinds, self.replace_key], [*weights, 3]
+            names = names if self.options.faults else [*names, "replace_key"]
         chosen = [(kind, weight) for kind, weight in zip(kinds, weights) if kind.__name__ in names]
         kind = self.random.choices([kind for kind, _ in chosen], [weight for _, weight in chosen])[0]
         await kind(self.random.uniform(0.3, 4.0))
@@ -146,7 +151,7 @@
         version = self.version
         await self.write_config()
         written = time.time()
-        await asyncio.sleep(2.0 + 0.5)
+        await asyncio.sleep(IN_FORCE_SECONDS)
         if not self.is_fault_free(written - FAULT_FREE_SECONDS, time.time()) or version != self.version:
             return
         for router in self.fleet.routers.values():
@@ -162,19 +167,29 @@
         self.long_service = "llm" if self.long_service == "llm2" else "llm2"
         await self.reconfigure(seconds)
 
+    async def replace_key(self, _seconds):
+        """Removes a key that callers use, and adds another one."""
+        self.version += 1
+        await self.guarantees.workspaces.replace_key(self.write_config)
+
     async def write_config(self):
         """Writes the configuration to the store."""
-        value = json.dumps(config(self.version, self.fleet.capacity(), self.long_service))
-        await self.fleet.call_store("/standin/put", {"key": "op/config", "value": value}, tries=20)
+        async with self.writing:
+            content = config(self.version, self.fleet.capacity(), self.long_service)
+            if self.guarantees.workspaces:
+                content["Tenants"] = self.guarantees.workspaces.config()
+            value = json.dumps(content)
+            await self.fleet.call_store("/standin/put", {"key": "op/config", "value": value}, tries=20)
 
     async def probe(self, router, path):
         """Sends a request for a path to a router and returns the status; 0 for no answer."""
         request = f"probe{self.random.getrandbits(60):x}"
         self.guarantees.sent[request] = {"kind": "probe", "method": "GET", "target": path, "body": "",
-                                         "deadline_ms": 6000, "sent_at": time.time()}
+                                         "deadline_ms": 6000, "sent_at": time.time(), "key": FIXED_KEY}
+        headers = headers_of(FIXED_KEY) if self.guarantees.workspaces else {}
         try:
             status, _, _ = await wirehttp.exchange(f"127.0.0.1:{router.front}", "GET", path,
-                                                   {"Host": "h.example", "Request-Id": request})
+                                                   {"Host": "h.example", "Request-Id": request, **headers})
             return status
         except wirehttp.ConnectionBroken:
             return 0
--- a/testsuite/soak/fleet.py
+++ b/testsuite/soak/fleet.py
@@ -117,6 +117,7 @@
         self.store = Process("store", [sys.executable, f"{HERE}/store.py", str(self.store_port)], self.log)
         self.on_backend_event = lambda event: None
         self.backend_count = 0
+        self.tells_load = False  # backend servers answer with their load
         self.bad_part = ""  # id of a prompt part that crashes engines, for callers to use
 
     async def start(self):
@@ -167,7 +168,7 @@
         slots = 1 if kind == "none" and self.options.full_engines else 8
         backend = Process(name, [sys.executable, f"{HERE}/backend.py", name, service, kind, str(port),
                                  f"127.0.0.1:{proxy.port}", f"127.0.0.1:{self.store_port}", str(self.options.seed),
-                                 str(self.capacity()), str(slots)], self.log)
+                                 str(self.capacity()), str(slots), str(int(self.tells_load))], self.log)
         backend.service, backend.kind = service, kind
         backend.on_exit = lambda: self.on_backend_event({"event": "gone", "backend": name, "request": "",
                                                          "t": time.time()})
--- a/testsuite/soak/guarantees.py
+++ b/testsuite/soak/guarantees.py
@@ -29,6 +29,7 @@
         self.cuts = collections.Counter()  # judgement -> requests that planned stops cut
         self.violations = []
         self.counts = collections.Counter()
+        self.workspaces = None  # the workspaces of a run that has some
 
     def fail(self, guarantee, text):
         """Records the violation of a guarantee."""
@@ -37,6 +38,11 @@
     def on_backend_event(self, event):
         """Processes an event of a backend server."""
         kind, request = event["event"], event["request"]
+        if kind == "seen":
+            if event["key"]:
+                self.fail("key passed on", f"{request} reaches {event['backend']} with an API key")
+            if self.workspaces and request in self.sent:
+                self.workspaces.on_seen(event, self.sent[request])
         if kind == "drain-acknowledged":
             self.drained[event["backend"]] = event["t"]
         if kind == "limit":
@@ -68,7 +74,7 @@
     def on_answer(self, request, status, body, whole):
         """Processes the result of a request; status 0 means no answer, whole that the answer was complete."""
         sent = self.sent[request]
-        sent.update(status=status, whole=whole)
+        sent.update(status=status, whole=whole, answered_at=time.time())
         end = "" if whole else " left by caller" if "left_at" in sent else " cut"
         self.counts[(sent["kind"], f"{status}{end}")] += 1
         if status == 200 and whole and sent["kind"] not in (*STREAM_KINDS, "bad-part", "probe") \
--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -5,7 +5,9 @@
 the requests that planned stops have cut: LOST ones, excused ones, and others, which a stop does not answer for.
 
 Further options: --routers N, --callers N, --faults NAMES (besides those of a run without the option: stop_young,
-stop_with_signals, roll_repeatedly, move_route), --cpu-share S, --links, --varied-streams, --full-engines, --keep-logs.
+stop_with_signals, roll_repeatedly, move_route), --cpu-share S, --links, --varied-streams,
+--full-engines, --workspaces on|off|odd, --keep-logs. Odd seeds run with workspaces, slow readers and backend servers
+that tell their load; the faults of earlier odd seeds come with --workspaces off.
 """
 import argparse
 import asyncio
@@ -20,6 +22,7 @@
 from faults import Faults
 from fleet import Fleet
 from guarantees import GuaranteeChecker
+from workspaces import Workspaces
 
 RECOVERY_SECONDS = 6.0  # time without faults at the end, before recovery is checked
 RECOVERED_SHARE = 0.9
@@ -33,6 +36,9 @@
         self.options = options
         self.fleet = Fleet(folder, options)
         self.guarantees = GuaranteeChecker()
+        if options.workspaces == "on" or options.workspaces == "odd" and options.seed % 2:
+            self.guarantees.workspaces = Workspaces(self.guarantees)
+            self.fleet.tells_load = True
         self.faults = Faults(self.fleet, self.guarantees, options)
         self.longest_stall = 0.0
 
@@ -54,7 +60,8 @@
         # While backend servers are full, requests are refused or end at the time limit of an attempt.
         good = (200, 502, 503, 504) if self.options.full_engines else (200,)
         requests = [sent for sent in self.guarantees.sent.values() if sent["sent_at"] > begin and "left_at" not in sent
-                    and "status" in sent and sent["kind"] != "bad-part"]
+                    and "status" in sent and sent["kind"] != "bad-part"
+                    and (not self.guarantees.workspaces or self.guarantees.workspaces.is_served(sent))]
         served = sum(sent["status"] in good and sent["whole"] for sent in requests)
         if not requests or served < RECOVERED_SHARE * len(requests):
             self.guarantees.fail("recovery", f"{served} of {len(requests)} requests were served after the faults")
@@ -89,6 +96,9 @@
         self.guarantees.check_all(self.faults.is_fault_free)
         judged = self.guarantees.check_stops(self.faults.is_fault_free)
         self.guarantees.check_broken_streams(self.faults.is_fault_free, judged)
+        if self.guarantees.workspaces:
+            self.guarantees.workspaces.check_all(self.faults.faults, self.faults.is_fault_free,
+                                                 self.options.full_engines)
         self.guarantees.check_crashes(self.faults.is_fault_free_but_crashes)
         for request, sent in self.guarantees.sent.items():
             if "cut_at" in sent:
@@ -117,6 +127,8 @@
                         help="callers have link delays, read slowly, send bodies in pieces and requests at a stop")
     parser.add_argument("--varied-streams", action="store_true", help="streams of 1 to 9 s of unknown length")
     parser.add_argument("--full-engines", action="store_true", help="little memory and few slots: requests wait")
+    parser.add_argument("--workspaces", choices=("on", "off", "odd"), default="odd",
+                        help="whether the configuration has workspaces with API keys; odd: for odd seeds")
     parser.add_argument("--keep-logs", action="store_true")
     options = parser.parse_args()
     options.binary = os.path.abspath(options.binary)
@@ -126,6 +138,8 @@
     asyncio.run(soak.run())
     counts = {f"{kind} {status}": count for (kind, status), count in sorted(soak.guarantees.counts.items(), key=str)}
     violations = soak.guarantees.violations
+    if soak.guarantees.workspaces:
+        counts["most limited requests in a window"] = soak.guarantees.workspaces.most_limited
     print(f"seed {options.seed}: {len(soak.guarantees.sent)} requests, {len(soak.faults.faults)} faults, "
           f"{len(violations)} guarantees violated; {soak.guarantees.summary_of_stops()}; "
           f"the test stalled for up to {soak.longest_stall:.2f} s")
--- a/testsuite/soak/wirehttp.py
+++ b/testsuite/soak/wirehttp.py
@@ -7,8 +7,8 @@
 
 
 async def read_head(reader):
-    """Returns the first line and the headers, with names in lower case. Returns None if the connection was closed
-    before the first byte."""
+    """Returns the first line and the headers, with names in lower case and repeated ones joined. Returns None if
+    the connection was closed before the first byte."""
     try:
         raw = await reader.readuntil(b"\r\n\r\n")
     except asyncio.IncompleteReadError as error:
@@ -22,7 +22,8 @@
     for line in lines[1:]:
         name, _, value = line.partition(":")
         if name:
-            headers[name.lower()] = value.strip()
+            name, value = name.lower(), value.strip()
+            headers[name] = f"{headers[name]}, {value}" if name in headers else value
     return lines[0], headers
 
 
