--- a/src/route/workspacequotas.cpp
+++ b/src/route/workspacequotas.cpp
@@ -28,7 +28,7 @@
 constexpr double SmallCostShare = 0.02;
 constexpr double SmallReserveSeconds = 0.4;
 // Debt that small requests may leave, in time at the rate.
-constexpr double SmallDebtSeconds = 0.3;
+constexpr double SmallDebtSeconds = 0.6;
 // How far the cost of a single request may exceed the burst, in time at the rate.
 constexpr double OversizeSeconds = 1;
 // Mean delay of the reports of a router of the group (half of a period), and by way of two delegates (three halves).
@@ -217,7 +217,8 @@
     const double needed = std::min(cost, bucket.capacity());
     const bool countsTokens = bucket.quota().unit == WorkspaceQuota::Unit::Tokens;
     const bool isSmall = countsTokens && cost <= SmallCostShare * bucket.capacity();
-    const double smallReserve = countsTokens ? rate * SmallReserveSeconds : 0;
+    const double beside = std::max(0.0, bucket.capacity() - needed) * MaxReserveShare;
+    const double smallReserve = countsTokens ? std::min(rate * SmallReserveSeconds, beside) : 0;
     const double rest = decision.level - needed - (isSmall ? 0 : smallReserve);
     const double reserve = std::min(rate * ReserveSeconds, bucket.capacity() * MaxReserveShare);
     const double target = rate + (decision.level - reserve) / DrainSeconds;
