--- a/src/include/cyclamencross/route/apikeyhash.h
+++ b/src/include/cyclamencross/route/apikeyhash.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <array>
-#include <compare>
 #include <cstdint>
 #include <string_view>
 
@@ -15,7 +14,8 @@
 public:
     explicit ApiKeyHash(std::string_view apiKey);
 
-    auto operator<=>(const ApiKeyHash &) const = default;
+    bool operator==(const ApiKeyHash &) const = default;
+    bool operator<(const ApiKeyHash &other) const;
 
 private:
     std::array<std::uint8_t, 16> bytes;
--- a/src/route/apikeyhash.cpp
+++ b/src/route/apikeyhash.cpp
@@ -21,4 +21,9 @@
 {
 }
 
+bool ApiKeyHash::operator<(const ApiKeyHash &other) const
+{
+    return this->bytes < other.bytes;
+}
+
 }
--- a/src/route/routetable.cpp
+++ b/src/route/routetable.cpp
@@ -68,9 +68,9 @@
 
 const std::set<int> &RouteTable::priorities(const std::string &service) const
 {
-    static const std::set<int> none;
+    static const std::set<int> None;
     const auto it = this->prioritiesByService.find(service);
-    return it == this->prioritiesByService.end() ? none : it->second;
+    return it == this->prioritiesByService.end() ? None : it->second;
 }
 
 bool RouteTable::hasOrder(const std::string &service) const
