--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -8,7 +8,7 @@
 import sys
 if sys.version_info < (3, 11):
     sys.exit("Python 3.11 or newer is needed")
-for name in ("engine.py", "runner.py", "store.py"):
+for name in ("endless.py", "engine.py", "runner.py", "store.py"):
     with open(name, encoding="utf8") as file:
         ast.parse(file.read(), name)
 CHECK
