A peer's difference that was read in pages no longer hides changes (CONFIG)

Cause: FleetSync::apply() raised the known revision to that of each item. A list in pages may hold an item newer than the list, without the changes between. The router that listed set its revision back; its peers, which got the item in a difference, did not, and dropped the changes between as known.

Change: an item does not move the known revision by itself; applyAll() moves it to the newest item, at most to the revision up to which its source is complete.

The new test fixes the order of events with two routers. Before the change it failed at both checks of the peer (revision 15 for 12, and the change between the pages missing).

--- a/src/gateway/fleetsync.cpp
+++ b/src/gateway/fleetsync.cpp
@@ -240,10 +240,15 @@
 void FleetSync::applyAll(const std::vector<StoreItem> &items, std::uint64_t revision)
 {
     bool listsChanged = false;
+    std::uint64_t newest = 0;
     for (const StoreItem &item : items) {
+        newest = std::max(newest, item.revision);
         const bool changed = this->apply(item);
         listsChanged = listsChanged || (changed && item.key != this->codec.configKey);
     }
+    // A difference to a list that was read in pages may hold items newer than the list, but not all changes before
+    // them.
+    this->state.storeRevision = std::max(this->state.storeRevision, std::min(newest, revision));
     if (this->watchRevision) {
         this->watchRevision = std::max(*this->watchRevision, revision);
     }
--- a/src/gateway/fleetsync.h
+++ b/src/gateway/fleetsync.h
@@ -123,12 +123,15 @@
     /// Takes out a lease and writes this router's registration under it.
     /// @return whether both calls succeeded.
     boost::asio::awaitable<bool> registerOnce();
-    /// Applies one item.
+    /// Applies one item. Leaves RouterState::storeRevision to the caller, which knows up to which revision no change is
+    /// missing.
     /// @return whether the known state has changed.
     bool apply(const StoreItem &item);
     /// Waits until another call to the store succeeds, at most @p maxWait. A router that is not a designated watcher
     /// then gives the watchers a head start.
     boost::asio::awaitable<void> waitForStore(Millis maxWait);
+    /// Applies changes.
+    /// @param revision newest revision that they cover.
     void applyAll(const std::vector<StoreItem> &items, std::uint64_t revision);
     /// Returns whether @p page is older than what this router has learned while it waited for it. It must not be
     /// applied then: it may hold entries whose removal is known already.
--- a/src/gateway/fleetsync_test.cpp
+++ b/src/gateway/fleetsync_test.cpp
@@ -172,6 +172,55 @@
     CHECK(report->changes == StoreChanges{10, 20, true, {added, StoreItem{"servers/a", "", 20, true}}});
 }
 
+TEST_CASE("A difference that was read in pages does not hide changes between its pages")
+{
+    // Guards against a router that keeps an old configuration for good: an item on a late page of a peer's list is
+    // newer than the list, and the changes between the two, which follow in the next report, were taken for known.
+    TestRouter watcher;
+    watcher.state.settings.name = "r0";
+    const StoreItem onFirstPage{"servers/a", "x", 12, false};
+    const StoreItem betweenPages{"servers/b", "x", 14, false};
+    const StoreItem onLastPage{"servers/z", "x", 15, false};
+    int lists = 0;
+    watcher.store.list = [&](std::string /*prefix*/) -> StoreAwaitable<StorePage> {
+        co_return ++lists == 1 ? StorePage{{}, 10} : StorePage{{onFirstPage, onLastPage}, 12};
+    };
+    bool sentDifference = false;
+    watcher.store.watch = [&](std::string prefix, std::uint64_t after, Millis wait) -> StoreAwaitable<StorePage> {
+        if (lists == 1) {
+            co_return StoreFailure{StoreFailure::Kind::HistoryCompacted, ""};
+        }
+        while (!sentDifference) {
+            co_await sleepFor(Millis(1));
+        }
+        if (after < onLastPage.revision) {
+            co_return StorePage{{betweenPages, onLastPage}, onLastPage.revision};
+        }
+        co_return co_await blockingWatch(prefix, after, wait);
+    };
+    TestRouter other;
+    other.state.settings.name = "r1";
+    other.store.list = [](std::string /*prefix*/) -> StoreAwaitable<StorePage> { co_return StorePage{{}, 10}; };
+    other.follow(Millis(50));
+
+    watcher.follow(Millis(100));
+    REQUIRE(lists == 2);
+    const auto difference = watcher.state.takeReport(Clock::now());
+    REQUIRE(difference);
+    REQUIRE(difference->changes.isSnapshotDiff);
+    other.state.applyReport(*difference, Clock::now());
+    CHECK(other.state.backends.find("z") != nullptr);
+    CHECK(other.state.storeRevision == 12);
+
+    sentDifference = true;
+    watcher.context.run_for(Millis(100));
+    const auto changes = watcher.state.takeReport(Clock::now());
+    REQUIRE(changes);
+    other.state.applyReport(*changes, Clock::now());
+    CHECK(other.state.backends.find("b") != nullptr);
+    CHECK(other.state.storeRevision == 15);
+}
+
 TEST_CASE("A router that is behind its peers reads the changes, not the whole store")
 {
     // Guards against hundreds of routers that read thousands of registrations for one large change: with 300 routers
--- a/src/gateway/fleetsyncitems.cpp
+++ b/src/gateway/fleetsyncitems.cpp
@@ -59,7 +59,6 @@
 
 bool FleetSync::apply(const StoreItem &item)
 {
-    this->state.storeRevision = std::max(this->state.storeRevision, item.revision);
     if (item.removed) {
         return this->remove(item.key, item.revision);
     }
