Test of workspace shares: fixed order of the calls it compares

The check compared the results of two calls with side effects in one expression, whose operands are evaluated in another order on arm64: each call looks up the share of its own workspace, and the small workspace asked first still finds the large one within its share.

The check compares the same two results, taken in the order that x86-64 used. On arm64 it passes now.

--- a/src/gateway/waitorder_test.cpp
+++ b/src/gateway/waitorder_test.cpp
@@ -123,7 +123,10 @@
                           {WaitingKeys::ofWorkspace("s", "small"), BackendWork{1, 100, {}}}});
     WaitOrder large(fixture.state, "s", "1", "large", fixture.urgency(1), 1);
     WaitOrder small(fixture.state, "s", "2", "small", fixture.urgency(1), 1);
-    CHECK_FALSE(small.others(false, fixture.now).aheadHere == large.others(false, fixture.now).aheadHere);
+    // Each call looks up the share of its own workspace, so the order of the calls matters.
+    const bool largeWaits = large.others(false, fixture.now).aheadHere;
+    const bool smallWaits = small.others(false, fixture.now).aheadHere;
+    CHECK_FALSE(smallWaits == largeWaits);
     CHECK(large.others(false, fixture.now).aheadHere);
     CHECK_FALSE(small.others(false, fixture.now).aheadHere);
     // Reports end with the router that sent them.
