--- a/src/gateway/httpclientconnection.cpp
+++ b/src/gateway/httpclientconnection.cpp
@@ -29,6 +29,7 @@
 
 // Bounds the memory that one response of a backend server can take: a small part of that of the smallest hosts.
 constexpr std::uint64_t MaxResponseBytes = 4U << 20U;
+// Bounds the head of a response, and all interim responses before it together.
 constexpr std::uint32_t MaxResponseHeaderBytes = 32U << 10U;
 // Bounds the bytes that are buffered until the parser accepts them, such as the size line of a chunk, which may be sent
 // without end.
@@ -41,6 +42,14 @@
 // Longer keep-alive timeouts count as this one. The product with the milliseconds of a second must not overflow.
 constexpr std::uint64_t MaxKeepAliveSeconds = 86400;
 
+// The interim status that ends HTTP on a connection. The router never asks for that.
+constexpr int SwitchingProtocols = 101;
+
+bool isInterim(int status)
+{
+    return status >= 100 && status < 200;
+}
+
 ConnectionStatus toStatus(const boost::system::error_code &error)
 {
     if (!error) {
@@ -146,20 +155,30 @@
     const auto self = this->shared_from_this();
     Impl &connection = *this->impl;
     boost::system::error_code error;
+    std::size_t interimBytes = 0;
     while (true) {
         if (connection.closed) {
             co_return ConnectionStatus::Cancelled;
         }
+        // The timeout of a read does not apply to bytes that have already arrived, which may go on without end.
+        if (Clock::now() >= deadline) {
+            co_return ConnectionStatus::TimedOut;
+        }
         connection.stream.expires_at(deadline);
-        co_await http::async_read_header(connection.stream, connection.buffer, *connection.parser,
-                                         awaitableWithError(error));
+        const std::size_t headBytes = co_await http::async_read_header(
+            connection.stream, connection.buffer, *connection.parser, awaitableWithError(error));
         if (error) {
             co_return connection.closed &&error != boost::beast::error::timeout ? ConnectionStatus::Cancelled
                                                                                 : toStatus(error);
         }
-        if (connection.parser->get().result_int() != 100) {
+        const int status = this->status();
+        if (!isInterim(status)) {
             break;
         }
+        interimBytes += headBytes;
+        if (status == SwitchingProtocols || interimBytes > MaxResponseHeaderBytes) {
+            co_return ConnectionStatus::Malformed;
+        }
         this->expectNextResponse();
     }
     connection.headers = HeaderList();
--- a/src/gateway/httpclientconnection_test.cpp
+++ b/src/gateway/httpclientconnection_test.cpp
@@ -4,6 +4,7 @@
 
 #include <memory>
 #include <string>
+#include <vector>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -20,40 +21,68 @@
 namespace
 {
 
-// Answers one request with the given value of the Keep-Alive header.
-awaitable<void> answerOnce(tcp::acceptor &acceptor, std::string keepAlive)
+// How a server ends its connection after an answer.
+enum class End { Close, Reset };
+
+// Answers one request with @p answer and ends the connection.
+awaitable<void> answerOnce(tcp::acceptor &acceptor, std::string answer, End end)
 {
     boost::system::error_code error;
     tcp::socket socket = co_await acceptor.async_accept(awaitableWithError(error));
     std::string request;
     co_await boost::asio::async_read_until(socket, boost::asio::dynamic_buffer(request), "\r\n\r\n",
                                            awaitableWithError(error));
-    const std::string answer = "HTTP/1.1 200 OK\r\nKeep-Alive: " + keepAlive + "\r\nContent-Length: 2\r\n\r\nok";
     co_await boost::asio::async_write(socket, boost::asio::buffer(answer), awaitableWithError(error));
+    if (end == End::Reset) {
+        co_await sleepFor(Millis(50)); // Until the client has read the answer so far.
+        socket.set_option(tcp::socket::linger(true, 0), error);
+    }
 }
 
-// Returns the idle timeout that a connection reads from the header.
-Millis readKeepAlive(const std::string &value)
+// What a client has read of an answer.
+struct Received
+{
+    ConnectionStatus result = ConnectionStatus::Cancelled;
+    int status = 0;
+    std::string body;
+    Millis keepAlive{-1};
+};
+
+// Sends a request with @p body to a server that gives @p answer, and returns what the client reads.
+Received exchange(const std::string &answer, const std::string &body = "", End end = End::Close)
 {
     boost::asio::io_context context;
     tcp::acceptor acceptor(context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
     const auto connection = std::make_shared<HttpClientConnection>(
         context.get_executor(), "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()));
-    Millis result{-1};
-    boost::asio::co_spawn(context, answerOnce(acceptor, value), boost::asio::detached);
-    const auto call = [](std::shared_ptr<HttpClientConnection> client, Millis &timeout) -> awaitable<void> {
-        const bool open = co_await client->connect(Millis(1000)) == ConnectionStatus::Ok;
-        if (open) {
-            std::string request = "GET /";
-            const auto status =
-                co_await client->performRequest(std::move(request), std::nullopt, Clock::now() + Millis(1000));
-            timeout = status == ConnectionStatus::Ok ? client->keepAlive() : timeout;
+    Received received;
+    boost::asio::co_spawn(context, answerOnce(acceptor, answer, end), boost::asio::detached);
+    const auto call = [](std::shared_ptr<HttpClientConnection> client, std::string content,
+                         Received &read) -> awaitable<void> {
+        const TimePoint deadline = Clock::now() + Millis(1000);
+        read.result = co_await client->connect(Millis(1000));
+        if (read.result == ConnectionStatus::Ok) {
+            std::string head = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(content.size());
+            client->startRequest(head + "\r\n\r\n", false, RequestBody(std::move(content)));
+            read.result = co_await client->readHead(deadline);
+        }
+        if (read.result == ConnectionStatus::Ok) {
+            read.status = client->status();
+            read.keepAlive = client->keepAlive();
+            read.result = co_await client->readBody(deadline);
+            read.body = client->takeBody();
         }
         client->close();
     };
-    boost::asio::co_spawn(context, call(connection, result), boost::asio::detached);
+    boost::asio::co_spawn(context, call(connection, body, received), boost::asio::detached);
     context.run_for(Millis(2000));
-    return result;
+    return received;
+}
+
+// Returns the idle timeout that a connection reads from the header.
+Millis readKeepAlive(const std::string &value)
+{
+    return exchange("HTTP/1.1 200 OK\r\nKeep-Alive: " + value + "\r\nContent-Length: 2\r\n\r\nok").keepAlive;
 }
 
 }
@@ -76,3 +105,21 @@
         CHECK(readKeepAlive(value) == Millis(86400000));
     }
 }
+
+TEST_CASE("Interim answers come before the final one, but not without end")
+{
+    // Guards against an interim answer that is taken for the final one, and against reads that never end.
+    const std::string final = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    for (const char *status : {"100 Continue", "102 Processing", "103 Early Hints"}) {
+        std::string interim = std::string("HTTP/1.1 ") + status + "\r\nLink: x\r\n\r\n";
+        const auto received = exchange(interim + interim + final);
+        CHECK(received.result == ConnectionStatus::Ok);
+        CHECK(received.status == 200);
+        CHECK(received.body == "ok");
+    }
+    std::string many;
+    for (int i = 0; i < 5000; ++i) {
+        many += "HTTP/1.1 100 Continue\r\n\r\n";
+    }
+    CHECK(exchange(many + final).result == ConnectionStatus::Malformed);
+}
--- a/src/include/cyclamencross/gateway/httpclientconnection.h
+++ b/src/include/cyclamencross/gateway/httpclientconnection.h
@@ -39,7 +39,8 @@
     void startRequest(std::string bytes, bool headRequest, RequestBody body = RequestBody());
     /// Discards the response that was read and prepares for reading another one to the same request.
     void expectNextResponse();
-    /// Reads the status and headers of the response; skips 100 Continue responses.
+    /// Reads the status and headers of the response; skips interim responses.
+    /// @param deadline applies also while bytes keep arriving.
     boost::asio::awaitable<ConnectionStatus> readHead(TimePoint deadline);
     /// Reads more of the body: at least one byte unless the response ends.
     boost::asio::awaitable<ConnectionStatus> readSome(TimePoint deadline);
