--- a/src/gateway/httpclientconnection.cpp
+++ b/src/gateway/httpclientconnection.cpp
@@ -198,6 +198,10 @@
     if (connection.closed) {
         co_return ConnectionStatus::Cancelled;
     }
+    // The timeout of a read does not apply to bytes that have already arrived, which may go on without end.
+    if (Clock::now() >= deadline) {
+        co_return ConnectionStatus::TimedOut;
+    }
     connection.stream.expires_at(deadline);
     boost::system::error_code error;
     co_await http::async_read_some(connection.stream, connection.buffer, *connection.parser, awaitableWithError(error));
--- a/src/gateway/requesthandler.cpp
+++ b/src/gateway/requesthandler.cpp
@@ -247,10 +247,6 @@
     // The previous response, if there was one, is gone.
     this->responseMemory = MemoryLease(this->state.bodyMemory, MemoryBudget::Use::ResponseBody);
     while (!this->connection->isComplete()) {
-        // The timeout of a read does not apply to bytes that have already arrived, which may go on without end.
-        if (Clock::now() >= until) {
-            co_return ConnectionStatus::TimedOut;
-        }
         const ConnectionStatus status = co_await this->connection->readSome(until);
         if (status != ConnectionStatus::Ok) {
             co_return status;
--- a/src/include/cyclamencross/gateway/httpclientconnection.h
+++ b/src/include/cyclamencross/gateway/httpclientconnection.h
@@ -43,6 +43,7 @@
     /// @param deadline applies also while bytes keep arriving.
     boost::asio::awaitable<ConnectionStatus> readHead(TimePoint deadline);
     /// Reads more of the body: at least one byte unless the response ends.
+    /// @param deadline applies also while bytes keep arriving.
     boost::asio::awaitable<ConnectionStatus> readSome(TimePoint deadline);
     /// Reads the rest of the body.
     boost::asio::awaitable<ConnectionStatus> readBody(TimePoint deadline);
