--- a/src/gateway/httpclientconnection.cpp
+++ b/src/gateway/httpclientconnection.cpp
@@ -8,6 +8,7 @@
 #include <array>
 #include <optional>
 
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -75,18 +76,36 @@
 {
     Impl(const boost::asio::any_io_executor &executor, std::string serverAddress)
         : stream(executor)
+        , sendEnd(executor)
         , address(std::move(serverAddress))
     {
     }
 
+    /// Waits until the request was sent.
+    /// @return ConnectionStatus::Broken if it could not be sent, TimedOut if it is not sent by @p deadline.
+    boost::asio::awaitable<ConnectionStatus> waitUntilSent(TimePoint deadline)
+    {
+        if (this->sending) {
+            boost::system::error_code error; // The timer is cancelled at the end of the write.
+            this->sendEnd.expires_at(deadline);
+            co_await this->sendEnd.async_wait(awaitableWithError(error));
+        }
+        if (this->requestSent) {
+            co_return ConnectionStatus::Ok;
+        }
+        co_return this->sending ? ConnectionStatus::TimedOut : ConnectionStatus::Broken;
+    }
+
     boost::beast::tcp_stream stream;
+    boost::asio::steady_timer sendEnd;
     std::string address;
     boost::beast::flat_buffer buffer{MaxBufferedBytes};
     std::optional<Parser> parser;
     HeaderList headers;
     bool headRequest = false;
     bool closed = false;
-    bool requestSent = true;
+    bool sending = false; ///< The request is being written.
+    bool requestSent = true; ///< The last request was written completely.
     std::uint64_t watchId = 0; ///< Id of the current idle watch; 0 if there is none.
     std::uint64_t lastWatchId = 0;
 };
@@ -127,6 +146,7 @@
     Impl &connection = *this->impl;
     connection.headRequest = headRequest;
     this->expectNextResponse();
+    connection.sending = true;
     connection.requestSent = false;
     auto head = std::make_shared<std::string>(std::move(bytes));
     const std::array buffers{boost::asio::buffer(std::as_const(*head)), boost::asio::buffer(body.bytes())};
@@ -136,7 +156,9 @@
         connection.stream, buffers,
         [self = this->shared_from_this(), head, body](const boost::system::error_code &error, std::size_t /*sent*/) {
             // The reads report the failure; they may still deliver a response that the server sent early.
+            self->impl->sending = false;
             self->impl->requestSent = !error;
+            self->impl->sendEnd.cancel();
         });
 }
 
@@ -165,8 +187,8 @@
             co_return ConnectionStatus::TimedOut;
         }
         connection.stream.expires_at(deadline);
-        const std::size_t headBytes = co_await http::async_read_header(
-            connection.stream, connection.buffer, *connection.parser, awaitableWithError(error));
+        const std::size_t headBytes = co_await http::async_read_header(connection.stream, connection.buffer,
+                                                                       *connection.parser, awaitableWithError(error));
         if (error) {
             co_return connection.closed &&error != boost::beast::error::timeout ? ConnectionStatus::Cancelled
                                                                                 : toStatus(error);
@@ -208,6 +230,14 @@
     if (error == http::error::end_of_stream && connection.parser->is_done()) {
         error = {};
     }
+    if (!error && connection.parser->is_done() && connection.parser->need_eof()) {
+        // The write of the request may learn of a reset of the connection before the read, which then sees its end in
+        // good order.
+        const ConnectionStatus sent = co_await connection.waitUntilSent(deadline);
+        if (sent != ConnectionStatus::Ok) {
+            co_return connection.closed ? ConnectionStatus::Cancelled : sent;
+        }
+    }
     if (error && connection.closed && error != boost::beast::error::timeout) {
         co_return ConnectionStatus::Cancelled;
     }
--- a/src/gateway/httpclientconnection_test.cpp
+++ b/src/gateway/httpclientconnection_test.cpp
@@ -123,3 +123,19 @@
     }
     CHECK(exchange(many + final).result == ConnectionStatus::Malformed);
 }
+
+TEST_CASE("An answer without a length whose connection is reset during the upload is not a whole one")
+{
+    // Guards against a part of an answer that callers take for the whole: the write of the request learns of the reset,
+    // and the read then sees an end of the connection in good order.
+    const std::string part = "HTTP/1.1 200 OK\r\n\r\nhalf of the bo";
+    for (const End end : {End::Reset, End::Close}) {
+        const auto received = exchange(part, std::string(4U << 20U, 'x'), end);
+        CHECK(received.status == 200);
+        CHECK(received.result == ConnectionStatus::Broken);
+    }
+    // The same answer to a request that the server has read is whole.
+    const auto received = exchange(part);
+    CHECK(received.result == ConnectionStatus::Ok);
+    CHECK(received.body == "half of the bo");
+}
