--- a/src/gateway/httpclientconnection.cpp
+++ b/src/gateway/httpclientconnection.cpp
@@ -2,6 +2,7 @@
 
 #include "asioutil.h"
 
+#include "cyclamencross/base/httpsyntax.h"
 #include "cyclamencross/base/number.h"
 
 #include <algorithm>
@@ -35,6 +36,8 @@
 // Bounds the bytes that are buffered until the parser accepts them, such as the size line of a chunk, which may be sent
 // without end.
 constexpr std::size_t MaxBufferedBytes = 128U << 10U;
+// Size of one read of a head, which usually fits into it together with a small body.
+constexpr std::size_t ReadBytes = 4U << 10U;
 
 // Size of the kernel's buffers of a connection in each direction, which doubles it for its own use. Without it, the
 // kernel holds up to 32 MB of a response that is not read.
@@ -46,11 +49,6 @@
 // The interim status that ends HTTP on a connection. The router never asks for that.
 constexpr int SwitchingProtocols = 101;
 
-bool isInterim(int status)
-{
-    return status >= 100 && status < 200;
-}
-
 ConnectionStatus toStatus(const boost::system::error_code &error)
 {
     if (!error) {
@@ -81,6 +79,40 @@
     {
     }
 
+    /// Reads until the parser has the whole head of a response.
+    /// @param head receives the bytes of the head.
+    boost::asio::awaitable<boost::system::error_code> parseHead(std::string &head)
+    {
+        boost::system::error_code error;
+        while (!this->parser->is_header_done()) {
+            if (this->buffer.size() > 0) {
+                const std::size_t used = this->parser->put(this->buffer.data(), error);
+                head.append(static_cast<const char *>(this->buffer.data().data()), used);
+                this->buffer.consume(used);
+                if (error && error != http::error::need_more) {
+                    co_return error;
+                }
+            }
+            if (this->parser->is_header_done()) {
+                break;
+            }
+            const std::size_t room = std::min(ReadBytes, this->buffer.max_size() - this->buffer.size());
+            if (room == 0) {
+                co_return http::error::buffer_overflow;
+            }
+            const std::size_t count =
+                co_await this->stream.async_read_some(this->buffer.prepare(room), awaitableWithError(error));
+            this->buffer.commit(count);
+            if (error == boost::asio::error::eof) {
+                co_return this->parser->got_some() ? http::error::partial_message : http::error::end_of_stream;
+            }
+            if (error) {
+                co_return error;
+            }
+        }
+        co_return boost::system::error_code();
+    }
+
     /// Waits until the request was sent.
     /// @return ConnectionStatus::Broken if it could not be sent, TimedOut if it is not sent by @p deadline.
     boost::asio::awaitable<ConnectionStatus> waitUntilSent(TimePoint deadline)
@@ -168,7 +200,6 @@
     connection.parser.emplace();
     connection.parser->body_limit(MaxResponseBytes);
     connection.parser->header_limit(MaxResponseHeaderBytes);
-    connection.parser->eager(true);
     connection.parser->skip(connection.headRequest);
 }
 
@@ -187,17 +218,23 @@
             co_return ConnectionStatus::TimedOut;
         }
         connection.stream.expires_at(deadline);
-        const std::size_t headBytes = co_await http::async_read_header(connection.stream, connection.buffer,
-                                                                       *connection.parser, awaitableWithError(error));
+        std::string head;
+        error = co_await connection.parseHead(head);
         if (error) {
             co_return connection.closed &&error != boost::beast::error::timeout ? ConnectionStatus::Cancelled
                                                                                 : toStatus(error);
         }
+        if (hasFoldedLine(head)) {
+            co_return ConnectionStatus::Malformed;
+        }
         const int status = this->status();
-        if (!isInterim(status)) {
+        if (isFinalStatus(status)) {
             break;
         }
-        interimBytes += headBytes;
+        if (!isInterimStatus(status)) {
+            co_return ConnectionStatus::Malformed;
+        }
+        interimBytes += head.size();
         if (status == SwitchingProtocols || interimBytes > MaxResponseHeaderBytes) {
             co_return ConnectionStatus::Malformed;
         }
--- a/src/gateway/httpclientconnection_test.cpp
+++ b/src/gateway/httpclientconnection_test.cpp
@@ -106,6 +106,72 @@
     }
 }
 
+TEST_CASE("An answer whose status is not one of HTTP is malformed")
+{
+    // Guards against callers that get a status such as 000 of an engine in trouble as an answer.
+    for (const char *status : {"000", "001", "099", "600", "999", "101", "20", "2000", "2x0", "-20", "+20", ""}) {
+        CAPTURE(status);
+        const std::string line = std::string("HTTP/1.1 ") + status + " X\r\n";
+        CHECK(exchange(line + "Content-Length: 2\r\n\r\nok").result == ConnectionStatus::Malformed);
+    }
+    for (const int status : {200, 204, 299, 304, 404, 500, 599}) {
+        CAPTURE(status);
+        const bool hasBody = status != 204 && status != 304;
+        const auto received = exchange("HTTP/1.1 " + std::to_string(status) + " X\r\n"
+                                       + (hasBody ? "Content-Length: 2\r\n\r\nok" : "\r\n"));
+        CHECK(received.result == ConnectionStatus::Ok);
+        CHECK(received.status == status);
+        CHECK(received.body == (hasBody ? "ok" : ""));
+    }
+}
+
+TEST_CASE("An answer in whose head the name of a field is no token is malformed")
+{
+    // Guards against a field of the framing that the router does not recognize, so that callers get a body that is not
+    // the engine's, and against lines that callers read in another way than the router.
+    const std::string controls("\0\1\t\v\x1f\x7f", 6);
+    std::vector<std::string> names{
+        "Content Length", "Content-Length ", " Content-Length", "X\xe9", "X(", "X\"", "X/", ""};
+    for (const char control : controls) {
+        names.push_back(std::string("Content") + control + "Length");
+        names.push_back(std::string("X-Long-Enough-For-Sixteen-Bytes-At-Once") + control);
+        names.push_back(control + std::string("Content-Length"));
+    }
+    for (const std::string &name : names) {
+        CAPTURE(name);
+        for (const std::string &before : {std::string(), std::string("Server-Stamp: s\r\n")}) {
+            const std::string head = "HTTP/1.1 200 OK\r\n" + before + name + ": 2\r\n";
+            CHECK(exchange(head + "\r\nok").result == ConnectionStatus::Malformed);
+            CHECK(exchange(head + "Content-Length: 2\r\n\r\nok").result == ConnectionStatus::Malformed);
+        }
+    }
+    CHECK(exchange("HTTP/1.1 200 OK\r\nNo-Colon\r\nContent-Length: 2\r\n\r\nok").result == ConnectionStatus::Malformed);
+    CHECK(exchange("HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~9aZ: x\r\nContent-Length: 2\r\n\r\nok").body == "ok");
+}
+
+TEST_CASE("An answer with a control byte in the value of a field is malformed")
+{
+    // Guards against values that callers read in another way than the router.
+    for (const char control : std::string("\0\1\v\x1f\x7f\r", 6)) {
+        CAPTURE(int(control));
+        const std::string head = std::string("HTTP/1.1 200 OK\r\nX: a") + control + "b\r\n";
+        CHECK(exchange(head + "Content-Length: 2\r\n\r\nok").result == ConnectionStatus::Malformed);
+    }
+    CHECK(exchange("HTTP/1.1 200 OK\r\nX:\ta\tb \xe9\t\r\nContent-Length: 2\r\n\r\nok").body == "ok");
+}
+
+TEST_CASE("An answer whose fields contradict one another about its length is malformed")
+{
+    // Guards against a body that is not the server's, and against bytes of it that are taken for the next answer.
+    for (const char *fields :
+         {"Content-Length: 2\r\nContent-Length: 1\r\n", "Content-Length: 2, 1\r\n", "Content-Length: -2\r\n",
+          "Content-Length: +2\r\n", "Content-Length: 0x2\r\n", "Content-Length: 2 2\r\n", "Content-Length:\r\n",
+          "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n"}) {
+        CAPTURE(fields);
+        CHECK(exchange(std::string("HTTP/1.1 200 OK\r\n") + fields + "\r\nok").result == ConnectionStatus::Malformed);
+    }
+}
+
 TEST_CASE("Interim answers come before the final one, but not without end")
 {
     // Guards against an interim answer that is taken for the final one, and against reads that never end.
--- a/src/grant/engineclient.cpp
+++ b/src/grant/engineclient.cpp
@@ -2,6 +2,7 @@
 
 #include "cyclamencross/base/errors.h"
 #include "cyclamencross/base/ipport.h"
+#include "cyclamencross/net/responsehead.h"
 
 #include <cstdlib>
 #include <utility>
@@ -55,6 +56,9 @@
     if (!reply) {
         return boost::leaf::new_error(ExchangeFailed{this->address, httplib::to_string(reply.error())});
     }
+    if (!isValidResponseHead(*reply)) {
+        return boost::leaf::new_error(ProtocolViolation{this->address, path + " answered with a malformed head"});
+    }
     if (reply->status != 200) {
         return boost::leaf::new_error(
             ProtocolViolation{this->address, path + " answered with status " + std::to_string(reply->status)});
--- a/src/net/peerhttp.cpp
+++ b/src/net/peerhttp.cpp
@@ -4,6 +4,7 @@
 #include "cyclamencross/base/hash.h"
 #include "cyclamencross/base/ipport.h"
 #include "cyclamencross/base/processmetrics.h"
+#include "cyclamencross/net/responsehead.h"
 
 #include <algorithm>
 #include <charconv>
@@ -86,6 +87,9 @@
     }
     addControlBytesSent(request.body.size());
     addControlBytesReceived(result->body.size());
+    if (!isValidResponseHead(*result)) {
+        return boost::leaf::new_error(ExchangeFailed{address, "malformed head"});
+    }
     HttpResponse response{result->status, {}, result->body};
     for (const auto &[name, value] : result->headers) {
         response.headers.emplace(name, value);
--- a/src/proxy/backendclient.cpp
+++ b/src/proxy/backendclient.cpp
@@ -1,6 +1,7 @@
 #include "backendclient.h"
 
 #include "cyclamencross/base/ipport.h"
+#include "cyclamencross/net/responsehead.h"
 
 #include <atomic>
 #include <thread>
@@ -103,6 +104,9 @@
     }
     BackendResponse reply;
     const auto copyHead = [&reply](const httplib::Response &response) {
+        if (!isValidResponseHead(response)) {
+            return false;
+        }
         reply.status = response.status;
         for (const auto &[name, value] : response.headers) {
             reply.headers.emplace(name, value);
@@ -127,8 +131,9 @@
     httplib::Response response;
     httplib::Error error = httplib::Error::Success;
     if (client.send(outgoing, response, error)) {
-        if (reply.status == 0) {
-            copyHead(response); // cpp-httplib calls response_handler only for responses with a body.
+        // cpp-httplib calls response_handler only for responses with a body.
+        if (reply.status == 0 && !copyHead(response)) {
+            return ExchangeFailed{request.address, "malformed head"};
         }
         return reply;
     }
