Crash attribution: a containment keeps the output of the crashes that count

The longest output before all crashes of a suspect decided how much output of a tried request ends its containment. For a part that many requests share, that is the output of any stream at a crashed engine, so that only a whole answer ended a wrong containment. It is that of the crashes for which the suspect is contained now. Comments read again, a name by the linter's rule.

--- a/src/base/httpsyntax.cpp
+++ b/src/base/httpsyntax.cpp
@@ -10,7 +10,7 @@
 
 bool isTokenCharacter(char character)
 {
-    constexpr std::string_view Others = "!#$%&'*+-.^_`|~";
+    static constexpr std::string_view Others = "!#$%&'*+-.^_`|~";
     const bool isLetter = (character >= 'a' && character <= 'z') || (character >= 'A' && character <= 'Z');
     const bool isDigit = character >= '0' && character <= '9';
     return isLetter || isDigit || Others.find(character) != std::string_view::npos;
--- a/src/include/cyclamencross/route/crashattribution.h
+++ b/src/include/cyclamencross/route/crashattribution.h
@@ -19,14 +19,14 @@
 {
 
 /// Finds out what makes backend servers crash, from the calls that were running when they crashed, and contains it:
-/// requests with it are refused. A cause may be a request that comes again, or a part of the prompt that
-/// many requests share which are otherwise sound.
+/// requests with it are refused. A cause may be a request that comes again, or a part of the prompt that many requests
+/// share which are otherwise sound.
 ///
 /// A suspect is contained after a few crashes of calls that followed one another; backend servers that fail together
 /// count once. A crash after some output is weaker evidence than one before it, since most calls that run at a backend
 /// server have output. A request that is served clears its suspects: a whole answer of all crashes, a part of it of
-/// those that came after much less output. Of several suspects of the same crashes, the
-/// one that explains most of them is contained, or else the most specific one, which refuses the fewest sound requests.
+/// those that came after much less output. Of several suspects of the same crashes, the one that explains most of them
+/// is contained, or else the most specific one, which refuses the fewest sound requests.
 ///
 /// A containment ends when a single request, tried after a period without crashes, is served. Not thread-safe.
 class CrashAttribution
@@ -54,12 +54,13 @@
     static constexpr std::size_t MaxServed = 1024;
     static constexpr std::size_t MaxContainments = 256;
 
-    /// Output time of a call after which a crash counts as one after output, and from which on output clears.
+    /// Output time from which on output clears suspects, and a crash counts as one after output. Shorter times differ
+    /// by little more than the delays on the way to the router.
     static constexpr Millis SoundOutputTime{100};
     /// Output time that stands for a whole answer.
     static constexpr Millis WholeAnswer = Millis::max();
-    /// Output clears a suspect of crashes that came after less than the part 1 / OutputFactor of it. The times of the
-    /// crashes that one cause brings about differ.
+    /// Output clears a suspect of crashes for which OutputFactor times the output before them is not more than it: the
+    /// crashes of one cause come after different times.
     static constexpr int OutputFactor = 2;
 
     enum class Verdict : std::uint8_t {
@@ -108,7 +109,7 @@
     void expire(TimePoint now);
 
 private:
-    /// Weights of a crash before any output and after some: a whole number of each is WeightToContain.
+    /// Weights of a crash before any output and of one after some. Both divide WeightToContain.
     static constexpr int CrashWeight = 3;
     static constexpr int OutputCrashWeight = 2;
     static constexpr int WeightToContain = CrashesToContain * CrashWeight;
@@ -126,8 +127,8 @@
         Millis outputTime{0};
         int level = 0; ///< See levelToClear().
     };
-    /// Output times are compared by levels: SoundOutputTime, and twice as much for each further one. The last level is
-    /// a whole answer.
+    /// Output times are compared by levels: SoundOutputTime is level 0, and each further level twice as long. The last
+    /// one is a whole answer.
     static constexpr int Levels = 12;
     /// When requests with one suspect were last served, by the level of their output; TimePoint::min() if never.
     using Served = std::array<TimePoint, Levels>;
--- a/src/route/crashattribution.cpp
+++ b/src/route/crashattribution.cpp
@@ -73,8 +73,7 @@
     }
     std::vector<std::string> contested;
     for (const std::string &suspect : suspects) {
-        const bool clears = this->isAccused(suspect, level);
-        if (clears || this->contained.contains(suspect)) {
+        if (this->isAccused(suspect, level) || this->contained.contains(suspect)) {
             contested.push_back(suspect);
         }
         this->setServed(suspect, level, now);
@@ -222,10 +221,12 @@
     });
     for (const auto &[suspect, crashes] : causes) {
         TimePoint lastCrash;
-        Millis outputTime{0};
         for (const std::size_t i : this->evidence.at(suspect).calls) {
             lastCrash = std::max(lastCrash, this->calls[i].crashedAt);
-            outputTime = std::max(outputTime, this->calls[i].outputTime);
+        }
+        Millis outputTime{0};
+        for (const Call *call : this->findCrashes(suspect, {})) {
+            outputTime = std::max(outputTime, call->outputTime);
         }
         const Millis period = this->wasServed(suspect, Millis(0)) ? InitialPeriodServed : InitialPeriod;
         this->contain(suspect, Containment{lastCrash, period, TimePoint(), outputTime}, crashes);
