Crash reports to peers prefer the calls with the least output

Since streams count that broke off in the middle of their answers, those of a busy engine could fill it, and peers not hear of the request that crashed it. When a report is full, the call with the longest output gives way.

--- a/src/gateway/routerstate.cpp
+++ b/src/gateway/routerstate.cpp
@@ -267,8 +267,19 @@
     for (CrashSuspect &suspect : call.suspects) {
         suspect.servedBefore = this->crashes.wasServed(suspect.name, call.outputTime);
     }
-    if (this->crashes.addCrash(call, now) && this->recentCrashes.size() < MaxReportedCrashes) {
+    if (!this->crashes.addCrash(call, now)) {
+        return;
+    }
+    if (this->recentCrashes.size() < MaxReportedCrashes) {
         this->recentCrashes.emplace_back(now, std::move(call));
+        return;
+    }
+    // Of many streams that break off together, those with the least output say most about the cause.
+    const auto longest =
+        std::max_element(this->recentCrashes.begin(), this->recentCrashes.end(),
+                         [](const auto &a, const auto &b) { return a.second.outputTime < b.second.outputTime; });
+    if (call.outputTime < longest->second.outputTime) {
+        *longest = {now, std::move(call)};
     }
 }
 
--- a/src/gateway/routerstate.h
+++ b/src/gateway/routerstate.h
@@ -144,6 +144,7 @@
     void recordCrash(CrashedCall call, TimePoint now);
     /// Records that a request with the given crash suspects was served, for this router and, if calls with them have
     /// crashed, for its next reports to peers.
+    /// @param outputTime see CrashAttribution::recordServed().
     void recordServed(const std::vector<std::string> &suspects, Millis outputTime, TimePoint now);
     /// Recomputes the groups of routers and backend servers. Must be called after either list has changed.
     void regroup();
--- a/src/gateway/routerstate_test.cpp
+++ b/src/gateway/routerstate_test.cpp
@@ -371,6 +371,24 @@
     CHECK(receiver.work->total("engine-1").requests == 0);
 }
 
+TEST_CASE("Of many streams that break off together, a report names those with the least output")
+{
+    // Guards against peers that do not hear of the request that crashed an engine, because the streams beside it fill
+    // the report.
+    boost::asio::io_context context;
+    RouterState sender(context.get_executor(), named("r0"), 1);
+    const TimePoint now = Clock::now();
+    for (std::uint64_t i = 1; i <= 100; ++i) {
+        const Millis outputTime = i == 100 ? Millis(200) : Millis(5000 + i);
+        sender.recordCrash(CrashedCall{i, "e", {{"part:a", false}}, Millis(0), Millis(6000), outputTime}, now);
+    }
+    const auto report = sender.takeReport(now);
+    REQUIRE(report);
+    CHECK(report->crashes.size() < 100);
+    CHECK(std::any_of(report->crashes.begin(), report->crashes.end(),
+                      [](const CrashedCall &call) { return call.id == 100; }));
+}
+
 TEST_CASE("A limit that a backend server names to one router holds at its peers, until it is lifted or restarted")
 {
     // Guards against a server in need that each router has to overload before it learns of the limit.
