Logs: changes sent to peers and reads of the store

`changes-sent` names the bytes and the number of peers, `store-read` the bytes and the duration, and a counter adds up what is sent to peers. No decision changes.

--- a/src/gateway/fleetsync.cpp
+++ b/src/gateway/fleetsync.cpp
@@ -204,6 +204,22 @@
         .write();
 }
 
+void FleetSync::logRead(const std::string &call, const StorePage &page, TimePoint start) const
+{
+    std::uint64_t bytes = 0;
+    for (const StoreItem &item : page.items) {
+        bytes += item.key.size() + item.value.size();
+    }
+    LogLine("store-read")
+        .add("call", call)
+        .add("before", this->state.storeRevision)
+        .add("revision", page.revision)
+        .add("items", std::uint64_t(page.items.size()))
+        .add("bytes", bytes)
+        .add("ms", std::int64_t(toSeconds(this->state.environment.now() - start) * 1000))
+        .write();
+}
+
 boost::asio::awaitable<FleetSync::ReadResult> FleetSync::readMissing(std::string prefix)
 {
     ReadResult result = co_await this->readChanges(prefix);
@@ -297,6 +313,7 @@
         }
         const StorePage &page = std::get<StorePage>(result);
         this->recordSuccess();
+        this->logRead("read-changes", page, start);
         if (this->isOutdated(page, known)) {
             continue;
         }
@@ -334,6 +351,7 @@
     }
     this->recordSuccess();
     const StorePage &page = std::get<StorePage>(result);
+    this->logRead("list", page, start);
     this->contact.resyncNeeded = this->isOutdated(page, known);
     if (this->contact.resyncNeeded) {
         co_return std::nullopt;
--- a/src/gateway/fleetsync.h
+++ b/src/gateway/fleetsync.h
@@ -120,6 +120,9 @@
     bool keepFreshReads() const;
     /// Logs why this router reads the store although it watches it or is told of its changes.
     void logCatchUp(const std::string &reason) const;
+    /// Logs what a read of the store has brought, other than a watch.
+    /// @param start when the read began.
+    void logRead(const std::string &call, const StorePage &page, TimePoint start) const;
     /// Takes out a lease and writes this router's registration under it.
     /// @return whether both calls succeeded.
     boost::asio::awaitable<bool> registerOnce();
--- a/src/gateway/peersocket.cpp
+++ b/src/gateway/peersocket.cpp
@@ -71,8 +71,18 @@
             continue;
         }
         const std::string bytes = encodePeerReport(*report);
+        const std::vector<RouterMember> lapsed = this->state.lapsedPeers(Clock::now());
         this->sendTo(this->state.groupPeers(), bytes);
-        this->sendTo(this->state.lapsedPeers(Clock::now()), bytes);
+        this->sendTo(lapsed, bytes);
+        if (report->changes.upTo != 0) {
+            LogLine("changes-sent")
+                .add("after", report->changes.after)
+                .add("up_to", report->changes.upTo)
+                .add("items", std::uint64_t(report->changes.items.size()))
+                .add("datagram_bytes", std::uint64_t(bytes.size()))
+                .add("peers", std::uint64_t(this->state.groupPeers().size() + lapsed.size()))
+                .write();
+        }
         if (const auto news = RouterState::crashNews(*report)) {
             this->sendTo(this->state.otherGroupsRouters(), encodePeerReport(*news));
         }
@@ -91,7 +101,9 @@
         if (error) {
             // A later report replaces this one; the metric shows a lasting fault.
             this->state.metrics.count("cyclamencross_peer_reports_total", {{"result", "not-sent"}});
+            continue;
         }
+        this->state.metrics.count("cyclamencross_peer_sent_bytes_total", {}, double(bytes.size()));
     }
 }
 
