Test: routers that vouch for each other (CONFIG), red

The certainty of the store's changes grows younger with each report that is passed on: 0.48 s in 5 s between two routers.

--- a/src/gateway/routerstate_test.cpp
+++ b/src/gateway/routerstate_test.cpp
@@ -148,6 +148,28 @@
     CHECK_FALSE(state.hasLiveWatcher(now + std::chrono::seconds(2)));
 }
 
+TEST_CASE("Certainty of the store's changes does not become younger as it passes between routers")
+{
+    // Guards against routers that vouch for each other and read nothing, though none of them has had an answer.
+    boost::asio::io_context context;
+    RouterState first(context.get_executor(), named("r1"), 1);
+    RouterState second(context.get_executor(), named("r2"), 1);
+    constexpr Millis Transit(30);
+    constexpr Millis Period(100);
+    const TimePoint answer = Clock::now();
+    first.confirmChanges(answer);
+    for (TimePoint now = answer; now < answer + std::chrono::seconds(5); now += Period) {
+        for (const auto &[sender, receiver] : {std::pair(&first, &second), std::pair(&second, &first)}) {
+            if (const auto report = sender->takeReport(now)) {
+                receiver->applyReport(*report, now + Transit);
+            }
+        }
+    }
+    CHECK(first.freshness.confirmedAt() == answer);
+    REQUIRE(second.freshness.confirmedAt());
+    CHECK(*second.freshness.confirmedAt() - answer <= Transit);
+}
+
 TEST_CASE("Changes that are reported together have no gap between them")
 {
     // Guards against peers that count changes as known although no report contained them.
