--- a/src/gateway/fleetsync_test.cpp
+++ b/src/gateway/fleetsync_test.cpp
@@ -110,6 +110,30 @@
     CHECK(router.state.storeRevision == 15);
 }
 
+TEST_CASE("A router that reads changes which a peer knows already does not send them to its peers")
+{
+    // Guards against a group without a live watcher in which each router reads the same changes and sends them to all
+    // others, which fills their links (day st-roll on site mostaza-cuyo-grown).
+    const std::uint64_t knownToPeers = GENERATE(0, 12);
+    TestRouter router;
+    makeFollower(router);
+    router.store.list = [](std::string /*prefix*/) -> StoreAwaitable<StorePage> { co_return StorePage{{}, 10}; };
+    router.store.readChanges = [](std::string /*prefix*/, std::uint64_t after) -> StoreAwaitable<StorePage> {
+        if (after >= 12) {
+            co_return StorePage{{}, after};
+        }
+        co_return StorePage{{StoreItem{"servers/a", "x", 12, false}}, 12};
+    };
+    PeerReport report;
+    report.router = "peer";
+    report.sequence = 1;
+    report.storeRevision = knownToPeers;
+    router.state.applyReport(report, Clock::now());
+    router.follow(StoreFreshness::MaxAge + Millis(300), true);
+    REQUIRE(router.state.storeRevision == 12);
+    CHECK(router.state.takeReport(Clock::now())->changes.items.empty() == (knownToPeers == 12));
+}
+
 TEST_CASE("A list covers all changes up to its revision, including those that left no item")
 {
     // Guards against a router that reads the whole store repeatedly because the newest change was a removal, which
--- a/src/gateway/routerstate_test.cpp
+++ b/src/gateway/routerstate_test.cpp
@@ -186,6 +186,56 @@
     CHECK(state.takeReport(Clock::now())->changes == StoreChanges{30, 31, true, {third}});
 }
 
+TEST_CASE("Versions of an item that were replaced before they were reported are not sent to peers")
+{
+    // Guards against reports that grow with the number of versions that were written, and not with what they change.
+    boost::asio::io_context context;
+    RouterState state(context.get_executor(), RouterSettings(), 1);
+    const StoreItem backend{"servers/a", "x", 12, false};
+    state.queueChangesForPeers(
+        StoreChanges{10, 13, false, {{"op/config", "1", 11, false}, backend, {"op/config", "2", 13, false}}});
+    state.queueChangesForPeers(StoreChanges{13, 14, false, {{"op/config", "3", 14, false}}});
+    CHECK(state.takeReport(Clock::now())->changes
+          == StoreChanges{10, 14, false, {backend, {"op/config", "3", 14, false}}});
+}
+
+TEST_CASE("A storm of configurations leaves half of a slow link free")
+{
+    // Guards against a watcher whose reports to its peers hold up its own calls to the store (day st-roll on site
+    // mostaza-cuyo-grown: routers sent 2 MB a second to their peers over links of 10 Mbit/s, and lost the store).
+    constexpr int Peers = 31;
+    constexpr int Versions = 25;
+    constexpr Millis VersionPeriod(400);
+    constexpr double HalfOfLinkBytesPerSecond = 10e6 / 8 / 2;
+    boost::asio::io_context context;
+    RouterState state(context.get_executor(), RouterSettings(), 1);
+    std::mt19937_64 random(1);
+    const auto configuration = [&random] {
+        std::string routes;
+        for (int i = 0; i < 60; ++i) {
+            routes += R"({"Name":"r-)" + std::to_string(random()) + R"(","Host":"wuny96.example","PathPrefix":"/)"
+                + std::to_string(random()) + R"(/","Service":"dele69a","Kind":"idempotent","TimeoutMs":14000,)"
+                + R"("TargetLatencyMs":800,"MaxAttempts":2,"Priority":1,"StickySessions":true,"AllowResume":true},)";
+        }
+        return routes;
+    };
+    const TimePoint start = Clock::now();
+    const TimePoint end = start + Versions * VersionPeriod;
+    std::size_t sent = 0;
+    int written = 0;
+    for (TimePoint now = start; now < end; now += Millis(100)) {
+        if (now >= start + written * VersionPeriod) {
+            const std::uint64_t revision = 10 + std::uint64_t(written++);
+            state.queueChangesForPeers(
+                StoreChanges{revision, revision + 1, false, {{"op/config", configuration(), revision + 1, false}}});
+        }
+        if (const auto report = state.takeReport(now)) {
+            sent += encodePeerReport(*report).size() * Peers;
+        }
+    }
+    CHECK(double(sent) <= HalfOfLinkBytesPerSecond * toSeconds(end - start));
+}
+
 TEST_CASE("The load of an engine that several groups share is multiplied by the number of groups")
 {
     // Guards against an engine that seems half empty to each of two groups and refuses one reservation after the other
