--- a/src/gateway/fleetsync.cpp
+++ b/src/gateway/fleetsync.cpp
@@ -324,9 +324,9 @@
         this->applyAll(page.items, page.revision);
         this->state.confirmChanges(start);
         // Without a live watcher in the group, as when the store rejects all of them, whoever can read tells the
-        // others.
-        const bool tellsPeers =
-            this->state.isDesignatedWatcher() || !this->state.hasLiveWatcher(this->state.environment.now());
+        // others what none of them has reported yet.
+        const bool tellsPeers = this->state.storeRevision > this->state.newestPeerRevision
+            && (this->state.isDesignatedWatcher() || !this->state.hasLiveWatcher(this->state.environment.now()));
         if (!page.items.empty() && tellsPeers) {
             this->state.queueChangesForPeers(StoreChanges{before, this->state.storeRevision, false, page.items});
         }
--- a/src/gateway/peerreport.cpp
+++ b/src/gateway/peerreport.cpp
@@ -1,6 +1,7 @@
 #include "peerreport.h"
 
 #include "boundedinputarchive.h"
+#include "packedchanges.h"
 
 #include <algorithm>
 #include <cmath>
@@ -98,16 +99,20 @@
     archive(outcomes.served, outcomes.failed, outcomes.broken, outcomes.paceSamples, outcomes.paceSum);
 }
 
+// Archives the changes in packed form, as nothing if there are none.
 template<typename Archive>
-void serialize(Archive &archive, StoreItem &item)
+void archiveChanges(Archive &archive, StoreChanges &changes)
 {
-    archive(item.key, item.value, item.revision, item.removed);
-}
-
-template<typename Archive>
-void serialize(Archive &archive, StoreChanges &changes)
-{
-    archive(changes.after, changes.upTo, changes.isSnapshotDiff, changes.items);
+    std::string packed;
+    if constexpr (Archive::is_saving::value) {
+        packed = changes.upTo == 0 ? std::string() : packChanges(changes);
+    }
+    archive(packed);
+    if constexpr (Archive::is_loading::value) {
+        if (!packed.empty() && !unpackChanges(packed, changes)) {
+            throw cereal::Exception("changes");
+        }
+    }
 }
 
 template<typename Archive>
@@ -125,7 +130,8 @@
 template<typename Archive>
 void serialize(Archive &archive, PeerReport &report)
 {
-    archive(report.watching, report.changes);
+    archive(report.watching);
+    archiveChanges(archive, report.changes);
     archiveMillis(archive, report.changesKnownAge);
     archive(report.isCrashNews, report.isGroupReport, report.groupWork, report.stageLoads, report.knowsOtherGroups,
             report.otherGroupsWork);
--- a/src/gateway/routersettings.cpp
+++ b/src/gateway/routersettings.cpp
@@ -122,6 +122,7 @@
         {"groups.by_zone", choiceRule(&RouterSettings::groupsByZone, "auto", "never")},
         {"limits.memory_mib", numberRule(&RouterSettings::memoryMiB, 32, 1U << 20U)},
         {"limits.descriptors", numberRule(&RouterSettings::descriptors, 64, 1U << 24U)},
+        {"limits.link_mbps", optionalRule(ratioRule(&RouterSettings::linkMegabits))},
         {"bounds.stop_grace_s", durationRule(&RouterSettings::stopGrace, 1000)},
         {"bounds.heartbeat_ms", durationRule(&RouterSettings::heartbeatPeriod, 1)},
         {"bounds.retry_ratio", ratioRule(&RouterSettings::retryRatio)},
--- a/src/gateway/routerstate.h
+++ b/src/gateway/routerstate.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "changequeue.h"
 #include "connectionpool.h"
 #include "leadership.h"
 #include "peerreport.h"
@@ -253,13 +254,6 @@
     static constexpr std::size_t WatchersPerGroup = 3;
     /// How long after its last report a watching peer counts as live: two of its reports may be lost.
     static constexpr Millis WatcherLifetime{1200};
-    /// Size up to which changes are sent in one report; further ones follow in the next reports.
-    static constexpr std::size_t MaxChangesBytes = 30000;
-    /// Largest single change that a report can contain. If it is larger, the peers notice the newer revision and read
-    /// the changes from the store.
-    static constexpr std::size_t MaxDatagramItemBytes = 50000;
-    /// Size up to which changes are kept for further reports.
-    static constexpr std::size_t MaxPendingBytes = 600000;
     /// Shortest interval between two calls of regroup() by requestRegroup().
     static constexpr Millis RegroupInterval{200};
     /// Completed streams sent with one report; further ones add little to the estimates.
@@ -340,7 +334,7 @@
     std::size_t rankInGroup = 0; ///< The first WatchersPerGroup routers of a group watch the store.
     bool confirmationPending = false; ///< An answer of the store was confirmed since the last report.
     TimePoint lastWatcherReport;
-    StoreChanges pendingChanges; ///< To be sent with the next report.
+    ChangeQueue changeQueue{this->settings.linkMegabits}; ///< To be sent with the next reports.
     std::map<PoolKey, Pool> pools;
     /// Backend servers that this router's group and others use, with these groups.
     std::map<std::string, GroupRange> sharedBackends;
@@ -376,8 +370,6 @@
     std::map<std::string, BackendWork> boundedWaiting() const;
     /// Sets the metrics of requests that look for room by priority.
     void updateWaitingMetrics();
-    /// Returns the changes for the next report and keeps the rest.
-    StoreChanges takeChanges();
     /// Returns the use of limited workspaces in a scope for the next report.
     QuotaReport takeQuotaReport(WorkspaceQuotas::Scope scope, TimePoint now);
     /// Recomputes the work of the other groups from the reports of their delegates.
--- a/src/gateway/routerstate_test.cpp
+++ b/src/gateway/routerstate_test.cpp
@@ -3,9 +3,11 @@
 #include "workreservation.h"
 
 #include <algorithm>
+#include <iterator>
 #include <limits>
 #include <map>
 #include <memory>
+#include <random>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
@@ -397,7 +399,10 @@
     CHECK(items == all.items.size());
     SECTION("One change that is too large for a datagram is left to the store")
     {
-        const StoreItem large{"op/config", std::string(70000, 'x'), 61, false};
+        std::string incompressible;
+        std::mt19937_64 random(1);
+        std::generate_n(std::back_inserter(incompressible), 70000, [&random] { return char(random()); });
+        const StoreItem large{"op/config", incompressible, 61, false};
         state.queueChangesForPeers(StoreChanges{60, 61, false, {large}});
         CHECK(state.takeReport(Clock::now())->changes == StoreChanges());
     }
--- a/src/gateway/routerstatereports.cpp
+++ b/src/gateway/routerstatereports.cpp
@@ -23,21 +23,7 @@
 
 void RouterState::queueChangesForPeers(const StoreChanges &added)
 {
-    if (this->pendingChanges.upTo == 0 || this->pendingChanges.upTo < added.after) {
-        // The changes between the two ranges came from a peer and are in neither of them.
-        this->pendingChanges = StoreChanges();
-        this->pendingChanges.after = added.after;
-    }
-    this->pendingChanges.upTo = std::max(this->pendingChanges.upTo, added.upTo);
-    this->pendingChanges.isSnapshotDiff = this->pendingChanges.isSnapshotDiff || added.isSnapshotDiff;
-    this->pendingChanges.items.insert(this->pendingChanges.items.end(), added.items.begin(), added.items.end());
-    std::size_t size = 0;
-    for (const StoreItem &item : this->pendingChanges.items) {
-        size += item.key.size() + item.value.size();
-    }
-    if (size > (this->pendingChanges.isSnapshotDiff ? MaxChangesBytes : MaxPendingBytes)) {
-        this->pendingChanges = StoreChanges();
-    }
+    this->changeQueue.add(added);
 }
 
 void RouterState::confirmChanges(TimePoint at)
@@ -46,41 +32,9 @@
     this->confirmationPending = true;
 }
 
-StoreChanges RouterState::takeChanges()
-{
-    StoreChanges &pending = this->pendingChanges;
-    std::size_t size = 0;
-    std::size_t count = 0;
-    while (count < pending.items.size()) {
-        const StoreItem &item = pending.items[count];
-        size += item.key.size() + item.value.size();
-        // Items of the same revision were written together and stay together.
-        const bool mayEndBefore = count > 0 && pending.items[count - 1].revision < item.revision;
-        if (size > MaxChangesBytes && mayEndBefore) {
-            break;
-        }
-        ++count;
-    }
-    if (size > MaxDatagramItemBytes && count == pending.items.size()) {
-        pending = StoreChanges(); // Too large for a datagram. The peers read the changes from the store.
-        return {};
-    }
-    if (count == pending.items.size()) {
-        return std::exchange(pending, {});
-    }
-    const auto end = pending.items.begin() + std::ptrdiff_t(count);
-    StoreChanges part;
-    part.after = pending.after;
-    part.upTo = pending.items[count - 1].revision;
-    part.items.assign(pending.items.begin(), end);
-    pending.items.erase(pending.items.begin(), end);
-    pending.after = part.upTo;
-    return part;
-}
-
 QuotaReport RouterState::takeQuotaReport(WorkspaceQuotas::Scope scope, TimePoint now)
 {
-    const bool besideChanges = scope != WorkspaceQuotas::Scope::Group && this->pendingChanges.upTo != 0;
+    const bool besideChanges = scope != WorkspaceQuotas::Scope::Group && !this->changeQueue.isEmpty();
     return this->quotas.takeReport(scope, now,
                                    besideChanges ? MaxWorkspacesBesideChanges : WorkspaceQuotas::MaxReported);
 }
@@ -132,7 +86,7 @@
     const bool changed = quotaChanged || this->work->own() != this->lastReportedWork
         || this->waiting->own() != this->lastReportedWaiting || !this->pendingOutcomes.empty()
         || !this->pendingLimits.empty() || !this->recentStatements.empty() || !this->recentCrashes.empty()
-        || !this->recentlyServed.empty() || this->pendingChanges.upTo != 0 || this->confirmationPending;
+        || !this->recentlyServed.empty() || !this->changeQueue.isEmpty() || this->confirmationPending;
     const bool due = now - this->lastReport >= ReportPeriod;
     if (!changed && !due) {
         return std::nullopt;
@@ -147,7 +101,7 @@
         report.changesKnownAge = std::chrono::ceil<Millis>(now - *confirmedAt);
     }
     this->confirmationPending = false;
-    report.changes = this->takeChanges();
+    report.changes = this->changeQueue.take(this->groupPeers().size() + this->lapsedPeers(now).size(), now);
     report.quota = std::move(quota);
     report.otherGroupsQuota = std::move(otherGroupsQuota);
     this->reportedOthersHeard = report.otherGroupsQuota.heard;
