Tests: reads of the store that fail and are not repeated (CONFIG), red

Steps that come on top of a late read, found while the delays were added up: an answer that is too large is asked for again and again, and a failed read waits for the renewal of the lease although the store answers the peers.

--- a/src/gateway/fleetsync_test.cpp
+++ b/src/gateway/fleetsync_test.cpp
@@ -134,6 +134,55 @@
     CHECK(router.state.takeReport(Clock::now())->changes.items.empty() == (knownToPeers == 12));
 }
 
+TEST_CASE("A router that cannot take the changes it has missed reads the whole store")
+{
+    // Guards against a router that asks for the same answer, which is larger than it accepts, until the store has
+    // dropped these changes (review/beside-3).
+    TestRouter router;
+    int lists = 0;
+    router.store.list = [&lists](std::string /*prefix*/) -> StoreAwaitable<StorePage> {
+        const bool isFirst = ++lists == 1;
+        co_return StorePage{{StoreItem{isFirst ? "servers/a" : "servers/b", "x", isFirst ? 10U : 20U, false}},
+                            isFirst ? 10U : 20U};
+    };
+    router.store.readChanges = [](std::string /*prefix*/, std::uint64_t /*after*/) -> StoreAwaitable<StorePage> {
+        co_return StoreFailure{StoreFailure::Kind::Malformed, "too large"};
+    };
+    router.follow(StoreFreshness::MaxAge + Millis(500), true);
+    CHECK(router.state.storeRevision == 20);
+    CHECK(router.state.backends.find("b") != nullptr);
+}
+
+TEST_CASE("A failed read is repeated at once while peers have answers of the store")
+{
+    // Guards against a router that takes the loss of its own calls for an outage of the store and waits for the renewal
+    // of its lease, while its peers tell it that it is behind (day st-roll on site mostaza-cuyo-grown).
+    TestRouter router;
+    makeFollower(router);
+    router.store.list = [](std::string /*prefix*/) -> StoreAwaitable<StorePage> { co_return StorePage{{}, 10}; };
+    int reads = 0;
+    router.store.readChanges = [&reads](std::string /*prefix*/, std::uint64_t after) -> StoreAwaitable<StorePage> {
+        if (++reads <= 2) { // A read and its repetition.
+            co_return StoreFailure{StoreFailure::Kind::Unreachable, "no connection"};
+        }
+        co_return StorePage{{StoreItem{"servers/a", "x", 12, false}}, std::max<std::uint64_t>(after, 12)};
+    };
+    const auto reportAnswers = [](RouterState &state) -> boost::asio::awaitable<void> {
+        PeerReport report;
+        report.router = "peer";
+        report.storeRevision = 12;
+        report.changesKnownAge = Millis(0);
+        while (true) {
+            ++report.sequence;
+            state.applyReport(report, Clock::now());
+            co_await sleepFor(Millis(100));
+        }
+    };
+    boost::asio::co_spawn(router.context, reportAnswers(router.state), boost::asio::detached);
+    router.follow(StoreFreshness::MaxAge + Millis(400), true);
+    CHECK(router.state.storeRevision == 12);
+}
+
 TEST_CASE("A list covers all changes up to its revision, including those that left no item")
 {
     // Guards against a router that reads the whole store repeatedly because the newest change was a removal, which
