A router whose missed changes exceed one answer reads the whole store (CONFIG)

Callers of a router that the store had rejected for some seconds, while large configurations came, got the old configuration for as long as the store keeps its history. Cause: the answer to a read of changes holds each version that was missed; above 4 MiB the client of the store does not take it, and the read was repeated as it was. The newest state always fits, since it is read in pages.

--- a/src/gateway/fleetsync.cpp
+++ b/src/gateway/fleetsync.cpp
@@ -309,7 +309,8 @@
                 continue;
             }
             this->recordFailure("read-changes", *failure);
-            co_return ReadResult::Failed;
+            // The answer may be larger than this router accepts, since it holds each version that was missed.
+            co_return failure->kind == StoreFailure::Kind::Malformed ? ReadResult::Incomplete : ReadResult::Failed;
         }
         const StorePage &page = std::get<StorePage>(result);
         this->recordSuccess();
