--- a/src/gateway/fleetsyncitems.cpp
+++ b/src/gateway/fleetsyncitems.cpp
@@ -137,6 +137,7 @@
             .add("address", server.address)
             .add("draining", server.draining)
             .add("stage", int(server.stage))
+            .add("version", server.version)
             .add("revision", item.revision)
             .write();
     }
--- a/src/gateway/streamrequestplacement.cpp
+++ b/src/gateway/streamrequestplacement.cpp
@@ -155,6 +155,7 @@
         .add("stage", "decode")
         .add("candidates", std::int64_t(this->candidateCount))
         .add("backend", this->decodeCandidate.server.id)
+        .add("version", this->decodeCandidate.server.version)
         .add("in_flight", this->decodeCandidate.work.requests)
         .add("memory_tokens", this->decodeCandidate.work.kvCache.tokens().front())
         .add("memory_peak", this->decodeCandidate.work.kvCache.peak())
--- a/src/include/cyclamencross/gateway/routerrequest.h
+++ b/src/include/cyclamencross/gateway/routerrequest.h
@@ -29,6 +29,7 @@
     std::int64_t maxOutputTokens = 0; ///< Limit set by the caller.
     std::int64_t expectedOutputTokens = 0; ///< The caller's estimate; 0 if there is none.
     std::optional<std::int64_t> lastEventId; ///< Set if the caller resumes a stream.
+    std::string resumedId; ///< Id of the caller's attempt that began the stream; empty if the caller names none.
     /// Ids of the prompt's parts that other requests may share, in the order of the prompt. The last part belongs to
     /// this request or its session only and is left out.
     std::vector<std::string> sharedPromptParts;
--- a/src/include/cyclamencross/route/backendserver.h
+++ b/src/include/cyclamencross/route/backendserver.h
@@ -20,6 +20,7 @@
     int slots = 0; ///< Number of requests it runs concurrently.
     /// Start time of this incarnation in milliseconds since the Unix epoch; 0 if not known.
     std::int64_t startUnixMillis = 0;
+    std::string version = std::string(); ///< Of its software. Has no order.
 
     bool operator==(const BackendServer &) const = default;
 };
