--- a/src/gateway/containmentkeeper.cpp
+++ b/src/gateway/containmentkeeper.cpp
@@ -3,8 +3,6 @@
 #include "fleetsync.h"
 #include "routerstate.h"
 
-#include "cyclamencross/base/hash.h"
-
 #include <algorithm>
 
 namespace Cyclamen
@@ -29,7 +27,8 @@
             continue;
         }
         this->differentSince = this->differentSince.value_or(now);
-        if (now < this->nextWrite || now - *this->differentSince < SettleTime + this->rank() * TakeoverDelay) {
+        if (now < this->nextWrite
+            || now - *this->differentSince < SettleTime + this->state.writerRank() * TakeoverDelay) {
             continue;
         }
         co_await this->sync.writeContainments();
@@ -50,13 +49,4 @@
     });
 }
 
-int ContainmentKeeper::rank() const
-{
-    const std::uint64_t ownHash = hash64(this->state.settings.name);
-    int lower = 0;
-    this->state.members.forEach(
-        [&](const std::string &name, const RouterMember & /*member*/) { lower += hash64(name) < ownHash ? 1 : 0; });
-    return lower;
-}
-
 }
--- a/src/gateway/containmentkeeper.h
+++ b/src/gateway/containmentkeeper.h
@@ -38,8 +38,6 @@
 private:
     /// Returns whether the containments of this router differ from those in the store.
     bool isDifferent() const;
-    /// Returns how many routers come before this one in the order in which they write.
-    int rank() const;
 
     RouterState &state;
     FleetSync &sync;
--- a/src/gateway/fleetsync.cpp
+++ b/src/gateway/fleetsync.cpp
@@ -60,6 +60,16 @@
     return "cyclamencross/stages";
 }
 
+std::string FleetSync::serviceVersionsKey()
+{
+    return "cyclamencross/versions";
+}
+
+std::string FleetSync::streamOriginsPrefix()
+{
+    return "cyclamencross/streams/";
+}
+
 std::string FleetSync::containmentsKey()
 {
     return "cyclamencross/containments";
@@ -260,7 +270,7 @@
     for (const StoreItem &item : items) {
         newest = std::max(newest, item.revision);
         const bool changed = this->apply(item);
-        listsChanged = listsChanged || (changed && item.key != this->codec.configKey);
+        listsChanged = listsChanged || (changed && this->isInLists(item));
     }
     // A difference to a list that was read in pages may hold items newer than the list, but not all changes before
     // them.
--- a/src/gateway/fleetsync.h
+++ b/src/gateway/fleetsync.h
@@ -3,6 +3,7 @@
 #include "cyclamencross/base/timing.h"
 #include "cyclamencross/gateway/fleetcodec.h"
 #include "cyclamencross/gateway/statestore.h"
+#include "cyclamencross/route/streamorigin.h"
 
 #include <map>
 #include <optional>
@@ -15,6 +16,7 @@
 {
 
 class RouterState;
+class ServiceVersions;
 struct StagePlan;
 struct StoreChanges;
 
@@ -74,6 +76,11 @@
     boost::asio::awaitable<void> writeStagePlan(StagePlan plan);
     /// Writes the containments of crash suspects, unless they have changed in the store in between.
     boost::asio::awaitable<void> writeContainments();
+    /// Writes the software versions of the services, unless they have changed in the store in between.
+    boost::asio::awaitable<void> writeServiceVersions(ServiceVersions versions);
+    /// Writes at which software version streams began, for as long as they can be taken up.
+    /// @return whether that has succeeded.
+    boost::asio::awaitable<bool> writeStreamOrigins(StreamOriginsByVersion origins);
     /// Returns whether the lease of this router's registration is certain to be in force for a while: the last renewal
     /// is recent, also counting the time for which this host was suspended.
     bool isLeaseConfirmed() const;
@@ -85,6 +92,10 @@
     static std::string leaderKey();
     /// Returns the key of the stage plan.
     static std::string stagePlanKey();
+    /// Returns the key of the software versions of the services.
+    static std::string serviceVersionsKey();
+    /// Returns the prefix of the records of where streams began.
+    static std::string streamOriginsPrefix();
     /// Returns the key of the containments of crash suspects.
     static std::string containmentsKey();
 
@@ -150,6 +161,10 @@
     bool putLeader(const StoreItem &item);
     bool putStagePlan(const StoreItem &item);
     bool putContainments(const StoreItem &item);
+    bool putServiceVersions(const StoreItem &item);
+    bool putStreamOrigins(const StoreItem &item);
+    /// Returns whether a change of an item concerns the lists of routers or backend servers.
+    bool isInLists(const StoreItem &item) const;
     bool remove(const std::string &key, std::uint64_t revision);
     /// Returns a removal for each known entry under @p prefix that a complete list does not contain.
     std::vector<StoreItem> findRemoved(const std::string &prefix, const StorePage &page) const;
@@ -171,6 +186,9 @@
     std::optional<std::uint64_t> watchRevision;
     StoreContact contact;
     Clock::duration leaseConfirmedAt{0}; ///< On the boot-time clock: start of the last call that confirmed the lease.
+    std::uint64_t originsLease = 0; ///< Lease of the latest records of where streams began.
+    TimePoint originsLeaseEnd;
+    std::uint64_t originsWritten = 0; ///< Number of these records, for their keys.
     bool registered = false;
     std::uint64_t registrationRevision = 0; ///< Revision of the last write of this router's registration.
 };
--- a/src/gateway/fleetsyncitems.cpp
+++ b/src/gateway/fleetsyncitems.cpp
@@ -5,6 +5,7 @@
 #include "memberrecord.h"
 #include "routerstate.h"
 #include "stageplancodec.h"
+#include "versioncodec.h"
 
 #include "cyclamencross/base/logline.h"
 
@@ -37,6 +38,9 @@
     if (!this->state.leadership.router.empty()) {
         addMissing("", {{leaderKey(), this->state.leadership.revision}});
     }
+    if (this->state.serviceVersionsRevision > 0) {
+        addMissing("", {{serviceVersionsKey(), this->state.serviceVersionsRevision}});
+    }
     if (this->state.containmentsRevision > 0) {
         addMissing("", {{containmentsKey(), this->state.containmentsRevision}});
     }
@@ -77,6 +81,12 @@
     if (item.key == containmentsKey()) {
         return this->putContainments(item);
     }
+    if (item.key == serviceVersionsKey()) {
+        return this->putServiceVersions(item);
+    }
+    if (item.key.starts_with(streamOriginsPrefix())) {
+        return this->putStreamOrigins(item);
+    }
     return item.key.starts_with(memberPrefix()) && this->putMember(item);
 }
 
@@ -208,8 +218,54 @@
     return true;
 }
 
+bool FleetSync::putServiceVersions(const StoreItem &item)
+{
+    if (item.revision <= this->state.serviceVersionsRevision) {
+        return false;
+    }
+    auto versions = decodeServiceVersions(item.value);
+    if (!versions) {
+        LogLine("service-versions-rejected").add("revision", item.revision).warn();
+        versions = ServiceVersions(); // No stream goes on until the record is replaced.
+    }
+    this->state.serviceVersions = std::move(*versions);
+    this->state.serviceVersionsRevision = item.revision;
+    for (const auto &[service, states] : this->state.serviceVersions.services()) {
+        for (const auto &[version, state] : states) {
+            LogLine("service-version")
+                .add("service", service)
+                .add("version", version)
+                .add("open", state == ServiceVersions::State::Open)
+                .add("revision", item.revision)
+                .write();
+        }
+    }
+    return true;
+}
+
+bool FleetSync::putStreamOrigins(const StoreItem &item)
+{
+    const auto origins = decodeStreamOrigins(item.value);
+    if (!origins) {
+        LogLine("stream-origins-rejected").add("key", item.key).add("revision", item.revision).warn();
+        return false;
+    }
+    return this->state.streamOrigins.learn(*origins, true, this->state.environment.now());
+}
+
+bool FleetSync::isInLists(const StoreItem &item) const
+{
+    return item.key != this->codec.configKey && item.key != serviceVersionsKey()
+        && !item.key.starts_with(streamOriginsPrefix());
+}
+
 bool FleetSync::remove(const std::string &key, std::uint64_t revision)
 {
+    if (key == serviceVersionsKey() && revision >= this->state.serviceVersionsRevision) {
+        this->state.serviceVersions = ServiceVersions();
+        this->state.serviceVersionsRevision = 0;
+        return true;
+    }
     if (key == leaderKey() && revision >= this->state.leadership.revision) {
         const bool known = !this->state.leadership.router.empty();
         this->state.leadership = Leadership{"", 0, 0, revision};
--- a/src/gateway/fleetsyncwrites.cpp
+++ b/src/gateway/fleetsyncwrites.cpp
@@ -6,7 +6,9 @@
 #include "memberrecord.h"
 #include "routerstate.h"
 #include "stageplancodec.h"
+#include "versioncodec.h"
 
+#include "cyclamencross/base/hash.h"
 #include "cyclamencross/base/logline.h"
 
 #include <algorithm>
@@ -130,6 +132,53 @@
     this->recordSuccess();
 }
 
+boost::asio::awaitable<void> FleetSync::writeServiceVersions(ServiceVersions versions)
+{
+    const StoreResult<std::uint64_t> written =
+        co_await this->store.writeIf(serviceVersionsKey(), encodeServiceVersions(versions), 0, serviceVersionsKey(),
+                                     this->state.serviceVersionsRevision);
+    if (const auto *failure = std::get_if<StoreFailure>(&written)) {
+        if (failure->kind != StoreFailure::Kind::Conflict) {
+            this->recordFailure("write-service-versions", *failure);
+        }
+        co_return;
+    }
+    this->recordSuccess();
+}
+
+boost::asio::awaitable<bool> FleetSync::writeStreamOrigins(StreamOriginsByVersion origins)
+{
+    Millis longest(0);
+    for (const auto &[version, streams] : origins) {
+        for (const StreamOrigin &stream : streams) {
+            longest = std::max(longest, stream.left);
+        }
+    }
+    const TimePoint now = this->state.environment.now();
+    if (this->originsLease == 0 || this->originsLeaseEnd < now + longest) {
+        // Lasts for the records of some time, so that most of them need no lease of their own.
+        const Millis lifetime = std::max(longest * 2, this->state.settings.minLeaseLifetime);
+        const StoreResult<std::uint64_t> granted = co_await this->store.grantLease(lifetime);
+        if (const auto *failure = std::get_if<StoreFailure>(&granted)) {
+            this->recordFailure("lease", *failure);
+            co_return false;
+        }
+        this->originsLease = std::get<std::uint64_t>(granted);
+        this->originsLeaseEnd = now + lifetime;
+    }
+    std::string key = streamOriginsPrefix() + this->state.settings.name + "/" + toHex(this->state.incarnation) + "-"
+        + std::to_string(++this->originsWritten);
+    const StoreResult<std::uint64_t> written =
+        co_await this->store.write(std::move(key), encodeStreamOrigins(origins), this->originsLease);
+    if (const auto *failure = std::get_if<StoreFailure>(&written)) {
+        this->originsLease = 0;
+        this->recordFailure("write-stream-origins", *failure);
+        co_return false;
+    }
+    this->recordSuccess();
+    co_return true;
+}
+
 bool FleetSync::isLeaseConfirmed() const
 {
     return this->registered && this->state.environment.bootTime() - this->leaseConfirmedAt <= LeaseTrust;
--- a/src/gateway/peerreport.cpp
+++ b/src/gateway/peerreport.cpp
@@ -38,6 +38,13 @@
     duration = Millis(count);
 }
 
+template<typename Archive>
+void serialize(Archive &archive, StreamOrigin &origin)
+{
+    archive(origin.key);
+    archiveMillis(archive, origin.left);
+}
+
 template<typename Archive>
 void serialize(Archive &archive, CrashSuspect &suspect)
 {
@@ -138,7 +145,7 @@
     archive(report.router, report.incarnation, report.sequence, report.storeRevision, report.work, report.waiting,
             report.reportedCalls, report.slowdowns, report.namedLimits, report.statements, report.outcomes,
             report.streams, report.crashes, report.servedSuspects);
-    archive(report.quota, report.otherGroupsQuota);
+    archive(report.quota, report.otherGroupsQuota, report.streamOrigins);
 }
 
 namespace
@@ -198,6 +205,11 @@
     return isPlausible(call.age) && isPlausible(call.duration) && isPlausible(call.outputTime);
 }
 
+bool isPlausible(const StreamOrigin &origin)
+{
+    return isPlausible(origin.left);
+}
+
 bool isPlausible(const ServedSuspect &suspect)
 {
     return isPlausible(suspect.age);
@@ -222,8 +234,10 @@
         && areAllPlausible(report.stageLoads) && areAllPlausible(report.otherGroupsWork)
         && areAllPlausible(report.waiting) && areAllPlausible(report.reportedCalls) && areAllPlausible(report.slowdowns)
         && areAllPlausible(report.namedLimits) && areAllPlausible(report.outcomes) && areAllPlausible(report.streams)
-        && areAllPlausible(report.crashes) && areAllPlausible(report.servedSuspects) && report.quota.isPlausible()
-        && report.otherGroupsQuota.isPlausible();
+        && areAllPlausible(report.crashes) && areAllPlausible(report.servedSuspects)
+        && std::all_of(report.streamOrigins.begin(), report.streamOrigins.end(),
+                       [](const auto &entry) { return areAllPlausible(entry.second); })
+        && report.quota.isPlausible() && report.otherGroupsQuota.isPlausible();
 }
 
 }
--- a/src/gateway/peerreport.h
+++ b/src/gateway/peerreport.h
@@ -10,6 +10,7 @@
 #include "cyclamencross/route/servedsuspect.h"
 #include "cyclamencross/route/stageload.h"
 #include "cyclamencross/route/statementnews.h"
+#include "cyclamencross/route/streamorigin.h"
 #include "cyclamencross/route/streamsample.h"
 #include "cyclamencross/route/toldslowdown.h"
 
@@ -68,6 +69,8 @@
     std::map<std::string, std::int64_t> reportedCalls;
     /// Figures of backend servers on the pace of their machines that differ from what the sender expected. Few.
     std::map<std::string, ToldSlowdown> slowdowns;
+    /// Streams that have begun at the sender while their service has several software versions. Repeated.
+    StreamOriginsByVersion streamOrigins;
     std::map<std::string, NamedLimit> namedLimits; ///< Read from answers of backend servers since the last report.
     /// What backend servers have said to the sender of themselves, by id; recent ones, repeated in several reports.
     std::map<std::string, StatementNews> statements;
--- a/src/gateway/requesthandler.cpp
+++ b/src/gateway/requesthandler.cpp
@@ -375,7 +375,9 @@
     }
     if (!this->mayHaveExecuted) {
         this->outcome = "refused:" + reason;
-        co_await this->session.reply(503, "", this->codec.refusalHeaders(this->retryAfterDelay()), "");
+        const HeaderList headers =
+            this->returnsInVain ? HeaderList() : this->codec.refusalHeaders(this->retryAfterDelay());
+        co_await this->session.reply(503, "", headers, "");
         co_return;
     }
     this->outcome = "failed:" + reason;
--- a/src/gateway/requesthandler.h
+++ b/src/gateway/requesthandler.h
@@ -161,6 +161,7 @@
     int budgetedCalls = 0; ///< Calls, including the first one, that count against the retry budget.
     int unreachableCount = 0; ///< Backend servers that could not be reached.
     bool mayHaveExecuted = false; ///< A backend server may have executed the request.
+    bool returnsInVain = false; ///< The caller need not return: no backend server can ever take the request.
     bool overloaded = false; ///< No backend server had capacity for as long as the request may wait.
     /// Expected wait behind more urgent requests, if the request was refused for it.
     std::optional<Millis> waitBehindUrgent;
--- a/src/gateway/router.cpp
+++ b/src/gateway/router.cpp
@@ -43,6 +43,8 @@
     , peers(this->state)
     , stages(this->state, this->sync, this->platform.backendCodec)
     , containments(this->state, this->sync)
+    , versions(this->state, this->sync)
+    , streamOrigins(this->state, this->sync)
     , signals(context, SIGTERM, SIGINT, SIGHUP)
     , loopMonitor(Clock::now())
 {
@@ -77,6 +79,8 @@
     spawn(this->sync.keepRegistered());
     spawn(this->stages.run());
     spawn(this->containments.run());
+    spawn(this->versions.run());
+    spawn(this->streamOrigins.run());
     spawn(this->peers.receive());
     spawn(this->peers.send());
     spawn(this->runHousekeeping());
--- a/src/gateway/router.h
+++ b/src/gateway/router.h
@@ -8,6 +8,8 @@
 #include "quotametrics.h"
 #include "routerstate.h"
 #include "stagecontroller.h"
+#include "streamoriginkeeper.h"
+#include "versionkeeper.h"
 
 #include "cyclamencross/gateway/routerprocess.h"
 
@@ -106,6 +108,8 @@
     PeerSocket peers;
     StageController stages;
     ContainmentKeeper containments;
+    VersionKeeper versions;
+    StreamOriginKeeper streamOrigins;
     boost::asio::signal_set signals;
     std::vector<Listener> listeners;
     std::set<std::shared_ptr<HttpSession>> sessions;
--- a/src/gateway/routerstate.cpp
+++ b/src/gateway/routerstate.cpp
@@ -42,7 +42,7 @@
 
 std::vector<PlacementCandidate> RouterState::candidates(const std::string &service, EngineStage stage,
                                                         const std::set<std::string> &excluded, const std::string &zone,
-                                                        TimePoint now) const
+                                                        TimePoint now, const ServerFilter &mayUse) const
 {
     std::vector<PlacementCandidate> result;
     const auto pool = this->pools.find({service, stage});
@@ -51,7 +51,8 @@
     }
     for (const std::string &id : pool->second.own) {
         const BackendServer *server = this->backends.find(id);
-        if (server != nullptr && this->mayTakeRequests(*server, now) && !excluded.contains(id)) {
+        if (server != nullptr && this->mayTakeRequests(*server, now) && !excluded.contains(id)
+            && (!mayUse || mayUse(*server))) {
             result.push_back(this->makeCandidate(*server, zone, now));
         }
     }
@@ -129,6 +130,11 @@
     }
 }
 
+std::size_t RouterState::groupCount() const
+{
+    return this->groupPlan.groupCount();
+}
+
 const std::vector<RouterMember> &RouterState::groupPeers() const
 {
     return this->peersOfGroup;
@@ -173,6 +179,33 @@
     return this->isEligible(server) && !this->statements.isSilent(server.id, now);
 }
 
+std::optional<std::string> RouterState::onlyVersion(const std::string &service) const
+{
+    const auto version = this->serviceVersions.only(service);
+    const auto registered = this->registeredVersions.find(service);
+    const bool othersRegistered = version && registered != this->registeredVersions.end()
+        && std::any_of(registered->second.begin(), registered->second.end(),
+                       [&version](const std::string &other) { return other != *version; });
+    const bool certain =
+        this->confirmedBootTime && this->environment.bootTime() - *this->confirmedBootTime <= VersionPlanner::TrustAge;
+    return othersRegistered || !certain ? std::nullopt : version;
+}
+
+bool RouterState::isVersionRegistered(const std::string &service, const std::string &version) const
+{
+    const auto registered = this->registeredVersions.find(service);
+    return registered != this->registeredVersions.end() && registered->second.contains(version);
+}
+
+int RouterState::writerRank() const
+{
+    const std::uint64_t ownHash = hash64(this->settings.name);
+    int lower = 0;
+    this->members.forEach(
+        [&](const std::string &name, const RouterMember & /*member*/) { lower += hash64(name) < ownHash ? 1 : 0; });
+    return lower;
+}
+
 bool RouterState::isLeader() const
 {
     return this->leadership.router == this->settings.name && this->leadership.incarnation == this->incarnation
--- a/src/gateway/routerstate.h
+++ b/src/gateway/routerstate.h
@@ -27,13 +27,16 @@
 #include "cyclamencross/route/roomestimator.h"
 #include "cyclamencross/route/routermember.h"
 #include "cyclamencross/route/routetable.h"
+#include "cyclamencross/route/serviceversions.h"
 #include "cyclamencross/route/slowdowntracker.h"
 #include "cyclamencross/route/stageload.h"
 #include "cyclamencross/route/stageplan.h"
 #include "cyclamencross/route/stopschedule.h"
 #include "cyclamencross/route/storefreshness.h"
 #include "cyclamencross/route/streamdurations.h"
+#include "cyclamencross/route/streamorigins.h"
 #include "cyclamencross/route/urgencyqueue.h"
+#include "cyclamencross/route/versionplanner.h"
 #include "cyclamencross/route/workspacequotas.h"
 
 #include <cstdint>
@@ -60,18 +63,22 @@
     RouterState(const boost::asio::any_io_executor &executor, RouterSettings settings, std::uint64_t incarnation,
                 RouterEnvironment environment = RouterEnvironment());
 
+    /// Returns whether a backend server may be used for a request; an empty function admits all.
+    using ServerFilter = std::function<bool(const BackendServer &server)>;
+
     /// Returns the backend servers of @p service and @p stage that this router's group uses and that are not draining.
     /// @param excluded ids of backend servers to leave out.
     /// @param zone availability zone to prefer; sets PlacementCandidate::sameZone.
     std::vector<PlacementCandidate> candidates(const std::string &service, EngineStage stage,
                                                const std::set<std::string> &excluded, const std::string &zone,
-                                               TimePoint now) const;
+                                               TimePoint now, const ServerFilter &mayUse = nullptr) const;
     /// Returns a random sample of the backend servers of other router groups, to be used if those of this router's
     /// group have no capacity. Leaves out engines that have just refused a reservation.
     /// @param ofOwnZone whether they are in this router's zone or in others; both if it is not set.
     std::vector<PlacementCandidate> sampleOtherGroups(const std::string &service, EngineStage stage,
                                                       const std::set<std::string> &excluded, TimePoint now,
-                                                      std::optional<bool> ofOwnZone = std::nullopt);
+                                                      std::optional<bool> ofOwnZone = std::nullopt,
+                                                      const ServerFilter &mayUse = nullptr);
     /// Returns whether groups follow the availability zones, so that a request for which its group has no room may use
     /// engines of other groups.
     bool hasZoneGroups() const;
@@ -80,6 +87,8 @@
     bool mayAskOtherGroups(const std::string &service, bool ofOwnZone, TimePoint now) const;
     /// Records the answer of an engine to the request for room, if another group uses it.
     void recordOverflow(const std::string &service, const PlacementCandidate &engine, bool granted, TimePoint now);
+    /// Returns the number of groups of routers.
+    std::size_t groupCount() const;
     /// Returns the other routers of this router's group.
     const std::vector<RouterMember> &groupPeers() const;
     /// Returns the routers that were in this router's group until their registration was removed, for
@@ -122,6 +131,13 @@
     /// Returns the load of the engines of each model service that has engines of both stages. Extrapolates from the
     /// engines of this router's group, and of those whose delegates report to this router, to all.
     std::map<std::string, StageLoad> stageLoads() const;
+    /// Returns the software version of all streams of a service that can still be taken up; std::nullopt if there may
+    /// be several, or if this router is not certain enough of the latest changes.
+    std::optional<std::string> onlyVersion(const std::string &service) const;
+    /// Returns whether a backend server of a service with a software version is registered.
+    bool isVersionRegistered(const std::string &service, const std::string &version) const;
+    /// Returns how many routers come before this one in the order in which they write what all of them know.
+    int writerRank() const;
     /// Returns whether this router is the leader, by a record under its newest lease. A record under an earlier lease
     /// is gone from the store even if this router has not read that yet, and another router may lead.
     bool isLeader() const;
@@ -223,6 +239,10 @@
     ConnectionPool connections;
     Metrics metrics;
     BusiestLabels workspaceLabels{MaxWorkspaceLabels};
+    ServiceVersions serviceVersions; ///< As recorded in the store.
+    std::uint64_t serviceVersionsRevision = 0;
+    VersionPlanner::Registered registeredVersions; ///< Of the registered backend servers.
+    StreamOrigins streamOrigins;
     Leadership leadership; ///< As recorded in the store.
     /// Newest lease that the store has granted for the registration of this router; 0 if there is none.
     std::uint64_t registrationLease = 0;
@@ -332,6 +352,9 @@
     std::uint64_t groupReportSequence = 0;
     std::map<std::string, PeerSequence> groupReportSequences; ///< Newest group report by delegate.
     std::size_t rankInGroup = 0; ///< The first WatchersPerGroup routers of a group watch the store.
+    /// Time on the boot-time clock, which also counts while the host is suspended, until which this router knows all
+    /// changes of the store.
+    std::optional<Clock::duration> confirmedBootTime;
     bool confirmationPending = false; ///< An answer of the store was confirmed since the last report.
     TimePoint lastWatcherReport;
     ChangeQueue changeQueue{this->settings.linkMegabits}; ///< To be sent with the next reports.
@@ -365,6 +388,8 @@
     /// Returns whether this router is the one that tries requests with a contained crash suspect.
     bool isTrialRouter(const std::string &suspect) const;
     /// Records a pace sample and logs whether the engine has become slow or recovered.
+    /// Updates `confirmedBootTime` from `freshness`.
+    void updateConfirmedBootTime(TimePoint now);
     void applyPace(const std::string &backend, double millisPerToken, TimePoint now, double weight);
     /// Returns the own part of `waiting` for a report, with the largest workspaces only.
     std::map<std::string, BackendWork> boundedWaiting() const;
--- a/src/gateway/routerstate_test.cpp
+++ b/src/gateway/routerstate_test.cpp
@@ -172,6 +172,65 @@
     CHECK(*second.freshness.confirmedAt() - answer <= Transit);
 }
 
+TEST_CASE("A version counts as the only one only while this router is certain of the latest changes")
+{
+    // Guards against streams that go on at the wrong version at a router which is cut off, or was suspended, while
+    // another version came.
+    boost::asio::io_context context;
+    const TimePoint start = Clock::now();
+    TimePoint now = start;
+    Clock::duration suspended{0};
+    RouterEnvironment environment;
+    environment.now = [&now] { return now; };
+    environment.bootTime = [&now, &suspended] { return now.time_since_epoch() + suspended; };
+    RouterState state(context.get_executor(), named("r1"), 1, environment);
+    state.serviceVersions = ServiceVersions({{"s", {{"v1", ServiceVersions::State::Open}}}});
+    CHECK_FALSE(state.onlyVersion("s"));
+    state.confirmChanges(start);
+    CHECK(state.onlyVersion("s") == std::optional<std::string>("v1"));
+    CHECK_FALSE(state.onlyVersion("t"));
+    SECTION("It is cut off")
+    {
+        now += VersionPlanner::TrustAge + Millis(1);
+        CHECK_FALSE(state.onlyVersion("s"));
+    }
+    SECTION("It was suspended, which the steady clock does not count")
+    {
+        suspended = VersionPlanner::TrustAge + Millis(1);
+        CHECK_FALSE(state.onlyVersion("s"));
+    }
+    SECTION("A backend server has a version that is not recorded yet")
+    {
+        state.registeredVersions["s"] = {"v1", "v2"};
+        CHECK_FALSE(state.onlyVersion("s"));
+    }
+    SECTION("Several versions are recorded")
+    {
+        state.serviceVersions = state.serviceVersions.with("s", "v2", ServiceVersions::State::Announced);
+        CHECK_FALSE(state.onlyVersion("s"));
+    }
+}
+
+TEST_CASE("Routers tell their peers at which version streams began while there are several")
+{
+    boost::asio::io_context context;
+    RouterState first(context.get_executor(), named("r1"), 1);
+    RouterState second(context.get_executor(), named("r2"), 1);
+    const TimePoint now = Clock::now();
+    first.streamOrigins.begin("s", 1, "v1", Millis(5000), now);
+    CHECK(first.takeReport(now)->streamOrigins.empty());
+    first.serviceVersions =
+        ServiceVersions({{"s", {{"v1", ServiceVersions::State::Open}, {"v2", ServiceVersions::State::Announced}}}});
+    const auto report = first.takeReport(now + Millis(600));
+    REQUIRE(report);
+    PeerReport received;
+    REQUIRE(decodePeerReport(encodePeerReport(*report), received));
+    CHECK(received == *report);
+    second.applyReport(received, now);
+    REQUIRE(second.streamOrigins.find(1) != nullptr);
+    CHECK(*second.streamOrigins.find(1) == "v1");
+}
+
 TEST_CASE("Changes that are reported together have no gap between them")
 {
     // Guards against peers that count changes as known although no report contained them.
--- a/src/gateway/routerstategroups.cpp
+++ b/src/gateway/routerstategroups.cpp
@@ -28,6 +28,10 @@
     this->regroupPending = false;
     this->groupRouters();
     const std::set<std::size_t> sharingGroups = this->divideBackends();
+    this->registeredVersions.clear();
+    this->backends.forEach([this](const std::string & /*id*/, const BackendServer &server) {
+        this->registeredVersions[server.service].insert(server.version);
+    });
     // The delegate of each group is the router with the lowest hash.
     std::map<std::size_t, std::pair<std::uint64_t, std::string>> lowestByGroup;
     for (const auto &[name, group] : this->groupPlan.groups()) {
@@ -167,7 +171,8 @@
 
 std::vector<PlacementCandidate> RouterState::sampleOtherGroups(const std::string &service, EngineStage stage,
                                                                const std::set<std::string> &excluded, TimePoint now,
-                                                               std::optional<bool> ofOwnZone)
+                                                               std::optional<bool> ofOwnZone,
+                                                               const ServerFilter &mayUse)
 {
     std::vector<PlacementCandidate> result;
     const auto pool = this->pools.find({service, stage});
@@ -178,7 +183,7 @@
     for (const std::string &id : pool->second.otherGroups) {
         const BackendServer *server = this->backends.find(id);
         if (server == nullptr || !this->mayTakeRequests(*server, now) || excluded.contains(id)
-            || (ofOwnZone && *ofOwnZone != (server->zone == this->settings.zone))) {
+            || (ofOwnZone && *ofOwnZone != (server->zone == this->settings.zone)) || (mayUse && !mayUse(*server))) {
             continue;
         }
         const auto full = this->fullUntil.find(id);
--- a/src/gateway/routerstatereports.cpp
+++ b/src/gateway/routerstatereports.cpp
@@ -29,9 +29,16 @@
 void RouterState::confirmChanges(TimePoint at)
 {
     this->freshness.confirm(at);
+    this->updateConfirmedBootTime(this->environment.now());
     this->confirmationPending = true;
 }
 
+void RouterState::updateConfirmedBootTime(TimePoint now)
+{
+    const Clock::duration confirmed = this->environment.bootTime() - (now - *this->freshness.confirmedAt());
+    this->confirmedBootTime = std::max(this->confirmedBootTime.value_or(confirmed), confirmed);
+}
+
 QuotaReport RouterState::takeQuotaReport(WorkspaceQuotas::Scope scope, TimePoint now)
 {
     const bool besideChanges = scope != WorkspaceQuotas::Scope::Group && !this->changeQueue.isEmpty();
@@ -117,6 +124,10 @@
         report.namedLimits[backend] = pending.first;
     }
     report.slowdowns = this->takeSlowdowns(now);
+    if (this->serviceVersions.anyHasSeveral()) {
+        report.streamOrigins = this->streamOrigins.takeUntold(
+            [this](const std::string &service) { return this->serviceVersions.hasSeveral(service); }, now);
+    }
     report.statements = this->takeStatementNews(now);
     report.outcomes = std::exchange(this->pendingOutcomes, {});
     report.streams = std::exchange(this->pendingStreams, {});
@@ -263,6 +274,7 @@
     }
     if (report.changesKnownAge >= Millis(0) && this->storeRevision >= report.storeRevision) {
         this->freshness.confirmByPeer(now - report.changesKnownAge);
+        this->updateConfirmedBootTime(now);
     }
     this->work->setPeerWork(report.router, report.work, now);
     this->waiting->setPeerWork(report.router, report.waiting, now);
@@ -271,6 +283,7 @@
             this->reportedCalls[backend] = {calls, now};
         }
     }
+    this->streamOrigins.learn(report.streamOrigins, false, now);
     this->applySlowdowns(report.slowdowns, now);
     for (const auto &[backend, limit] : report.namedLimits) {
         const bool isPlausible =
--- a/src/gateway/streamrequesthandler.cpp
+++ b/src/gateway/streamrequesthandler.cpp
@@ -3,6 +3,7 @@
 #include "asioutil.h"
 #include "httpsession.h"
 #include "routerstate.h"
+#include "streamoriginkeeper.h"
 
 #include "cyclamencross/base/logline.h"
 #include "cyclamencross/gateway/httpclientconnection.h"
@@ -34,6 +35,7 @@
 // A silent engine is probed after this many times the route's target for the gap between events.
 constexpr int StallTimeoutFactor = 3;
 constexpr Millis StallCheckPeriod{100};
+constexpr Millis OriginPollPeriod{50};
 
 }
 
@@ -50,6 +52,14 @@
         co_await this->finishWithFailure("stopping");
         co_return;
     }
+    if (this->request.lastEventId) {
+        const bool known = co_await this->findOrigin();
+        if (!known) {
+            this->returnsInVain = true;
+            co_await this->finishWithFailure("stream-origin-unknown");
+            co_return;
+        }
+    }
     const bool reserved = co_await this->reserveDecodeEngine();
     if (reserved && this->isCutByStop()) {
         this->releaseReservation(); // The request has waited for capacity for too long.
@@ -95,11 +105,71 @@
     co_await this->finishWithFailure(this->failure);
 }
 
+boost::asio::awaitable<bool> StreamRequestHandler::findOrigin()
+{
+    const std::string workspaceName = this->workspace != nullptr ? this->workspace->name : std::string();
+    const std::uint64_t key = StreamOrigins::keyOf(this->service, workspaceName, this->request.resumedId);
+    const TimePoint end = Clock::now() + StreamOriginKeeper::newsDelay(this->state.groupCount());
+    std::string source = "known";
+    while (!this->streamVersion && !this->shouldStop()) {
+        if (const std::string *version = this->state.streamOrigins.find(key)) {
+            this->streamVersion = *version;
+        } else if ((this->streamVersion = this->state.onlyVersion(this->service))) {
+            source = "only-version";
+        } else if (Clock::now() >= end) {
+            break;
+        } else {
+            co_await sleepFor(OriginPollPeriod);
+        }
+    }
+    source = this->streamVersion ? source : "unknown";
+    this->state.metrics.count("cyclamencross_streams_taken_up_total", {{"origin", source}});
+    LogLine("stream-taken-up")
+        .add("request", this->request.id)
+        .add("resumed", this->request.resumedId)
+        .add("origin", source)
+        .add("version", this->streamVersion.value_or(""))
+        .add("registered", this->streamVersion && !this->isVersionGone())
+        .write();
+    co_return this->streamVersion.has_value();
+}
+
+void StreamRequestHandler::recordOrigin()
+{
+    if (this->originRecorded || !this->route.mayRepeat()) {
+        return;
+    }
+    this->originRecorded = true;
+    this->streamVersion = this->decodeEngine->version;
+    const std::string workspaceName = this->workspace != nullptr ? this->workspace->name : std::string();
+    const std::string &id = this->request.lastEventId ? this->request.resumedId : this->request.id;
+    this->state.streamOrigins.begin(this->service, StreamOrigins::keyOf(this->service, workspaceName, id),
+                                    *this->streamVersion, std::max(this->callerTimeLeft(), this->route.timeout),
+                                    Clock::now());
+}
+
+bool StreamRequestHandler::mayUse(const BackendServer &server) const
+{
+    if (this->streamVersion) {
+        return server.version == *this->streamVersion;
+    }
+    return !this->route.mayRepeat() || this->state.serviceVersions.isOpen(this->service, server.version);
+}
+
+bool StreamRequestHandler::isVersionGone() const
+{
+    return this->streamVersion && !this->state.isVersionRegistered(this->service, *this->streamVersion);
+}
+
 boost::asio::awaitable<void> StreamRequestHandler::prefill()
 {
     const double tokens = double(std::max<std::int64_t>(1, this->request.promptTokens));
-    const auto candidates =
-        this->state.candidates(this->service, EngineStage::Prefill, {}, this->decodeEngine->zone, Clock::now());
+    // What one version has computed is of no use to another.
+    const auto hasSameVersion = [this](const BackendServer &server) {
+        return server.version == this->decodeEngine->version;
+    };
+    const auto candidates = this->state.candidates(this->service, EngineStage::Prefill, {}, this->decodeEngine->zone,
+                                                   Clock::now(), hasSameVersion);
     const auto choice = Placement::choosePrefill(candidates, tokens, [this] { return this->state.random(); });
     if (!choice || candidates[*choice].avoided) {
         co_return;
@@ -370,6 +440,7 @@
         events += event.text;
     }
     if (!events.empty()) {
+        this->recordOrigin();
         this->recordChunk();
         co_await this->passOn(events);
     }
--- a/src/gateway/streamrequesthandler.h
+++ b/src/gateway/streamrequesthandler.h
@@ -43,6 +43,16 @@
         Unreachable, ///< Nothing was sent.
     };
 
+    /// Finds the software version at which the stream began that the caller takes up, and sets `streamVersion`.
+    /// @return whether it is known.
+    boost::asio::awaitable<bool> findOrigin();
+    /// Records that the stream has begun at the current engine, or goes on there.
+    void recordOrigin();
+    /// Returns whether an engine may generate events of this stream: where the stream can be taken up, only one version
+    /// may.
+    bool mayUse(const BackendServer &server) const;
+    /// Returns whether no engine of the version that began the stream is registered any more.
+    bool isVersionGone() const;
     /// Chooses a decode engine with capacity for the request and reserves the capacity, waiting for it up to the limit
     /// that capacityWait() sets.
     /// @return whether an engine was found and `decodeEngine` is set.
@@ -112,6 +122,8 @@
     /// Records the length and pace of the completed stream.
     void recordStream(TimePoint now);
 
+    std::optional<std::string> streamVersion; ///< Software version at which the stream began.
+    bool originRecorded = false; ///< recordOrigin() has recorded the stream.
     std::optional<BackendServer> decodeEngine; ///< Engine that generates the events.
     OutputEstimate estimate; ///< Expected output.
     TimePoint firstChunkTime; ///< When the first events were forwarded.
--- a/src/gateway/streamrequestplacement.cpp
+++ b/src/gateway/streamrequestplacement.cpp
@@ -94,6 +94,11 @@
             this->permit = nullptr;
             continue;
         }
+        if (this->isVersionGone()) {
+            this->failure = "version-gone";
+            this->returnsInVain = true;
+            break;
+        }
         const auto silentUntil = this->silentUntil(this->excluded);
         // A request that may have run can't be refused any more, so it waits for a pause that ends in time.
         if (silentUntil && (!this->mayHaveExecuted || *silentUntil > wait.endsAt())) {
@@ -259,7 +264,8 @@
         return Placement::chooseDecode(from, this->requestWork().kvCache, capacity,
                                        [this] { return this->state.random(); });
     };
-    auto candidates = this->state.candidates(this->service, stage, this->excluded, this->state.settings.zone, now);
+    auto candidates = this->state.candidates(this->service, stage, this->excluded, this->state.settings.zone, now,
+                                             [this](const BackendServer &server) { return this->mayUse(server); });
     auto choice = choose(candidates);
     if (!choice) {
         for (auto &sample : this->otherGroupsCandidates(Placement::hasUsableCandidate(candidates))) {
@@ -278,11 +284,12 @@
 {
     const TimePoint now = Clock::now();
     const EngineStage stage = this->servingStage();
+    const auto mayUse = [this](const BackendServer &server) { return this->mayUse(server); };
     if (!this->state.hasZoneGroups()) {
         if (ownUsable) {
             return {};
         }
-        return {this->state.sampleOtherGroups(this->service, stage, this->excluded, now)};
+        return {this->state.sampleOtherGroups(this->service, stage, this->excluded, now, std::nullopt, mayUse)};
     }
     const ServiceConfig *config = this->table->service(this->service);
     const bool canRefuse = config != nullptr && config->engine && config->engine->reservationLifetime > Millis(0);
@@ -294,7 +301,8 @@
     std::vector<std::vector<PlacementCandidate>> result;
     for (const bool ofOwnZone : {true, false}) {
         if (!ownUsable || this->state.mayAskOtherGroups(this->service, ofOwnZone, now)) {
-            result.push_back(this->state.sampleOtherGroups(this->service, stage, this->excluded, now, ofOwnZone));
+            result.push_back(
+                this->state.sampleOtherGroups(this->service, stage, this->excluded, now, ofOwnZone, mayUse));
         }
     }
     return result;
