--- a/src/gateway/changequeue.cpp
+++ b/src/gateway/changequeue.cpp
@@ -70,8 +70,9 @@
         return {};
     }
     StoreChanges part = this->takePart();
-    const Millis time = this->sendTime(part, peers);
-    if (time > MaxSendTime || packChanges(part).size() > MaxPackedBytes) {
+    const std::size_t packedBytes = packChanges(part).size();
+    const Millis time = this->sendTime(packedBytes, peers);
+    if (time > MaxSendTime || packedBytes > MaxPackedBytes) {
         LogLine("changes-not-sent")
             .add("after", part.after)
             .add("up_to", part.upTo)
@@ -114,13 +115,13 @@
     return part;
 }
 
-Millis ChangeQueue::sendTime(const StoreChanges &changes, std::size_t peers) const
+Millis ChangeQueue::sendTime(std::size_t bytes, std::size_t peers) const
 {
     if (this->linkMegabits <= 0) {
         return Millis(0);
     }
-    const double bits = double(packChanges(changes).size()) * 8 * double(peers);
-    return Millis(std::int64_t(bits / (this->linkMegabits * 1000)));
+    constexpr double BitsPerMegabitMillisecond = 1000;
+    return Millis(std::int64_t(double(bytes) * 8 * double(peers) / (this->linkMegabits * BitsPerMegabitMillisecond)));
 }
 
 }
--- a/src/gateway/changequeue.h
+++ b/src/gateway/changequeue.h
@@ -39,8 +39,8 @@
 private:
     /// Removes the first changes, up to MaxPartBytes.
     StoreChanges takePart();
-    /// Returns how long a report with @p changes to @p peers takes the link.
-    Millis sendTime(const StoreChanges &changes, std::size_t peers) const;
+    /// Returns how long a report of @p bytes to each of @p peers takes the link; 0 if its capacity is not known.
+    Millis sendTime(std::size_t bytes, std::size_t peers) const;
 
     double linkMegabits;
     StoreChanges pending;
--- a/src/gateway/packedchanges.h
+++ b/src/gateway/packedchanges.h
@@ -9,7 +9,7 @@
 struct StoreChanges;
 
 /// Largest packed changes that fit into a report, and so into a datagram, beside everything else.
-constexpr std::size_t MaxPackedBytes = 50000;
+constexpr std::size_t MaxPackedBytes = 40000;
 
 /// Encodes and compresses changes. Configurations, which repeat the same field names, shrink to about a fifth.
 std::string packChanges(const StoreChanges &changes);
--- a/src/gateway/routerstate.cpp
+++ b/src/gateway/routerstate.cpp
@@ -165,7 +165,7 @@
 bool RouterState::isRegistered(const BackendServer &server) const
 {
     const BackendServer *known = this->backends.find(server.id);
-    return known != nullptr && !known->draining && known->address == server.address;
+    return known != nullptr && !known->draining && known->address == server.address && known->version == server.version;
 }
 
 bool RouterState::isEligible(const BackendServer &server) const
@@ -191,10 +191,10 @@
     return othersRegistered || !certain ? std::nullopt : version;
 }
 
-bool RouterState::isVersionRegistered(const std::string &service, const std::string &version) const
+bool RouterState::isVersionServing(const std::string &service, const std::string &version) const
 {
-    const auto registered = this->registeredVersions.find(service);
-    return registered != this->registeredVersions.end() && registered->second.contains(version);
+    const auto serving = this->servingVersions.find(service);
+    return serving != this->servingVersions.end() && serving->second.contains(version);
 }
 
 int RouterState::writerRank() const
--- a/src/gateway/routerstate.h
+++ b/src/gateway/routerstate.h
@@ -110,7 +110,8 @@
     void confirmChanges(TimePoint at);
     /// Adds changes that this router has read from the store to its next report to peers.
     void queueChangesForPeers(const StoreChanges &added);
-    /// Returns whether @p server is still registered at the same address, not draining and not changing its stage,
+    /// Returns whether @p server is still registered at the same address with the same software version, not draining
+    /// and not changing its stage,
     /// and has not said that it wants no requests now.
     bool isUsable(const BackendServer &server, TimePoint now) const;
     /// Returns whether @p server is still registered at the same address and not draining, whatever its stage and
@@ -134,8 +135,8 @@
     /// Returns the software version of all streams of a service that can still be taken up; std::nullopt if there may
     /// be several, or if this router is not certain enough of the latest changes.
     std::optional<std::string> onlyVersion(const std::string &service) const;
-    /// Returns whether a backend server of a service with a software version is registered.
-    bool isVersionRegistered(const std::string &service, const std::string &version) const;
+    /// Returns whether a backend server of a service with a software version is registered and not draining.
+    bool isVersionServing(const std::string &service, const std::string &version) const;
     /// Returns how many routers come before this one in the order in which they write what all of them know.
     int writerRank() const;
     /// Returns whether this router is the leader, by a record under its newest lease. A record under an earlier lease
@@ -242,6 +243,7 @@
     ServiceVersions serviceVersions; ///< As recorded in the store.
     std::uint64_t serviceVersionsRevision = 0;
     VersionPlanner::Registered registeredVersions; ///< Of the registered backend servers.
+    VersionPlanner::Registered servingVersions; ///< Of those that are not draining.
     StreamOrigins streamOrigins;
     Leadership leadership; ///< As recorded in the store.
     /// Newest lease that the store has granted for the registration of this router; 0 if there is none.
--- a/src/gateway/routerstategroups.cpp
+++ b/src/gateway/routerstategroups.cpp
@@ -29,8 +29,12 @@
     this->groupRouters();
     const std::set<std::size_t> sharingGroups = this->divideBackends();
     this->registeredVersions.clear();
+    this->servingVersions.clear();
     this->backends.forEach([this](const std::string & /*id*/, const BackendServer &server) {
         this->registeredVersions[server.service].insert(server.version);
+        if (!server.draining) {
+            this->servingVersions[server.service].insert(server.version);
+        }
     });
     // The delegate of each group is the router with the lowest hash.
     std::map<std::size_t, std::pair<std::uint64_t, std::string>> lowestByGroup;
--- a/src/gateway/streamrequesthandler.cpp
+++ b/src/gateway/streamrequesthandler.cpp
@@ -109,10 +109,11 @@
 {
     const std::string workspaceName = this->workspace != nullptr ? this->workspace->name : std::string();
     const std::uint64_t key = StreamOrigins::keyOf(this->service, workspaceName, this->request.resumedId);
+    const bool namesStream = !this->request.resumedId.empty();
     const TimePoint end = Clock::now() + StreamOriginKeeper::newsDelay(this->state.groupCount());
     std::string source = "known";
     while (!this->streamVersion && !this->shouldStop()) {
-        if (const std::string *version = this->state.streamOrigins.find(key)) {
+        if (const std::string *version = this->state.streamOrigins.find(key); version && namesStream) {
             this->streamVersion = *version;
         } else if ((this->streamVersion = this->state.onlyVersion(this->service))) {
             source = "only-version";
@@ -129,7 +130,7 @@
         .add("resumed", this->request.resumedId)
         .add("origin", source)
         .add("version", this->streamVersion.value_or(""))
-        .add("registered", this->streamVersion && !this->isVersionGone())
+        .add("serving", this->streamVersion && !this->isVersionGone())
         .write();
     co_return this->streamVersion.has_value();
 }
@@ -143,6 +144,9 @@
     this->streamVersion = this->decodeEngine->version;
     const std::string workspaceName = this->workspace != nullptr ? this->workspace->name : std::string();
     const std::string &id = this->request.lastEventId ? this->request.resumedId : this->request.id;
+    if (id.empty()) {
+        return; // It would stand for all streams whose callers name none.
+    }
     this->state.streamOrigins.begin(this->service, StreamOrigins::keyOf(this->service, workspaceName, id),
                                     *this->streamVersion, std::max(this->callerTimeLeft(), this->route.timeout),
                                     Clock::now());
@@ -158,7 +162,7 @@
 
 bool StreamRequestHandler::isVersionGone() const
 {
-    return this->streamVersion && !this->state.isVersionRegistered(this->service, *this->streamVersion);
+    return this->streamVersion && !this->state.isVersionServing(this->service, *this->streamVersion);
 }
 
 boost::asio::awaitable<void> StreamRequestHandler::prefill()
--- a/src/gateway/streamrequesthandler.h
+++ b/src/gateway/streamrequesthandler.h
@@ -51,7 +51,7 @@
     /// Returns whether an engine may generate events of this stream: where the stream can be taken up, only one version
     /// may.
     bool mayUse(const BackendServer &server) const;
-    /// Returns whether no engine of the version that began the stream is registered any more.
+    /// Returns whether no engine of the version that began the stream takes requests any more.
     bool isVersionGone() const;
     /// Chooses a decode engine with capacity for the request and reserves the capacity, waiting for it up to the limit
     /// that capacityWait() sets.
