--- a/src/gateway/changequeue.cpp
+++ b/src/gateway/changequeue.cpp
@@ -14,6 +14,9 @@
 namespace
 {
 
+// What one Mbit/s carries in a millisecond.
+constexpr double BitsPerMillisecond = 1000;
+
 std::size_t sizeOf(const StoreItem &item)
 {
     return item.key.size() + item.value.size();
@@ -120,8 +123,7 @@
     if (this->linkMegabits <= 0) {
         return Millis(0);
     }
-    constexpr double BitsPerMegabitMillisecond = 1000;
-    return Millis(std::int64_t(double(bytes) * 8 * double(peers) / (this->linkMegabits * BitsPerMegabitMillisecond)));
+    return Millis(std::int64_t(double(bytes) * 8 * double(peers) / (this->linkMegabits * BitsPerMillisecond)));
 }
 
 }
