--- a/src/gateway/changequeue.h
+++ b/src/gateway/changequeue.h
@@ -24,7 +24,7 @@
     /// Size up to which changes wait, before packing.
     static constexpr std::size_t MaxPendingBytes = 600000;
 
-    /// @param linkMegabits capacity of the host's link in Mbit/s; 0 if it is not known, which sets no bound.
+    /// @param linkMegabits capacity of the host's link in Mbit/s; 0 sets no bound.
     explicit ChangeQueue(double linkMegabits = 0);
 
     /// Adds changes that this router has read. Those of an item that a later one replaces are dropped, so that the
@@ -39,7 +39,7 @@
 private:
     /// Removes the first changes, up to MaxPartBytes.
     StoreChanges takePart();
-    /// Returns how long a report of @p bytes to each of @p peers takes the link; 0 if its capacity is not known.
+    /// Returns how long a report of @p bytes to each of @p peers takes the link; 0 if there is no bound.
     Millis sendTime(std::size_t bytes, std::size_t peers) const;
 
     double linkMegabits;
--- a/src/include/cyclamencross/gateway/routersettings.h
+++ b/src/include/cyclamencross/gateway/routersettings.h
@@ -34,7 +34,7 @@
 
     std::size_t memoryMiB = 96; ///< Memory limit of the process.
     std::size_t descriptors = 1024; ///< Maximum number of file descriptors of the process.
-    double linkMegabits = 0; ///< Capacity of the host's link in Mbit/s; 0 if it is not known.
+    double linkMegabits = 10; ///< Capacity of the host's link in Mbit/s; the default is that of the smallest hosts.
 
     Millis stopGrace{8000}; ///< Grace period from the stop signal until the platform kills the process.
     Millis minLeaseLifetime{1000}; ///< Shortest lease that the store grants.
