Logs: age of the certainty that decided a request, and reports that are ignored

With a wrong decision, the logs could not tell a router that took old knowledge for certain from one that knew its age, nor show that a peer's reports are ignored for their incarnation. request-refused and request-end name the age of the certainty, reports-ignored the incarnations; certaintyAge() also counts the time for which a host was suspended.

--- a/src/gateway/fleetsync.cpp
+++ b/src/gateway/fleetsync.cpp
@@ -203,14 +203,11 @@
 
 void FleetSync::logCatchUp(const std::string &reason) const
 {
-    const auto confirmedAt = this->state.freshness.confirmedAt();
     LogLine("catching-up")
         .add("reason", reason)
         .add("revision", this->state.storeRevision)
         .add("peers_revision", this->state.newestPeerRevision)
-        .add("certainty_age_ms",
-             confirmedAt ? std::int64_t(toSeconds(this->state.environment.now() - *confirmedAt) * 1000)
-                         : std::int64_t(-1))
+        .add("certainty_age_ms", this->state.certaintyAge().value_or(Millis(-1)).count())
         .write();
 }
 
--- a/src/gateway/requesthandler.cpp
+++ b/src/gateway/requesthandler.cpp
@@ -91,6 +91,7 @@
     , service(std::move(service))
     , deadline(request.received + std::min(route.timeout, request.timeLeft.value_or(route.timeout)))
     , quota(state, request, workspace)
+    , certaintyAge(state.certaintyAge().value_or(Millis(-1)))
 {
 }
 
@@ -531,6 +532,7 @@
     line.add("request", this->request.id)
         .add("route", this->route.name)
         .add("config", this->table->version())
+        .add("certainty_age_ms", this->certaintyAge.count())
         .add("service", this->service)
         .add("workspace", this->workspace != nullptr ? this->workspace->name : std::string())
         .add("priority", std::int64_t(this->priority()))
--- a/src/gateway/requesthandler.h
+++ b/src/gateway/requesthandler.h
@@ -196,6 +196,7 @@
     double retryShare() const;
 
     QuotaAdmission quota;
+    Millis certaintyAge; ///< Of the configuration and the lists when the request came; for the log.
     bool cancelled = false;
     /// Random numbers for the order of urgency, see Urgency::withTurn() and Urgency::withSize(). Drawn once, so that
     /// each wait of the request has the same place.
--- a/src/gateway/router.cpp
+++ b/src/gateway/router.cpp
@@ -215,6 +215,7 @@
         .add("workspace", workspace != nullptr ? workspace->name : std::string())
         .add("target", request.target)
         .add("config", this->state.table ? this->state.table->version() : 0)
+        .add("certainty_age_ms", this->state.certaintyAge().value_or(Millis(-1)).count())
         .write();
     const HeaderList headers =
         status == 503 ? this->platform.backendCodec.refusalHeaders(this->state.retryAfterDelay()) : HeaderList();
--- a/src/gateway/routerstate.cpp
+++ b/src/gateway/routerstate.cpp
@@ -186,8 +186,8 @@
     const bool othersRegistered = version && registered != this->registeredVersions.end()
         && std::any_of(registered->second.begin(), registered->second.end(),
                        [&version](const std::string &other) { return other != *version; });
-    const bool certain =
-        this->confirmedBootTime && this->environment.bootTime() - *this->confirmedBootTime <= VersionPlanner::TrustAge;
+    const auto age = this->certaintyAge();
+    const bool certain = age && *age <= VersionPlanner::TrustAge;
     return othersRegistered || !certain ? std::nullopt : version;
 }
 
--- a/src/gateway/routerstate.h
+++ b/src/gateway/routerstate.h
@@ -108,6 +108,9 @@
     /// Records that an answer of the store shows that this router knows all changes made until @p at, for itself and
     /// its next report to peers.
     void confirmChanges(TimePoint at);
+    /// Returns the age of the time until which this router knows all changes of the store, also counting the time for
+    /// which its host was suspended; std::nullopt if it has never known them.
+    std::optional<Millis> certaintyAge() const;
     /// Adds changes that this router has read from the store to its next report to peers.
     void queueChangesForPeers(const StoreChanges &added);
     /// Returns whether @p server is still registered at the same address with the same software version, not draining
@@ -312,6 +315,7 @@
     {
         std::uint64_t incarnation = 0;
         std::uint64_t sequence = 0;
+        std::uint64_t ignoredIncarnation = 0; ///< Last one whose reports were found to be older; for the log.
     };
     /// How long an engine that refused a capacity reservation counts as full: a few steps of its work.
     static constexpr Millis FullLifetime{60};
--- a/src/gateway/routerstatereports.cpp
+++ b/src/gateway/routerstatereports.cpp
@@ -2,6 +2,7 @@
 
 #include "routerstate.h"
 
+#include "cyclamencross/base/logline.h"
 #include "cyclamencross/route/waitingkeys.h"
 #include "cyclamencross/route/workspaceshares.h"
 
@@ -39,6 +40,14 @@
     this->confirmedBootTime = std::max(this->confirmedBootTime.value_or(confirmed), confirmed);
 }
 
+std::optional<Millis> RouterState::certaintyAge() const
+{
+    if (!this->confirmedBootTime) {
+        return std::nullopt;
+    }
+    return std::chrono::duration_cast<Millis>(this->environment.bootTime() - *this->confirmedBootTime);
+}
+
 QuotaReport RouterState::takeQuotaReport(WorkspaceQuotas::Scope scope, TimePoint now)
 {
     const bool besideChanges = scope != WorkspaceQuotas::Scope::Group && !this->changeQueue.isEmpty();
@@ -226,6 +235,13 @@
         || (report.incarnation == last.incarnation && report.sequence > last.sequence);
     if (newer) {
         last = PeerSequence{report.incarnation, report.sequence};
+    } else if (report.incarnation < last.incarnation && report.incarnation != last.ignoredIncarnation) {
+        last.ignoredIncarnation = report.incarnation;
+        LogLine("reports-ignored")
+            .add("router", report.router)
+            .add("incarnation", report.incarnation)
+            .add("newest", last.incarnation)
+            .warn();
     }
     return newer;
 }
