Requests are decided only by what is young enough to be in force (CONFIG, DRAIN)

Callers got 404 for routes that had been added, reached the former service of a route, and backend servers that had said that they leave. Cause: the age of what a router knows was bounded by timers alone (keepFresh() and the others); nothing checked it when a request was decided. A process that is suspended, or starved of processor time, has no timers, and requests that wait in the queues of its sockets are read before the store is.

A request now waits, before it is matched to a route and again before it is sent, until the router knows all changes older than the bound of the settings (config_ms, drain_ms) less a margin, counted on the clock that goes on while a host is suspended. It does not wait once the store has been away for half a second: in an outage, serving goes on. 404 is said only by a router that is certain; others say 503, after which callers may try another one.

--- a/src/gateway/fleetsync.cpp
+++ b/src/gateway/fleetsync.cpp
@@ -79,7 +79,7 @@
 {
     int failures = 0;
     while (true) {
-        if (this->contact.lost && this->state.backendsKnown) {
+        if (this->isStoreLost() && this->state.backendsKnown) {
             // The lease renewals detect when the store recovers; retrying here too would only add refused calls.
             co_await this->waitForStore(OutageReadInterval);
         }
@@ -96,7 +96,7 @@
             co_await this->state.environment.sleep(PollPeriod);
             continue;
         }
-        const bool lostBefore = this->contact.lost;
+        const bool lostBefore = this->isStoreLost();
         this->state.watching = !lostBefore;
         const TimePoint start = this->state.environment.now();
         const Millis wait = this->state.freshness.watchWait(start);
@@ -155,7 +155,7 @@
         if (!this->state.isDesignatedWatcher()) {
             this->contact.resyncNeeded = false; // The watchers of the group read the store and report the changes.
         }
-        if (!this->watchRevision || this->contact.lost || this->keepFreshReads()
+        if (!this->watchRevision || this->isStoreLost() || this->keepFreshReads()
             || (!overdue && !this->contact.resyncNeeded)) {
             continue;
         }
@@ -179,7 +179,7 @@
         // After an outage, the watchers read the whole store and report the changes.
         const bool resyncing = this->contact.resyncNeeded && now - this->contact.foundAt < WatcherHeadStart;
         // While the store is away, the lease renewals detect its return.
-        if (!this->watchRevision || this->contact.lost || resyncing
+        if (!this->watchRevision || this->isStoreLost() || resyncing
             || !this->state.freshness.isReadDue(this->state.watcherRank(), now)) {
             continue;
         }
@@ -252,10 +252,10 @@
 boost::asio::awaitable<void> FleetSync::waitForStore(Millis maxWait)
 {
     const TimePoint until = this->state.environment.now() + maxWait;
-    while (this->contact.lost && this->state.environment.now() < until) {
+    while (this->isStoreLost() && this->state.environment.now() < until) {
         co_await this->state.environment.sleep(PollPeriod);
     }
-    if (!this->contact.lost && !this->state.isDesignatedWatcher()) {
+    if (!this->isStoreLost() && !this->state.isDesignatedWatcher()) {
         co_await this->state.environment.sleep(WatcherHeadStart);
     }
 }
@@ -402,8 +402,8 @@
 void FleetSync::recordSuccess()
 {
     const TimePoint now = this->state.environment.now();
-    if (this->contact.lost) {
-        this->contact.lost = false;
+    if (this->isStoreLost()) {
+        this->state.storeLostSince = std::nullopt;
         this->contact.foundAt = now;
         this->contact.resyncNeeded = true;
         LogLine("store-regained")
@@ -422,7 +422,8 @@
     if (lost) {
         this->state.watching = false;
     }
-    if (lost && !std::exchange(this->contact.lost, true)) {
+    if (lost && !this->isStoreLost()) {
+        this->state.storeLostSince = this->state.environment.now();
         LogLine("store-lost")
             .add("call", call)
             .add("reason", failureName(failure.kind))
@@ -431,6 +432,11 @@
     }
 }
 
+bool FleetSync::isStoreLost() const
+{
+    return this->state.storeLostSince.has_value();
+}
+
 Millis FleetSync::backoff(int failures)
 {
     const Millis maxDelay = std::min(MaxBackoff, BaseBackoff * (1 << std::min(failures, 5)));
--- a/src/gateway/fleetsync.h
+++ b/src/gateway/fleetsync.h
@@ -104,7 +104,6 @@
     struct StoreContact
     {
         TimePoint lastAnswer; ///< Time of the last response of the store.
-        bool lost = false; ///< A call was refused or not answered, and none has succeeded since.
         bool resyncNeeded = false; ///< The store has recovered and must be read anew.
         TimePoint foundAt; ///< End of the last outage, however short.
     };
@@ -172,6 +171,8 @@
     void recordSuccess();
     /// Counts a failed call and logs the start of an outage.
     void recordFailure(const std::string &call, const StoreFailure &failure);
+    /// Returns whether a call was refused or not answered, and none has succeeded since.
+    bool isStoreLost() const;
     /// Returns until when removed entries are kept; std::nullopt if no outage of the store has ended within
     /// LapseGracePeriod.
     std::optional<TimePoint> keepUntil() const;
--- a/src/gateway/fleetsyncwrites.cpp
+++ b/src/gateway/fleetsyncwrites.cpp
@@ -33,7 +33,7 @@
         // Sleeps in short steps, so that a registration that was removed by others is written again soon.
         // After a failed call of another kind, the next renewal shows at once whether the store is away.
         const TimePoint next = this->state.environment.now() + RenewPeriod;
-        while (this->registered && !this->state.stopping && !this->contact.lost
+        while (this->registered && !this->state.stopping && !this->isStoreLost()
                && this->state.environment.now() < next) {
             co_await this->state.environment.sleep(Millis(100));
         }
--- a/src/gateway/requesthandler.cpp
+++ b/src/gateway/requesthandler.cpp
@@ -175,8 +175,15 @@
         ++this->unreachableCount;
         this->excluded.insert(server.id);
         this->recordOutcome(server, CallOutcome::Unreachable);
+        co_return false;
     }
-    co_return this->connection != nullptr;
+    // The server may have said that it leaves while this process did not run.
+    const bool mayDecide = co_await this->state.waitUntilCurrent(this->deadline);
+    if (!mayDecide) {
+        this->connection->close();
+        this->connection = nullptr;
+    }
+    co_return mayDecide;
 }
 
 void RequestHandler::releaseConnection(const BackendServer &server)
--- a/src/gateway/requesthandler.h
+++ b/src/gateway/requesthandler.h
@@ -64,9 +64,10 @@
     /// Sends the request to backend servers and responds to the caller; sets `outcome`.
     virtual boost::asio::awaitable<void> serve() = 0;
 
-    /// Takes an idle connection to @p server from the pool or opens a new one.
+    /// Takes an idle connection to @p server from the pool or opens a new one, and waits until this router knows all
+    /// changes that must be in force.
     /// @param fresh whether to open a new connection in any case, since the server may close an idle one at any moment.
-    /// @return whether `connection` is open; if not, the server is recorded as unreachable and excluded.
+    /// @return whether `connection` is open; if the server accepts none, it is recorded as unreachable and excluded.
     boost::asio::awaitable<bool> openConnection(const BackendServer &server, bool fresh);
     /// Returns the current connection to the pool.
     void releaseConnection(const BackendServer &server);
--- a/src/gateway/router.cpp
+++ b/src/gateway/router.cpp
@@ -22,6 +22,9 @@
 
 constexpr Millis HousekeepingPeriod{100};
 constexpr Millis StopPollPeriod{50};
+// Longest time for which a request waits for this router to know all changes: a read of the store on a connection that
+// has gone silent, and one on a new connection.
+constexpr Millis MaxHold{2 * StoreFreshness::ReadTimeout};
 // Shortest time between two log lines about a late event loop.
 constexpr Millis LateLogPeriod{1000};
 
@@ -174,14 +177,22 @@
         co_await this->refuse(session, request, 503, "stopping");
         co_return;
     }
-    const auto table = this->state.table;
-    if (!table || !this->state.backendsKnown) {
+    if (!this->state.table || !this->state.backendsKnown) {
         co_await this->refuse(session, request, 503, "no-configuration");
         co_return;
     }
+    const TimePoint holdEnd = Clock::now() + std::min(MaxHold, request.timeLeft.value_or(MaxHold));
+    const bool mayDecide = co_await this->state.waitUntilCurrent(holdEnd);
+    if (!mayDecide) {
+        co_await this->refuse(session, request, 503, "not-certain");
+        co_return;
+    }
+    const auto table = this->state.table;
     const RouteConfig *route = table->match(request.host, request.target);
     if (route == nullptr) {
-        co_await this->refuse(session, request, 404, "no-route");
+        // The store may be away for this router only, and hold a route that was added.
+        const bool isCertain = this->state.isCurrent();
+        co_await this->refuse(session, request, isCertain ? 404 : 503, isCertain ? "no-route" : "not-certain");
         co_return;
     }
     CallerAccess access(request.apiKey);
--- a/src/gateway/router.h
+++ b/src/gateway/router.h
@@ -70,7 +70,7 @@
     /// Starts sessions on the connections that wait in the queues of the ports, and closes the ports.
     void closePorts();
     boost::asio::awaitable<void> serveSession(std::shared_ptr<HttpSession> session);
-    /// Matches a caller's request to a route and handles it.
+    /// Matches a caller's request to a route and handles it, once this router knows all changes that must be in force.
     boost::asio::awaitable<void> handleCaller(HttpSession &session, RouterRequest &request);
     /// Answers readiness checks and requests for caller addresses.
     boost::asio::awaitable<void> handleDirectory(HttpSession &session, RouterRequest &request);
--- a/src/gateway/routersettings.cpp
+++ b/src/gateway/routersettings.cpp
@@ -123,6 +123,8 @@
         {"limits.memory_mib", numberRule(&RouterSettings::memoryMiB, 32, 1U << 20U)},
         {"limits.descriptors", numberRule(&RouterSettings::descriptors, 64, 1U << 24U)},
         {"limits.link_mbps", optionalRule(ratioRule(&RouterSettings::linkMegabits))},
+        {"bounds.config_ms", optionalRule(durationRule(&RouterSettings::configBound, 1))},
+        {"bounds.drain_ms", optionalRule(durationRule(&RouterSettings::drainBound, 1))},
         {"bounds.stop_grace_s", durationRule(&RouterSettings::stopGrace, 1000)},
         {"bounds.heartbeat_ms", durationRule(&RouterSettings::heartbeatPeriod, 1)},
         {"bounds.retry_ratio", ratioRule(&RouterSettings::retryRatio)},
--- a/src/gateway/routerstate.h
+++ b/src/gateway/routerstate.h
@@ -49,6 +49,7 @@
 #include <vector>
 
 #include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
 
 namespace Cyclamen
 {
@@ -111,6 +112,12 @@
     /// Returns the age of the time until which this router knows all changes of the store, also counting the time for
     /// which its host was suspended; std::nullopt if it has never known them.
     std::optional<Millis> certaintyAge() const;
+    /// Returns whether what this router knows may decide a request: it knows all changes that must be in force.
+    bool isCurrent() const;
+    /// Suspends the calling coroutine until isCurrent(), until the store has been away for OutageTrust, or until @p
+    /// until. Timers alone do not keep what is known young: a process that did not run for a while goes on with it.
+    /// @return whether the request may be decided: in an outage of the store, requests are served by what is known.
+    boost::asio::awaitable<bool> waitUntilCurrent(TimePoint until) const;
     /// Adds changes that this router has read from the store to its next report to peers.
     void queueChangesForPeers(const StoreChanges &added);
     /// Returns whether @p server is still registered at the same address with the same software version, not draining
@@ -259,6 +266,8 @@
     bool backendsKnown = false; ///< The backend servers were read from the store at least once.
     std::uint64_t storeRevision = 0; ///< Newest store revision that this router has seen.
     bool watching = false; ///< This router watches the store and can reach it.
+    /// Since when calls to the store have failed and none has succeeded.
+    std::optional<TimePoint> storeLostSince;
     StoreFreshness freshness; ///< Until when this router knows all changes of the store.
     /// Called with the store changes in a peer's report.
     std::function<void(const StoreChanges &changes)> onPeerChanges;
@@ -267,6 +276,8 @@
     std::optional<StopSchedule> stopSchedule; ///< Set while the router stops.
 
 private:
+    /// Interval at which requests that wait for isCurrent() check it.
+    static constexpr Millis CurrencyPollPeriod{10};
     /// Interval between reports if nothing has changed: a third of the time for which peers keep a report.
     static constexpr Millis ReportPeriod{500};
     /// Interval between the reports of the delegates: that of the members' reports on which they are based.
--- a/src/gateway/routerstatereports.cpp
+++ b/src/gateway/routerstatereports.cpp
@@ -48,6 +48,24 @@
     return std::chrono::duration_cast<Millis>(this->environment.bootTime() - *this->confirmedBootTime);
 }
 
+bool RouterState::isCurrent() const
+{
+    const Millis bound = std::min(this->settings.configBound, this->settings.drainBound);
+    const auto age = this->certaintyAge();
+    return age && *age <= bound - std::min(StoreFreshness::DecisionMargin, bound / 2);
+}
+
+boost::asio::awaitable<bool> RouterState::waitUntilCurrent(TimePoint until) const
+{
+    const auto isStoreAway = [this] {
+        return this->storeLostSince && this->environment.now() - *this->storeLostSince >= StoreFreshness::OutageTrust;
+    };
+    while (!this->isCurrent() && !isStoreAway() && this->environment.now() < until) {
+        co_await this->environment.sleep(CurrencyPollPeriod);
+    }
+    co_return this->isCurrent() || isStoreAway();
+}
+
 QuotaReport RouterState::takeQuotaReport(WorkspaceQuotas::Scope scope, TimePoint now)
 {
     const bool besideChanges = scope != WorkspaceQuotas::Scope::Group && !this->changeQueue.isEmpty();
--- a/src/include/cyclamencross/gateway/routersettings.h
+++ b/src/include/cyclamencross/gateway/routersettings.h
@@ -36,6 +36,10 @@
     std::size_t descriptors = 1024; ///< Maximum number of file descriptors of the process.
     double linkMegabits = 10; ///< Capacity of the host's link in Mbit/s; the default is that of the smallest hosts.
 
+    /// Time after which a confirmed configuration must be in force, and after which a backend server that leaves must
+    /// not get requests.
+    Millis configBound{2000};
+    Millis drainBound{2000};
     Millis stopGrace{8000}; ///< Grace period from the stop signal until the platform kills the process.
     Millis minLeaseLifetime{1000}; ///< Shortest lease that the store grants.
     Millis heartbeatPeriod{1200}; ///< Interval at which backend servers renew their registrations.
--- a/src/include/cyclamencross/route/storefreshness.h
+++ b/src/include/cyclamencross/route/storefreshness.h
@@ -28,6 +28,12 @@
     /// Time for the second read, on a new connection, and for the event loop of a busy host.
     static constexpr Millis Margin{400};
     static_assert(MaxAge + CheckPeriod + ReadTimeout + Margin <= ChangeBound);
+    /// Time from a decision until its request has reached a backend server. A certainty that is older than the bound
+    /// less this time decides no request.
+    static constexpr Millis DecisionMargin{100};
+    /// How long the store has to be away before requests are decided by what is known. The first failed call after a
+    /// pause of this process may have timed out in the pause; the next one shows whether the store is there.
+    static constexpr Millis OutageTrust{500};
     /// Longest wait of a watch whose answers keep a group of routers certain. An answer, the next one and its report
     /// fit into the age at which the first standby reads.
     static constexpr Millis WatchWait{450};
