--- a/src/gateway/routerstate_test.cpp
+++ b/src/gateway/routerstate_test.cpp
@@ -172,6 +172,61 @@
     CHECK(*second.freshness.confirmedAt() - answer <= Transit);
 }
 
+namespace
+{
+
+// A router on a clock that the test sets. The clock of each host starts at another time.
+struct ClockedRouter
+{
+    ClockedRouter(boost::asio::io_context &context, const std::string &name, const TimePoint &time, Millis clockStart)
+        : state(context.get_executor(), named(name), 1, makeEnvironment(time, clockStart))
+    {
+        for (const char *router : {"r1", "r2"}) {
+            this->state.members.put(router, RouterMember{router, 1, "z", "10.0.0.1:1", "10.0.0.1:2"}, 1);
+        }
+        this->state.regroup();
+    }
+
+    static RouterEnvironment makeEnvironment(const TimePoint &time, Millis clockStart)
+    {
+        RouterEnvironment environment;
+        environment.now = [&time] { return time; };
+        environment.bootTime = [&time, clockStart] { return time.time_since_epoch() + clockStart; };
+        return environment;
+    }
+
+    RouterState state;
+};
+
+}
+
+TEST_CASE("A report that was under way for long does not make its receiver certain of later changes")
+{
+    // Guards against a router that reads seconds-old reports from its queue after a pause and takes them for new.
+    boost::asio::io_context context;
+    TimePoint now = Clock::now();
+    ClockedRouter watcher(context, "r1", now, Millis(0));
+    ClockedRouter follower(context, "r2", now, std::chrono::hours(5));
+    const auto send = [&now](ClockedRouter &sender, ClockedRouter &receiver, Millis delay) {
+        sender.state.confirmChanges(now);
+        const auto report = sender.state.takeReport(now);
+        REQUIRE(report);
+        now += delay;
+        receiver.state.applyReport(*report, now);
+    };
+    const Millis usualDelay = GENERATE(Millis(1), Millis(300));
+    for (int i = 0; i < 3; ++i) {
+        send(follower, watcher, usualDelay);
+        send(watcher, follower, usualDelay);
+    }
+    now += std::chrono::seconds(1);
+    const Millis longDelay = GENERATE(Millis(700), Millis(3000));
+    send(watcher, follower, longDelay);
+    REQUIRE(follower.state.certaintyAge());
+    CHECK(*follower.state.certaintyAge() >= longDelay);
+    CHECK(*follower.state.certaintyAge() <= longDelay + usualDelay + Millis(5));
+}
+
 TEST_CASE("A version counts as the only one only while this router is certain of the latest changes")
 {
     // Guards against streams that go on at the wrong version at a router which is cut off, or was suspended, while
