--- a/src/gateway/routerstate_test.cpp
+++ b/src/gateway/routerstate_test.cpp
@@ -67,6 +67,33 @@
     CHECK(state.work->total("e").requests == 9);
 }
 
+TEST_CASE("Reports of a router that was restarted with an earlier time of day are used")
+{
+    // Guards against peers that ignore a router, as watcher and in the sums of work, until its time of day has passed
+    // that of its former start: incarnations begin with the time of day.
+    boost::asio::io_context context;
+    RouterState state(context.get_executor(), named("r0"), 1);
+    const auto registerAs = [&state](std::uint64_t incarnation, std::uint64_t revision) {
+        state.members.put("r1", RouterMember{"r1", incarnation, "z", "10.0.0.1:1", "10.0.0.1:2"}, revision);
+    };
+    const auto report = [&state](std::uint64_t incarnation, std::uint64_t sequence, std::int64_t requests) {
+        PeerReport sent;
+        sent.router = "r1";
+        sent.incarnation = incarnation;
+        sent.sequence = sequence;
+        sent.work["e"] = BackendWork{requests, 0, {}};
+        state.applyReport(sent, Clock::now());
+        return state.work->total("e").requests;
+    };
+    registerAs(9, 1);
+    CHECK(report(9, 5, 1) == 1);
+    registerAs(4, 2);
+    CHECK(report(4, 1, 7) == 7);
+    CHECK(report(9, 6, 1) == 7); // Late, from the process before.
+    CHECK(report(4, 2, 8) == 8);
+    CHECK(report(4, 1, 7) == 8);
+}
+
 TEST_CASE("Each engine belongs to one group of routers; too few backend servers are shared by all")
 {
     boost::asio::io_context context;
