The store tells which process of a router is the latest, not the time of day (CONFIG, DRAIN)

Peers ignored the reports of a router that was restarted with an earlier time of day, as one does after a step of its clock: the changes that it passed on as a watcher and the work that it had placed. Cause: an incarnation begins with the time of day, and a report of a smaller one counted as late. Reports of the process that is registered in the store are used now, whatever the number is; without a registration, the larger number still decides.

Test 'Reports of a router that was restarted with an earlier time of day are used': failed before (1 instead of 7 requests), passes now.

--- a/src/gateway/routerstate.h
+++ b/src/gateway/routerstate.h
@@ -330,7 +330,7 @@
     {
         std::uint64_t incarnation = 0;
         std::uint64_t sequence = 0;
-        std::uint64_t ignoredIncarnation = 0; ///< Last one whose reports were found to be older; for the log.
+        std::uint64_t ignoredIncarnation = 0; ///< Last one whose reports were not used; for the log.
     };
     /// How long an engine that refused a capacity reservation counts as full: a few steps of its work.
     static constexpr Millis FullLifetime{60};
@@ -430,7 +430,7 @@
     /// Applies the crashes and served suspects of a report.
     void applyCrashNews(const PeerReport &report, TimePoint now);
     /// Returns whether @p report is newer than the last one of the same router, and remembers it then.
-    static bool isNewer(const PeerReport &report, std::map<std::string, PeerSequence> &sequences);
+    bool isNewer(const PeerReport &report, std::map<std::string, PeerSequence> &sequences) const;
     /// Returns whether requests of the server's registered stage may be sent to it as far as the store says.
     bool isEligible(const BackendServer &server) const;
     /// Returns whether requests of the server's registered stage may be sent to it now.
--- a/src/gateway/routerstatereports.cpp
+++ b/src/gateway/routerstatereports.cpp
@@ -267,19 +267,26 @@
     return report.changesKnownAge + (report.clockOffset ? transit : Clock::duration(0));
 }
 
-bool RouterState::isNewer(const PeerReport &report, std::map<std::string, PeerSequence> &sequences)
+bool RouterState::isNewer(const PeerReport &report, std::map<std::string, PeerSequence> &sequences) const
 {
     PeerSequence &last = sequences[report.router];
-    const bool newer = report.incarnation > last.incarnation
-        || (report.incarnation == last.incarnation && report.sequence > last.sequence);
+    bool newer = report.sequence > last.sequence;
+    if (report.incarnation != last.incarnation) {
+        // The store knows the latest process of a router. Incarnations begin with the time of day, which may have been
+        // set back since the start of the process before.
+        const RouterMember *registered = this->members.find(report.router);
+        const bool isKnown = registered != nullptr && registered->incarnation == last.incarnation;
+        const bool isRegistered = registered != nullptr && registered->incarnation == report.incarnation;
+        newer = isRegistered || (!isKnown && report.incarnation > last.incarnation);
+    }
     if (newer) {
         last = PeerSequence{report.incarnation, report.sequence};
-    } else if (report.incarnation < last.incarnation && report.incarnation != last.ignoredIncarnation) {
+    } else if (report.incarnation != last.incarnation && report.incarnation != last.ignoredIncarnation) {
         last.ignoredIncarnation = report.incarnation;
         LogLine("reports-ignored")
             .add("router", report.router)
             .add("incarnation", report.incarnation)
-            .add("newest", last.incarnation)
+            .add("used", last.incarnation)
             .warn();
     }
     return newer;
