--- a/src/gateway/connectionpool.cpp
+++ b/src/gateway/connectionpool.cpp
@@ -61,6 +61,18 @@
     connection->watchIdle();
 }
 
+void ConnectionPool::closeIdle(const std::string &key)
+{
+    const auto it = this->idle.find(key);
+    if (it == this->idle.end()) {
+        return;
+    }
+    for (const IdleConnection &idleConnection : it->second) {
+        idleConnection.connection->close();
+    }
+    this->idle.erase(it);
+}
+
 void ConnectionPool::expire(TimePoint now)
 {
     for (auto &[key, connections] : this->idle) {
--- a/src/gateway/connectionpool.h
+++ b/src/gateway/connectionpool.h
@@ -42,6 +42,8 @@
     boost::asio::awaitable<ConnectionStatus> probe(std::string address, Millis timeout);
     /// Adds a connection to the pool, or closes it if it is not reusable or there are enough idle ones for @p key.
     void release(const std::string &key, const std::shared_ptr<HttpClientConnection> &connection);
+    /// Closes the idle connections for @p key.
+    void closeIdle(const std::string &key);
     /// Closes the connections whose idle time is over.
     void expire(TimePoint now);
 
--- a/src/gateway/peerreport.cpp
+++ b/src/gateway/peerreport.cpp
@@ -11,6 +11,7 @@
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/array.hpp>
 #include <cereal/types/map.hpp>
+#include <cereal/types/set.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
 
@@ -147,7 +148,7 @@
     archive(report.router, report.incarnation, report.sequence, report.storeRevision, report.work, report.waiting,
             report.reportedCalls, report.slowdowns, report.namedLimits, report.statements, report.outcomes,
             report.streams, report.crashes, report.servedSuspects);
-    archive(report.quota, report.otherGroupsQuota, report.streamOrigins);
+    archive(report.quota, report.otherGroupsQuota, report.streamOrigins, report.cutOff);
 }
 
 namespace
--- a/src/gateway/peerreport.h
+++ b/src/gateway/peerreport.h
@@ -17,6 +17,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -52,6 +53,8 @@
     /// receiver can tell how old the report is. The only field that differs between receivers.
     std::optional<Millis> clockOffset;
     StoreChanges changes; ///< Changes read from the store since the last report.
+    /// Services none of whose backend servers accepts connections of the sender.
+    std::set<std::string> cutOff;
     std::map<std::string, BackendWork> work; ///< By backend server; replaces that of earlier reports.
     /// Work of the sender's whole group on the backend servers that all groups share. Only sent between the delegates
     /// of the groups; such a report carries nothing else
--- a/src/gateway/pieces_test.cpp
+++ b/src/gateway/pieces_test.cpp
@@ -90,6 +90,7 @@
     report.groupWork["e"] = BackendWork{1, 0, {}};
     report.knowsOtherGroups = true;
     report.sentAt = Millis(11);
+    report.cutOff = {"s", "t"};
     report.clockOffset = GENERATE(std::optional<Millis>(), std::optional<Millis>(Millis(-12)));
     report.otherGroupsWork["e"] = BackendWork{4, 0, {}};
     report.streams.push_back(StreamSample{"r", "s", 1, 2, 3});
--- a/src/gateway/plainrequesthandler.cpp
+++ b/src/gateway/plainrequesthandler.cpp
@@ -35,7 +35,7 @@
 boost::asio::awaitable<void> PlainRequestHandler::serve()
 {
     this->failure = "no-backend";
-    while (!this->shouldStop() && this->unreachableCount < MaxUnreachable) {
+    while (!this->shouldStop() && this->unreachableCount < MaxUnreachable && !this->shouldHandOn()) {
         const auto candidates = co_await this->waitForCapacity();
         if (!candidates) {
             this->failure = this->noCapacityReason();
@@ -75,7 +75,10 @@
             break;
         }
     }
-    co_await this->finishWithFailure(this->failure);
+    const bool served = co_await this->serveByPeer();
+    if (!served) {
+        co_await this->finishWithFailure(this->failure);
+    }
 }
 
 boost::asio::awaitable<std::optional<std::vector<PlacementCandidate>>> PlainRequestHandler::waitForCapacity()
--- a/src/gateway/requesthandler.cpp
+++ b/src/gateway/requesthandler.cpp
@@ -114,12 +114,14 @@
 bool RequestHandler::hasNotRun() const
 {
     const bool wasNeverSent = this->outcome == "caller-gone" && this->callStart == TimePoint();
-    return wasNeverSent || this->outcome.starts_with("refused:");
+    return wasNeverSent || this->outcome.starts_with("refused:") || this->outcome == "handed-on";
 }
 
 boost::asio::awaitable<void> RequestHandler::run()
 {
-    this->state.retryBudget.addRequest(this->service, Clock::now());
+    if (!this->request.fromPeer) {
+        this->state.retryBudget.addRequest(this->service, Clock::now()); // Counted by the router that the caller asked.
+    }
     this->session.onCallerDisconnect([this] {
         if (this->connection) {
             this->connection->close();
@@ -170,11 +172,13 @@
         this->connection = co_await this->state.connections.open(server.address, timeout);
         this->state.metrics.count("cyclamencross_backend_connects_total",
                                   {{"result", this->connection ? "open" : "failed"}});
+        this->state.recordReach(server, this->connection != nullptr);
     }
     if (!this->connection) {
         ++this->unreachableCount;
         this->excluded.insert(server.id);
         this->recordOutcome(server, CallOutcome::Unreachable);
+        this->checkReach();
         co_return false;
     }
     // The server may have said that it leaves while this process did not run.
@@ -211,13 +215,18 @@
     }
     call.backendId = server.id;
     call.timeLeft = std::max(Millis(1), this->timeLeft());
-    std::string message = this->request.method + " " + this->request.target + " HTTP/1.1\r\n"
-        + this->codec.encodeCall(this->request, call).text();
+    this->startRequest(this->codec.encodeCall(this->request, call).text());
+}
+
+void RequestHandler::startRequest(std::string headers)
+{
     const std::size_t bodyBytes = this->request.body.bytes().size();
     if (bodyBytes > 0 || (this->request.method != "GET" && this->request.method != "HEAD")) {
-        message += "Content-Length: " + std::to_string(bodyBytes) + "\r\n";
+        headers += "Content-Length: " + std::to_string(bodyBytes) + "\r\n";
     }
-    this->connection->startRequest(message + "\r\n", this->request.method == "HEAD", this->request.body);
+    this->connection->startRequest(this->request.method + " " + this->request.target + " HTTP/1.1\r\n" + headers
+                                       + "\r\n",
+                                   this->request.method == "HEAD", this->request.body);
 }
 
 boost::asio::awaitable<ConnectionStatus> RequestHandler::readMatchingHead(BackendServer server, TimePoint until)
@@ -315,6 +324,15 @@
     this->connection->close();
     if (status == ConnectionStatus::Broken) {
         this->startCrashProbe(server);
+    } else if (status == ConnectionStatus::TimedOut) {
+        this->checkReach();
+    }
+}
+
+void RequestHandler::checkReach() const
+{
+    if (this->state.onUnreachable) {
+        this->state.onUnreachable(this->service);
     }
 }
 
@@ -393,6 +411,84 @@
     co_await this->session.reply(late ? 504 : 502, "", HeaderList(), "");
 }
 
+bool RequestHandler::shouldHandOn()
+{
+    return !this->request.fromPeer && (!this->mayHaveExecuted || this->route.mayRepeat())
+        && this->state.isCutOff(this->service) && this->state.choosePeer(this->service, {});
+}
+
+boost::asio::awaitable<bool> RequestHandler::serveByPeer()
+{
+    std::set<std::string> asked;
+    while (asked.size() < MaxPeers && this->shouldHandOn() && !this->shouldStop() && this->reserveRetry()) {
+        const std::optional<RouterMember> peer = this->state.choosePeer(this->service, asked);
+        if (!peer) {
+            break;
+        }
+        asked.insert(peer->name);
+        const Millis timeout = std::min(ConnectTimeout, std::max(Millis(1), this->timeLeft()));
+        this->connection = co_await this->state.connections.open(peer->peerAddress, timeout);
+        if (!this->connection || this->shouldStop()) {
+            continue;
+        }
+        const bool answered = co_await this->callPeer(peer->name);
+        if (answered) {
+            co_return true;
+        }
+    }
+    co_return false;
+}
+
+boost::asio::awaitable<bool> RequestHandler::callPeer(std::string peer)
+{
+    ++this->budgetedCalls;
+    this->retryReserved = false;
+    const bool resumes = this->isResponseStarted() && !this->request.lastEventId;
+    const auto timeLeft =
+        this->request.timeLeft ? std::optional(std::max(Millis(1), this->callerTimeLeft())) : std::nullopt;
+    this->startRequest(this->codec
+                           .encodeForPeer(this->request, timeLeft, this->resumePoint(),
+                                          resumes ? this->request.id : this->request.resumedId)
+                           .text());
+    const ConnectionStatus status = co_await this->connection->readHead(this->deadline);
+    const int code = status == ConnectionStatus::Ok ? this->connection->status() : 0;
+    LogLine("handed-on").add("request", this->request.id).add("peer", peer).add("status", code).write();
+    this->state.metrics.count("cyclamencross_handed_on_total",
+                              {{"service", this->service}, {"result", code == 0 ? "broken" : std::to_string(code)}});
+    bool answered = false;
+    // A refusal is true for the peer only: an earlier call of this router may have run.
+    const bool isRefusal = impliesNotExecuted(code) && this->mayHaveExecuted;
+    if (code != 0 && !isRefusal) {
+        answered = co_await this->forwardPeerResponse();
+    }
+    if (!answered) {
+        this->mayHaveExecuted = true;
+        this->failure = isRefusal ? "peer-refused" : "peer-broken";
+    }
+    this->connection->close();
+    co_return answered;
+}
+
+boost::asio::awaitable<bool> RequestHandler::forwardPeerResponse()
+{
+    const ConnectionStatus status = co_await this->readBody(this->deadline);
+    if (status != ConnectionStatus::Ok || this->isResponseStarted()) {
+        co_return false;
+    }
+    this->outcome = "handed-on";
+    std::string reason = this->connection->reason();
+    HeaderList headers = this->connection->headers();
+    const MemoryLease memory = std::move(this->responseMemory); // Counted until the caller has taken the body.
+    co_await this->session.reply(this->connection->status(), std::move(reason), std::move(headers),
+                                 this->connection->takeBody());
+    co_return true;
+}
+
+std::optional<std::int64_t> RequestHandler::resumePoint() const
+{
+    return this->request.lastEventId;
+}
+
 Millis RequestHandler::retryAfterDelay()
 {
     if (const std::string *contained = this->state.crashes.findContained(this->suspects)) {
--- a/src/gateway/requesthandler.h
+++ b/src/gateway/requesthandler.h
@@ -38,6 +38,8 @@
 class RequestHandler
 {
 public:
+    /// Peers that a request is handed to one after the other before it is refused.
+    static constexpr std::size_t MaxPeers = 3;
     /// Timeout for opening a connection. A round trip takes a few milliseconds; a lost SYN is retransmitted only after
     /// a second, by which time another backend server could have responded.
     static constexpr Millis ConnectTimeout{200};
@@ -95,6 +97,8 @@
     /// Ends a call whose connection broke, that timed out or whose response the router cannot hold: sets `failure`,
     /// closes the connection and, if it broke, starts a crash probe.
     void failCall(const BackendServer &server, ConnectionStatus status);
+    /// Has the paths to the backend servers of the service checked in the background.
+    void checkReach() const;
     /// Checks in the background whether @p server still accepts connections. If not, records that this request may have
     /// crashed it.
     void startCrashProbe(const BackendServer &server);
@@ -107,6 +111,18 @@
     /// Ends the request without a backend server's response: refuses it with 503, or fails it with 502 or 504 if it may
     /// have been executed. Closes the connection of a caller that has received part of a response.
     boost::asio::awaitable<void> finishWithFailure(std::string reason);
+    /// Returns whether the request should be handed to a peer: this router is cut off from the backend servers of the
+    /// service, and a peer may not be.
+    bool shouldHandOn();
+    /// Hands the request to a peer that serves it in place of this router, with the caller's id and what is left of its
+    /// time. A request that may run once is handed to one peer only.
+    /// @return whether the caller has been answered.
+    boost::asio::awaitable<bool> serveByPeer();
+    /// Sends the caller the response of a peer, whose head was read from the current connection.
+    /// @return whether the caller has been answered; if not, the response broke off.
+    virtual boost::asio::awaitable<bool> forwardPeerResponse();
+    /// Returns the id of the last event that the caller has received; std::nullopt if there is none.
+    virtual std::optional<std::int64_t> resumePoint() const;
     /// Sends the caller the complete response on the current connection. Returns the connection to the pool before, so
     /// that a caller that reads slowly does not hold it.
     boost::asio::awaitable<void> forwardResponse(BackendServer server);
@@ -190,8 +206,14 @@
     CallerAccess::Verdict checkAccess();
     /// Runs the request, which is within the quota of its workspace.
     boost::asio::awaitable<void> run();
-    /// Returns whether no backend server has run the request, or can have.
+    /// Returns whether no backend server has run the request for this router, or can have.
     bool hasNotRun() const;
+    /// Sends the request to a peer to which `connection` is open, and the response to the caller.
+    /// @return as serveByPeer().
+    boost::asio::awaitable<bool> callPeer(std::string peer);
+    /// Starts sending the request over the current connection.
+    /// @param headers without the one that tells the length of the body.
+    void startRequest(std::string headers);
 
     /// Returns the part of the retry budget that the request may use up.
     double retryShare() const;
--- a/src/gateway/router.cpp
+++ b/src/gateway/router.cpp
@@ -48,6 +48,7 @@
     , containments(this->state, this->sync)
     , versions(this->state, this->sync)
     , streamOrigins(this->state, this->sync)
+    , reachMonitor(this->state)
     , signals(context, SIGTERM, SIGINT, SIGHUP)
     , loopMonitor(Clock::now())
 {
@@ -59,6 +60,10 @@
     const auto caller = [this](HttpSession &session, RouterRequest &request) {
         return this->handleCaller(session, request);
     };
+    const auto peer = [this](HttpSession &session, RouterRequest &request) {
+        request.fromPeer = true;
+        return this->handleCaller(session, request);
+    };
     const auto directory = [this](HttpSession &session, RouterRequest &request) {
         return this->handleDirectory(session, request);
     };
@@ -66,6 +71,7 @@
         return this->handleMetrics(session, request);
     };
     const bool open = this->listen(settings.callerAddress, "callers", caller)
+        && this->listen(settings.peerAddress, "peers", peer)
         && this->listen(settings.readyAddress, "readiness", directory)
         && (settings.directoryAddress.empty() || this->listen(settings.directoryAddress, "directory", directory))
         && (settings.metricsAddress.empty() || this->listen(settings.metricsAddress, "metrics", metrics))
@@ -84,6 +90,7 @@
     spawn(this->containments.run());
     spawn(this->versions.run());
     spawn(this->streamOrigins.run());
+    spawn(this->reachMonitor.run());
     spawn(this->peers.receive());
     spawn(this->peers.send());
     spawn(this->runHousekeeping());
--- a/src/gateway/router.h
+++ b/src/gateway/router.h
@@ -6,6 +6,7 @@
 #include "httpsession.h"
 #include "peersocket.h"
 #include "quotametrics.h"
+#include "reachmonitor.h"
 #include "routerstate.h"
 #include "stagecontroller.h"
 #include "streamoriginkeeper.h"
@@ -110,6 +111,7 @@
     ContainmentKeeper containments;
     VersionKeeper versions;
     StreamOriginKeeper streamOrigins;
+    ReachMonitor reachMonitor;
     boost::asio::signal_set signals;
     std::vector<Listener> listeners;
     std::set<std::shared_ptr<HttpSession>> sessions;
--- a/src/gateway/routerstate.h
+++ b/src/gateway/routerstate.h
@@ -9,6 +9,7 @@
 #include "cyclamencross/base/metrics.h"
 #include "cyclamencross/gateway/routersettings.h"
 #include "cyclamencross/route/backendhealth.h"
+#include "cyclamencross/route/backendreach.h"
 #include "cyclamencross/route/backendserver.h"
 #include "cyclamencross/route/backendstatements.h"
 #include "cyclamencross/route/backendworktracker.h"
@@ -143,6 +144,21 @@
     void recordStatements(const BackendServer &server, const BackendResponseHead &head, bool isStray, TimePoint now);
     /// Drops statements that have ended and updates their metrics.
     void expireStatements(TimePoint now);
+    /// Returns the backend servers of @p service that are not draining, those of other groups too.
+    std::vector<BackendServer> serversOf(const std::string &service) const;
+    /// Returns whether no backend server of @p service accepts connections from this router.
+    bool isCutOff(const std::string &service) const;
+    /// Records whether a backend server has accepted a connection of this router.
+    void recordReach(const BackendServer &server, bool reached);
+    /// Returns the services that this router is cut off from.
+    std::set<std::string> cutOffServices() const;
+    /// Returns whether a peer of this router's group is cut off from the backend servers of a service, as it has
+    /// reported.
+    bool isPeerCutOff(const std::string &name) const;
+    /// Chooses a peer that can serve a request for @p service in place of this router, at random: one of the same
+    /// availability zone, unless most routers of the zone are cut off as well.
+    /// @param excluded names of peers to leave out.
+    std::optional<RouterMember> choosePeer(const std::string &service, const std::set<std::string> &excluded);
     /// Returns the load of the engines of each model service that has engines of both stages. Extrapolates from the
     /// engines of this router's group, and of those whose delegates report to this router, to all.
     std::map<std::string, StageLoad> stageLoads() const;
@@ -246,6 +262,9 @@
     WorkspaceQuotas quotas;
     BackendHealth health;
     SlowdownTracker slowdowns; ///< What backend servers tell of the pace of their machines.
+    BackendReach reach; ///< Whether this router's connections reach the backend servers.
+    /// Called when a backend server has accepted no connection, or has not answered on one.
+    std::function<void(const std::string &service)> onUnreachable;
     FleetRetryBudget retryBudget;
     CallerWaitEstimator callerWaitEstimator;
     OutputEstimator outputEstimator;
@@ -288,6 +307,8 @@
     static constexpr Millis GroupReportPeriod{100};
     /// How long the reported work of another group counts: a few periods.
     static constexpr Millis GroupWorkLifetime{1000};
+    /// How long a peer's report of the services that it is cut off from counts: three periods of its reports.
+    static constexpr Millis PeerCutOffLifetime{1500};
     /// How long a router gets reports after its registration was removed: longer than most outages of one router.
     static constexpr Millis LapsedPeerLifetime{20000};
     /// Number of routers in a group that watch the store. One of them may lose the store and another be stopped.
@@ -369,6 +390,9 @@
     std::map<std::string, BackendWork> otherGroupsWork; ///< Sum over all other groups.
     TimePoint otherGroupsWorkTime; ///< When the sum was last updated.
     TimePoint lastGroupReport;
+    /// Services that peers are cut off from, by the name of the peer, and when it reported that.
+    std::map<std::string, std::pair<std::set<std::string>, TimePoint>> peerCutOff;
+    std::set<std::string> lastReportedCutOff;
     std::uint32_t reportedOthersHeard = 0; ///< QuotaReport::heard of the last report on other groups.
     std::uint64_t groupReportSequence = 0;
     std::map<std::string, PeerSequence> groupReportSequences; ///< Newest group report by delegate.
--- a/src/gateway/routerstatereports.cpp
+++ b/src/gateway/routerstatereports.cpp
@@ -125,10 +125,12 @@
     }
     const bool quotaChanged =
         !quota.usage.empty() || !otherGroupsQuota.usage.empty() || otherGroupsQuota.heard != this->reportedOthersHeard;
-    const bool changed = quotaChanged || this->work->own() != this->lastReportedWork
-        || this->waiting->own() != this->lastReportedWaiting || !this->pendingOutcomes.empty()
-        || !this->pendingLimits.empty() || !this->recentStatements.empty() || !this->recentCrashes.empty()
-        || !this->recentlyServed.empty() || !this->changeQueue.isEmpty() || this->confirmationPending;
+    std::set<std::string> cutOff = this->cutOffServices();
+    const bool changed = quotaChanged || cutOff != this->lastReportedCutOff
+        || this->work->own() != this->lastReportedWork || this->waiting->own() != this->lastReportedWaiting
+        || !this->pendingOutcomes.empty() || !this->pendingLimits.empty() || !this->recentStatements.empty()
+        || !this->recentCrashes.empty() || !this->recentlyServed.empty() || !this->changeQueue.isEmpty()
+        || this->confirmationPending;
     const bool due = now - this->lastReport >= ReportPeriod;
     if (!changed && !due) {
         return std::nullopt;
@@ -149,6 +151,8 @@
     report.quota = std::move(quota);
     report.otherGroupsQuota = std::move(otherGroupsQuota);
     this->reportedOthersHeard = report.otherGroupsQuota.heard;
+    this->lastReportedCutOff = cutOff;
+    report.cutOff = std::move(cutOff);
     report.work = this->work->own();
     report.waiting = this->boundedWaiting();
     report.reportedCalls = std::exchange(this->pendingReportedCalls, {});
@@ -340,6 +344,11 @@
         this->freshness.confirm(now - *age);
         this->updateConfirmedBootTime(now);
     }
+    if (report.cutOff.empty()) {
+        this->peerCutOff.erase(report.router);
+    } else {
+        this->peerCutOff[report.router] = {report.cutOff, now};
+    }
     this->work->setPeerWork(report.router, report.work, now);
     this->waiting->setPeerWork(report.router, report.waiting, now);
     for (const auto &[backend, calls] : report.reportedCalls) {
--- a/src/gateway/streamrequesthandler.cpp
+++ b/src/gateway/streamrequesthandler.cpp
@@ -102,7 +102,54 @@
     }
     this->releaseReservation();
     this->releaseKvCache();
-    co_await this->finishWithFailure(this->failure);
+    const bool served = co_await this->serveByPeer();
+    if (!served) {
+        co_await this->finishWithFailure(this->failure);
+    }
+}
+
+std::optional<std::int64_t> StreamRequestHandler::resumePoint() const
+{
+    return this->lastEventId;
+}
+
+boost::asio::awaitable<bool> StreamRequestHandler::forwardPeerResponse()
+{
+    if (this->connection->status() != 200) {
+        co_return co_await RequestHandler::forwardPeerResponse();
+    }
+    this->workReservation = nullptr;
+    this->decodeEngine = std::nullopt;
+    this->progress = std::make_shared<StreamProgress>();
+    if (!this->session.isResponseStarted()) {
+        co_await this->session.startStream(200, this->connection->reason(), this->connection->headers());
+    }
+    const ConnectionStatus status = co_await this->forwardBody();
+    if (this->session.isCallerDisconnected()) {
+        this->outcome = "caller-gone";
+        co_return true;
+    }
+    if (status != ConnectionStatus::Ok || !this->inOrder || this->splitter.hasPartialEvent()) {
+        co_return false;
+    }
+    this->outcome = "handed-on";
+    co_await this->session.endStream();
+    co_return true;
+}
+
+boost::asio::awaitable<ConnectionStatus> StreamRequestHandler::forwardBody()
+{
+    this->splitter = EventSplitter();
+    this->inOrder = true;
+    ConnectionStatus status = ConnectionStatus::Ok;
+    while (status == ConnectionStatus::Ok && this->inOrder && !this->session.isCallerDisconnected()) {
+        this->inOrder = co_await this->forwardEvents(this->connection->takeBody());
+        if (this->connection->isComplete()) {
+            break;
+        }
+        status = co_await this->connection->readSome(this->deadline);
+    }
+    co_return status;
 }
 
 boost::asio::awaitable<bool> StreamRequestHandler::findOrigin()
@@ -137,7 +184,7 @@
 
 void StreamRequestHandler::recordOrigin()
 {
-    if (this->originRecorded || !this->route.mayRepeat()) {
+    if (this->originRecorded || !this->route.mayRepeat() || !this->decodeEngine) {
         return;
     }
     this->originRecorded = true;
@@ -317,6 +364,9 @@
         if (!refusedAt || Clock::now() - *refusedAt >= stallTimeout) {
             const ConnectionStatus probe = co_await sharedState.connections.probe(watched->address(), ConnectTimeout);
             refusedAt = probe == ConnectionStatus::Ok ? std::nullopt : std::optional(Clock::now());
+            if (refusedAt && sharedState.onUnreachable && !callProgress->finished) {
+                sharedState.onUnreachable(this->service);
+            }
         }
         if (!refusedAt) {
             callProgress->lastActivity = Clock::now();
@@ -325,14 +375,15 @@
         if (callProgress->finished || Clock::now() - callProgress->lastActivity < stallTimeout) {
             continue;
         }
-        const bool prepared = co_await this->prepareMove(callProgress);
+        const bool isCutOff = this->shouldHandOn();
+        const bool prepared = isCutOff || co_await this->prepareMove(callProgress);
         if (!prepared) {
             continue;
         }
         LogLine("stream-moved")
             .add("request", this->request.id)
             .add("backend", this->decodeEngine->id)
-            .add("reason", "silent, accepts no connection")
+            .add("reason", isCutOff ? "cut off" : "silent, accepts no connection")
             .add("last_event", this->lastEventId.value_or(-1))
             .write();
         watched->close();
@@ -383,29 +434,20 @@
 boost::asio::awaitable<StreamRequestHandler::AttemptResult> StreamRequestHandler::relayEvents()
 {
     const BackendServer server = *this->decodeEngine;
-    this->splitter = EventSplitter();
     if (!this->session.isResponseStarted()) {
         co_await this->session.startStream(200, this->connection->reason(), this->connection->headers());
     }
     if (!this->route.mayRepeat()) {
         this->request.body = RequestBody(); // The request is not sent again.
     }
-    ConnectionStatus status = ConnectionStatus::Ok;
-    bool valid = true;
-    while (status == ConnectionStatus::Ok && valid && !this->session.isCallerDisconnected()) {
-        valid = co_await this->forwardEvents(this->connection->takeBody());
-        if (this->connection->isComplete()) {
-            break;
-        }
-        status = co_await this->connection->readSome(this->deadline);
-    }
+    const ConnectionStatus status = co_await this->forwardBody();
     if (this->session.isCallerDisconnected()) {
         this->failure = "caller-gone";
         co_return AttemptResult::MayHaveExecuted;
     }
     // An engine that crashes before the first event ends a stream of this form like one that has finished.
     const bool lacksEvents = this->connection->endsWithConnection() && !this->outputStart;
-    if (status == ConnectionStatus::Ok && valid && !lacksEvents && !this->splitter.hasPartialEvent()) {
+    if (status == ConnectionStatus::Ok && this->inOrder && !lacksEvents && !this->splitter.hasPartialEvent()) {
         this->recordOutcome(server, CallOutcome::Served);
         this->recordServed(Clock::now());
         this->recordStream(this->lastChunkTime);
@@ -415,9 +457,9 @@
         co_await this->session.endStream();
         co_return AttemptResult::Done;
     }
-    const bool endedEarly = status == ConnectionStatus::Ok && valid;
+    const bool endedEarly = status == ConnectionStatus::Ok && this->inOrder;
     this->failCall(server, endedEarly ? ConnectionStatus::Broken : status);
-    if (!valid && status != ConnectionStatus::TimedOut) {
+    if (!this->inOrder) {
         this->failure = "out-of-order";
     }
     LogLine("stream-broken")
@@ -433,10 +475,10 @@
 boost::asio::awaitable<bool> StreamRequestHandler::forwardEvents(const std::string &bytes)
 {
     std::string events;
-    bool inOrder = true;
+    bool ordered = true;
     for (EventSplitter::Event &event : this->splitter.feed(bytes)) {
-        inOrder = !event.id || !this->lastEventId || *event.id > *this->lastEventId;
-        if (!inOrder) {
+        ordered = !event.id || !this->lastEventId || *event.id > *this->lastEventId;
+        if (!ordered) {
             break; // The events before this one are valid and count as received by the caller.
         }
         this->lastEventId = event.id ? event.id : this->lastEventId;
@@ -448,7 +490,7 @@
         this->recordChunk();
         co_await this->passOn(events);
     }
-    co_return inOrder && !this->splitter.isOverlong();
+    co_return ordered && !this->splitter.isOverlong();
 }
 
 void StreamRequestHandler::recordChunk()
--- a/src/gateway/streamrequesthandler.h
+++ b/src/gateway/streamrequesthandler.h
@@ -26,6 +26,8 @@
 
 protected:
     boost::asio::awaitable<void> serve() override;
+    boost::asio::awaitable<bool> forwardPeerResponse() override;
+    std::optional<std::int64_t> resumePoint() const override;
 
 private:
     /// Number of unreachable engines after which a stream fails. Half of a group's engines may be lost at once, and a
@@ -102,6 +104,9 @@
     boost::asio::awaitable<AttemptResult> readResponse(BackendServer server);
     /// Forwards events to the caller until the stream ends.
     boost::asio::awaitable<AttemptResult> relayEvents();
+    /// Forwards the events of the response on the current connection until it ends, an event is out of order (see
+    /// `inOrder`) or the caller is gone.
+    boost::asio::awaitable<ConnectionStatus> forwardBody();
     /// Forwards the events that @p bytes complete.
     /// @return false if an event id does not increase or an event is too long.
     boost::asio::awaitable<bool> forwardEvents(const std::string &bytes);
@@ -141,6 +146,7 @@
     std::optional<PrefillResult> kvCache; ///< At `prefillEngine`, not passed to a decode engine yet.
     std::shared_ptr<StreamProgress> progress; ///< Of the current call to the decode engine.
     EventSplitter splitter;
+    bool inOrder = true; ///< The ids of the current response's events increase, and none is too long.
     TimePoint lastChunkTime; ///< When events were last forwarded.
     std::optional<std::int64_t> lastEventId; ///< Of the last event that the caller has received.
     Millis timeSpentBefore{0}; ///< Estimate of the caller's time spent on earlier attempts.
--- a/src/gateway/streamrequestplacement.cpp
+++ b/src/gateway/streamrequestplacement.cpp
@@ -82,6 +82,10 @@
                           !this->session.isResponseStarted() && !this->mayHaveExecuted,
                           this->makeWaitOrder(wait, tokens));
     while (!this->shouldStop()) {
+        if (this->shouldHandOn()) {
+            this->failure = "cut-off";
+            break;
+        }
         const CapacityWait::Action action = waiter.nextAction();
         const bool tries = action == CapacityWait::Action::Try || action == CapacityWait::Action::TryLast;
         if (tries && this->chooseDecodeEngine()) {
@@ -209,6 +213,7 @@
     if (status != ConnectionStatus::Ok) {
         this->connection->close();
         this->recordOutcome(server, CallOutcome::Broken);
+        this->checkReach();
         this->excluded.insert(server.id);
         ++this->unreachableCount;
         this->decodeEngine = std::nullopt;
--- a/src/include/cyclamencross/gateway/backendcodec.h
+++ b/src/include/cyclamencross/gateway/backendcodec.h
@@ -23,6 +23,13 @@
     std::function<void(RouterRequest &)> decodeRequest;
     /// Returns the headers of @p request for the backend server.
     std::function<HeaderList(const RouterRequest &request, const BackendCall &call)> encodeCall;
+    /// Returns the headers of @p request for another router that serves it, which are those of the caller.
+    /// @param timeLeft how long the caller still waits.
+    /// @param lastEventId of the last event that the caller has received; std::nullopt if it has received none.
+    /// @param resumedId id of the caller's attempt that began the stream; empty if that is not known.
+    std::function<HeaderList(const RouterRequest &request, std::optional<Millis> timeLeft,
+                             std::optional<std::int64_t> lastEventId, const std::string &resumedId)>
+        encodeForPeer;
     /// Decodes the head of a backend server's response.
     std::function<BackendResponseHead(int status, const HeaderList &headers)> decodeResponseHead;
     /// Decodes the body of an engine's response to a prefill call; std::nullopt if it is malformed.
--- a/src/include/cyclamencross/gateway/routerrequest.h
+++ b/src/include/cyclamencross/gateway/routerrequest.h
@@ -20,6 +20,7 @@
     std::string host;
     HeaderList headers; ///< To be forwarded: without hop-by-hop headers and those that the router sets itself.
     RequestBody body;
+    bool fromPeer = false; ///< Another router has handed the caller's request on.
     TimePoint received; ///< When the header was received completely.
 
     std::string apiKey; ///< Empty if the caller sent none. Must not be logged.
--- /dev/null
+++ b/src/route/backendreach.cpp
@@ -0,0 +1,45 @@
+#include "cyclamencross/route/backendreach.h"
+
+#include <algorithm>
+
+namespace Cyclamen
+{
+
+void BackendReach::recordReached(const std::string &service)
+{
+    this->failures.erase(service);
+}
+
+void BackendReach::recordUnreachable(const std::string &service, const std::string &backend, TimePoint now)
+{
+    Failures &known = this->failures[service];
+    if (now - known.last > Memory) {
+        known.backends.clear();
+    }
+    known.backends.insert(backend);
+    known.last = now;
+}
+
+bool BackendReach::isCutOff(const std::string &service, std::size_t servers, TimePoint now) const
+{
+    return servers >= MinServers && this->unreachable(service, now) >= std::min(MinUnreachable, servers);
+}
+
+std::size_t BackendReach::unreachable(const std::string &service, TimePoint now) const
+{
+    const auto it = this->failures.find(service);
+    return it == this->failures.end() || now - it->second.last > Memory ? 0 : it->second.backends.size();
+}
+
+std::vector<std::string> BackendReach::services(TimePoint now) const
+{
+    std::vector<std::string> result;
+    for (const auto &[service, known] : this->failures) {
+        if (now - known.last <= Memory) {
+            result.push_back(service);
+        }
+    }
+    return result;
+}
+
+}
