Logs: generation of the store, and changes that are ignored for their revision

Now: store-generation (a warning, when an answer names another one), change-ignored, and the generation in store-read. No decision changes.

--- a/src/gateway/fleetsync.cpp
+++ b/src/gateway/fleetsync.cpp
@@ -103,6 +103,7 @@
         const std::uint64_t known = this->state.storeRevision;
         const StoreResult<StorePage> result = co_await this->store.watch(prefix, *this->watchRevision, wait);
         if (const auto *page = std::get_if<StorePage>(&result)) {
+            this->noteGeneration(page->generation);
             this->recordSuccess();
             failures = 0;
             if (this->isOutdated(*page, known)) {
@@ -211,6 +212,19 @@
         .write();
 }
 
+void FleetSync::noteGeneration(std::uint64_t newest)
+{
+    if (newest == 0 || newest == this->generation) {
+        return;
+    }
+    LogLine("store-generation")
+        .add("generation", newest)
+        .add("before", this->generation)
+        .add("revision", this->state.storeRevision)
+        .warn();
+    this->generation = newest;
+}
+
 void FleetSync::logRead(const std::string &call, const StorePage &page, TimePoint start) const
 {
     std::uint64_t bytes = 0;
@@ -221,6 +235,7 @@
         .add("call", call)
         .add("before", this->state.storeRevision)
         .add("revision", page.revision)
+        .add("generation", page.generation)
         .add("items", std::uint64_t(page.items.size()))
         .add("bytes", bytes)
         .add("ms", std::int64_t(toSeconds(this->state.environment.now() - start) * 1000))
@@ -320,6 +335,7 @@
             co_return failure->kind == StoreFailure::Kind::Malformed ? ReadResult::Incomplete : ReadResult::Failed;
         }
         const StorePage &page = std::get<StorePage>(result);
+        this->noteGeneration(page.generation);
         this->recordSuccess();
         this->logRead("read-changes", page, start);
         if (this->isOutdated(page, known)) {
@@ -357,8 +373,9 @@
         this->recordFailure("list", *failure);
         co_return std::nullopt;
     }
-    this->recordSuccess();
     const StorePage &page = std::get<StorePage>(result);
+    this->noteGeneration(page.generation);
+    this->recordSuccess();
     this->logRead("list", page, start);
     this->contact.resyncNeeded = this->isOutdated(page, known);
     if (this->contact.resyncNeeded) {
@@ -418,6 +435,7 @@
 {
     this->state.metrics.count("cyclamencross_store_failures_total",
                               {{"call", call}, {"reason", failureName(failure.kind)}});
+    this->noteGeneration(failure.generation);
     const bool lost = failure.kind == StoreFailure::Kind::Unreachable || failure.kind == StoreFailure::Kind::Refused;
     if (lost) {
         this->state.watching = false;
--- a/src/gateway/fleetsync.h
+++ b/src/gateway/fleetsync.h
@@ -130,6 +130,10 @@
     bool keepFreshReads() const;
     /// Logs why this router reads the store although it watches it or is told of its changes.
     void logCatchUp(const std::string &reason) const;
+    /// Records the generation of the store that answered a call, and logs a new one.
+    void noteGeneration(std::uint64_t generation);
+    /// Returns the newest known revision of an item of the lists or records; 0 if none is known.
+    std::uint64_t knownRevision(const std::string &key) const;
     /// Logs what a read of the store has brought, other than a watch.
     /// @param start when the read began.
     void logRead(const std::string &call, const StorePage &page, TimePoint start) const;
@@ -186,6 +190,7 @@
     bool readsForFreshness = false; ///< keepFresh() reads the changes.
     std::optional<std::uint64_t> watchRevision;
     StoreContact contact;
+    std::uint64_t generation = 0; ///< Generation of the store that answered last.
     Clock::duration leaseConfirmedAt{0}; ///< On the boot-time clock: start of the last call that confirmed the lease.
     std::uint64_t originsLease = 0; ///< Lease of the latest records of where streams began.
     TimePoint originsLeaseEnd;
--- a/src/gateway/fleetsyncitems.cpp
+++ b/src/gateway/fleetsyncitems.cpp
@@ -61,8 +61,37 @@
     return *outageEnd + LapseGracePeriod;
 }
 
+std::uint64_t FleetSync::knownRevision(const std::string &key) const
+{
+    if (key.starts_with(this->codec.backendPrefix)) {
+        return this->state.backends.revisionOf(key.substr(this->codec.backendPrefix.size()));
+    }
+    if (key.starts_with(memberPrefix())) {
+        return this->state.members.revisionOf(key.substr(memberPrefix().size()));
+    }
+    if (key == leaderKey()) {
+        return this->state.leadership.revision;
+    }
+    if (key == stagePlanKey()) {
+        return this->state.stagePlanRevision;
+    }
+    if (key == serviceVersionsKey()) {
+        return this->state.serviceVersionsRevision;
+    }
+    return key == containmentsKey() ? this->state.containmentsRevision : 0;
+}
+
 bool FleetSync::apply(const StoreItem &item)
 {
+    if (const std::uint64_t known = this->knownRevision(item.key); item.revision < known) {
+        // An answer that was overtaken by another one, or a store whose revisions went back.
+        LogLine("change-ignored")
+            .add("key", item.key)
+            .add("revision", item.revision)
+            .add("known", known)
+            .add("removed", item.removed)
+            .write();
+    }
     if (item.removed) {
         return this->remove(item.key, item.revision);
     }
--- a/src/include/cyclamencross/gateway/statestore.h
+++ b/src/include/cyclamencross/gateway/statestore.h
@@ -20,7 +20,8 @@
 using StoreAwaitable = boost::asio::awaitable<StoreResult<Value>>;
 
 /// Client interface of the platform's key-value store. Each function makes one call, or one per page, and does not
-/// retry.
+/// retry. The store has a generation, which increases each time that it returns from an older copy of itself; a store
+/// that names none is of generation 0.
 struct StateStore
 {
     /// Reads all items whose key begins with @p prefix.
--- a/src/include/cyclamencross/gateway/storefailure.h
+++ b/src/include/cyclamencross/gateway/storefailure.h
@@ -19,6 +19,7 @@
     };
     Kind kind = Kind::Unreachable;
     std::string detail; ///< For the log.
+    std::uint64_t generation = 0; ///< Generation of the store that answered, see StateStore; 0 if none did.
 
     bool operator==(const StoreFailure &) const = default;
 };
--- a/src/include/cyclamencross/route/registrationcache.h
+++ b/src/include/cyclamencross/route/registrationcache.h
@@ -68,6 +68,13 @@
         return result;
     }
 
+    /// Returns the revision of the entry of @p key; 0 if there is none.
+    std::uint64_t revisionOf(const std::string &key) const
+    {
+        const auto it = this->records.find(key);
+        return it == this->records.end() ? 0 : it->second.revision;
+    }
+
     /// Returns the entry of @p key, or nullptr if there is none. The pointer is valid until the entry is removed.
     const Entry *find(const std::string &key) const
     {
