--- a/testsuite/soak/fleet.py
+++ b/testsuite/soak/fleet.py
@@ -14,7 +14,7 @@
 from harness import free_ports  # noqa: E402
 ROUTER_SETTINGS = """[router]
 name = {name}
-zone = z1
+zone = {zone}
 [listen]
 callers = 127.0.0.1:{front}
 ready = 127.0.0.1:{ready}
@@ -136,17 +136,17 @@
         for number in range(self.options.routers):
             await self.add_router(f"r{number}")
 
-    async def add_router(self, name):
-        """Starts a router with its own proxy to the store."""
+    async def add_router(self, name, zone="z1", binary=None):
+        """Starts a router with its own proxy to the store, from another build if its binary is given."""
         proxy = FaultProxy(self.store_port)
         await proxy.start()
         self.proxies[f"store-{name}"] = proxy
         front, ready, directory, peers = free_ports(4)
         path = os.path.join(self.folder, f"{name}.ini")
         with open(path, "w", encoding="utf8") as file:
-            file.write(ROUTER_SETTINGS.format(name=name, front=front, ready=ready, directory=directory, peers=peers,
-                                              store=proxy.port))
-        router = Process(name, [self.options.binary, "router", "--settings", path], self.log)
+            file.write(ROUTER_SETTINGS.format(name=name, zone=zone, front=front, ready=ready, directory=directory,
+                                              peers=peers, store=proxy.port))
+        router = Process(name, [binary or self.options.binary, "router", "--settings", path], self.log)
         router.throttle = self.throttle
         router.front, router.ready, router.directory = front, ready, directory
         router.stopping = False
--- a/testsuite/soak/store.py
+++ b/testsuite/soak/store.py
@@ -2,6 +2,10 @@
 
 Items are kept in memory. Backend servers register with POST /standin/beat. The soak test injects faults with
 POST /standin/mode: responses are delayed, lost after the call took effect, or replaced by a refusal.
+
+POST /standin/copy takes a copy of the store. POST /standin/return {"away_ms": N} cuts all calls for N ms and then
+brings the store back from the copy: what was written since is gone, and revisions and lease numbers are given out
+again. The header Store-Era of each answer rises by one then. Callers of /standin/put repeat their writes themselves.
 """
 import asyncio
 import base64
@@ -28,6 +32,33 @@
         self.heartbeats = {}
         self.changed = asyncio.Event()
         self.mode = {}
+        self.last_lease = 0
+        self.era = 1
+        self.away = False
+        self.callers = set()  # open connections
+        self.copy = None
+
+    def take_copy(self):
+        """Copies what the store holds, the leases with the time that is left of them."""
+        now = time.monotonic()
+        self.copy = {"revision": self.revision, "items": dict(self.items), "history": list(self.history),
+                     "last_lease": self.last_lease, "heartbeats": list(self.heartbeats),
+                     "leases": {lease: (end - now, ttl) for lease, (end, ttl) in self.leases.items()}}
+
+    async def return_from_copy(self, away_seconds):
+        """Cuts all calls for a while, then goes on from the copy in a new era."""
+        self.away = True
+        for writer in list(self.callers):
+            writer.transport.abort()
+        await asyncio.sleep(away_seconds)
+        now = time.monotonic()
+        self.revision, self.last_lease = self.copy["revision"], self.copy["last_lease"]
+        self.items, self.history = dict(self.copy["items"]), list(self.copy["history"])
+        self.leases = {lease: (now + left, ttl) for lease, (left, ttl) in self.copy["leases"].items()}
+        # A backend server that has left since the copy sends no heartbeat, so its registration ends again.
+        self.heartbeats = {key: now for key in self.copy["heartbeats"]}
+        self.era += 1
+        self.away = False
 
     def change(self, key, value, lease=0):
         """Writes an item, or removes it if the value is None."""
@@ -60,7 +91,7 @@
         """Returns the changes after a revision. If there are none, waits for the first one for up to wait seconds."""
         end = time.monotonic() + wait
         while True:
-            if after + 1 < (self.history[0]["Revision"] if self.history else 0):
+            if after > self.revision or after + 1 < (self.history[0]["Revision"] if self.history else 0):
                 return 410, {}
             events = [event for event in self.history if event["Revision"] > after and event["Key"].startswith(prefix)]
             left = end - time.monotonic()
@@ -90,6 +121,12 @@
         if path == "/standin/mode":
             self.mode = body
             return 200, {}
+        if path == "/standin/copy":
+            self.take_copy()
+            return 200, {"Revision": self.revision}
+        if path == "/standin/return":
+            await self.return_from_copy(body["away_ms"] / 1000)
+            return 200, {"Revision": self.revision}
         if path == "/standin/beat":
             key, value = body["key"], body["value"]
             old = self.items.get(key)
@@ -111,7 +148,8 @@
         if name == "kv-watch":
             return await self.watch(query.get("PathPrefix", ""), int(query["after"]), int(query["WaitMs"]) / 1000)
         if name == "kv-lease":
-            lease = random.getrandbits(40) + 1
+            self.last_lease += 1
+            lease = self.last_lease
             self.leases[lease] = (time.monotonic() + body["TtlMs"] / 1000, body["TtlMs"])
             return 200, {"Lease": lease, "TtlMs": body["TtlMs"]}
         if name.startswith("kv-keep/") or name.startswith("kv-lease-end/"):
@@ -129,6 +167,7 @@
 
 async def serve(store, reader, writer):
     """Handles the calls of one connection."""
+    era = store.era
     try:
         while head := await wirehttp.read_head(reader):
             method, target, _ = head[0].split()
@@ -136,6 +175,10 @@
             url = urllib.parse.urlsplit(target)
             query = dict(urllib.parse.parse_qsl(url.query))
             standin = url.path.startswith("/standin/")
+            if url.path not in ("/standin/mode", "/standin/copy", "/standin/return"):
+                if store.away or store.era != era:
+                    break
+                store.callers.add(writer)
             mode = {} if standin else store.mode
             if random.random() < mode.get("refuse", 0):
                 status, content = 503, {}
@@ -146,11 +189,13 @@
                 await asyncio.sleep(3)
                 break
             text = json.dumps(content).encode()
-            writer.write(wirehttp.message(f"HTTP/1.1 {status} X", {"Content-Type": "application/json"}, text))
+            headers = {"Content-Type": "application/json", "Store-Era": store.era}
+            writer.write(wirehttp.message(f"HTTP/1.1 {status} X", headers, text))
             await writer.drain()
     except (wirehttp.ConnectionBroken, ConnectionError, OSError):
         pass
     finally:
+        store.callers.discard(writer)
         writer.close()
 
 
@@ -162,7 +207,8 @@
     async with server:
         while True:
             await asyncio.sleep(0.05)
-            store.expire()
+            if not store.away:
+                store.expire()
 
 
 asyncio.run(main())
