--- a/src/gateway/changequeue.cpp
+++ b/src/gateway/changequeue.cpp
@@ -40,8 +40,10 @@
 
 void ChangeQueue::add(const StoreChanges &added)
 {
-    if (this->pending.upTo == 0 || this->pending.upTo < added.after) {
-        // The changes between the two ranges came from a peer and are in neither of them.
+    const bool isOverReturn = this->pending.upTo.generation() != added.upTo.generation();
+    if (this->isEmpty() || this->pending.upTo < added.after || isOverReturn) {
+        // The changes between the two ranges came from a peer and are in neither of them, or the store has returned:
+        // the items of one report are of one generation.
         this->pending = StoreChanges();
         this->pending.after = added.after;
     }
@@ -64,7 +66,7 @@
 
 bool ChangeQueue::isEmpty() const
 {
-    return this->pending.upTo == 0;
+    return this->pending.upTo == StoreRevision();
 }
 
 StoreChanges ChangeQueue::take(std::size_t peers, TimePoint now)
@@ -77,8 +79,8 @@
     const Millis time = this->sendTime(packedBytes, peers);
     if (time > MaxSendTime || packedBytes > MaxPackedBytes) {
         LogLine("changes-not-sent")
-            .add("after", part.after)
-            .add("up_to", part.upTo)
+            .add("after", part.after.number())
+            .add("up_to", part.upTo.number())
             .add("bytes", std::uint64_t(sizeOf(part.items)))
             .add("link_ms", std::int64_t(time.count()))
             .write();
--- a/src/gateway/fleetsync.cpp
+++ b/src/gateway/fleetsync.cpp
@@ -100,17 +100,21 @@
         this->state.watching = !lostBefore;
         const TimePoint start = this->state.environment.now();
         const Millis wait = this->state.freshness.watchWait(start);
-        const std::uint64_t known = this->state.storeRevision;
+        const StoreRevision known = this->state.storeRevision;
         const StoreResult<StorePage> result = co_await this->store.watch(prefix, *this->watchRevision, wait);
         if (const auto *page = std::get_if<StorePage>(&result)) {
-            this->noteGeneration(page->generation);
+            this->noteGeneration(page->revision.generation());
             this->recordSuccess();
             failures = 0;
+            if (page->revision.generation() > this->watchRevision->generation()) {
+                this->watchRevision = std::nullopt; // Changes between the two generations have no order.
+                continue;
+            }
             if (this->isOutdated(*page, known)) {
                 this->watchRevision = std::max(*this->watchRevision, page->revision);
                 continue;
             }
-            const std::uint64_t before = this->state.storeRevision;
+            const StoreRevision before = this->state.storeRevision;
             const bool hidesChanges = page->items.empty() && page->revision > before;
             this->applyAll(page->items, page->revision);
             if (hidesChanges) {
@@ -145,6 +149,7 @@
     TimePoint lastInSync = this->state.environment.now();
     while (true) {
         co_await this->state.environment.sleep(PollPeriod);
+        this->noteGeneration(this->state.newestPeerRevision.generation());
         const bool behind = this->state.newestPeerRevision > this->state.storeRevision;
         const bool overdue = behind && this->state.environment.now() - lastInSync >= CatchUpDelay;
         if (!behind) {
@@ -206,25 +211,13 @@
 {
     LogLine("catching-up")
         .add("reason", reason)
-        .add("revision", this->state.storeRevision)
-        .add("peers_revision", this->state.newestPeerRevision)
+        .add("revision", this->state.storeRevision.number())
+        .add("peers_revision", this->state.newestPeerRevision.number())
+        .add("generation", this->state.storeGeneration)
         .add("certainty_age_ms", this->state.certaintyAge().value_or(Millis(-1)).count())
         .write();
 }
 
-void FleetSync::noteGeneration(std::uint64_t newest)
-{
-    if (newest == 0 || newest == this->generation) {
-        return;
-    }
-    LogLine("store-generation")
-        .add("generation", newest)
-        .add("before", this->generation)
-        .add("revision", this->state.storeRevision)
-        .warn();
-    this->generation = newest;
-}
-
 void FleetSync::logRead(const std::string &call, const StorePage &page, TimePoint start) const
 {
     std::uint64_t bytes = 0;
@@ -233,9 +226,9 @@
     }
     LogLine("store-read")
         .add("call", call)
-        .add("before", this->state.storeRevision)
-        .add("revision", page.revision)
-        .add("generation", page.generation)
+        .add("before", this->state.storeRevision.number())
+        .add("revision", page.revision.number())
+        .add("generation", page.revision.generation())
         .add("items", std::uint64_t(page.items.size()))
         .add("bytes", bytes)
         .add("ms", std::int64_t(toSeconds(this->state.environment.now() - start) * 1000))
@@ -257,7 +250,7 @@
     if (!revision) {
         co_return ReadResult::Failed;
     }
-    this->watchRevision = std::max(this->watchRevision.value_or(0), *revision);
+    this->watchRevision = std::max(this->watchRevision.value_or(StoreRevision()), *revision);
     // A revision that a peer reports beyond the store's own would cause reads forever.
     this->state.newestPeerRevision = this->state.storeRevision;
     this->store.cancelWatch();
@@ -275,13 +268,13 @@
     }
 }
 
-void FleetSync::applyAll(const std::vector<StoreItem> &items, std::uint64_t revision)
+void FleetSync::applyAll(const std::vector<StoreItem> &items, StoreRevision revision, bool isDifference)
 {
     bool listsChanged = false;
-    std::uint64_t newest = 0;
+    StoreRevision newest;
     for (const StoreItem &item : items) {
         newest = std::max(newest, item.revision);
-        const bool changed = this->apply(item);
+        const bool changed = this->apply(item, isDifference);
         listsChanged = listsChanged || (changed && this->isInLists(item));
     }
     // A difference to a list that was read in pages may hold items newer than the list, but not all changes before
@@ -297,13 +290,14 @@
 
 void FleetSync::applyPeerChanges(const StoreChanges &changes)
 {
+    this->noteGeneration(changes.upTo.generation());
     // If changes before these are missing, the peer's newer revision causes a read of the store later.
-    const std::uint64_t known = this->state.storeRevision;
+    const StoreRevision known = this->state.storeRevision;
     if (!this->watchRevision || known < changes.after || known >= changes.upTo
         || (changes.isSnapshotDiff && known != changes.after)) {
         return;
     }
-    this->applyAll(changes.items, changes.upTo);
+    this->applyAll(changes.items, changes.upTo, changes.isSnapshotDiff);
     this->state.storeRevision = std::max(this->state.storeRevision, changes.upTo);
     this->state.metrics.count("cyclamencross_peer_changes_total", {}, double(changes.items.size()));
 }
@@ -319,7 +313,10 @@
     bool failedBefore = false;
     for (int reads = 0; reads < MaxChangeReads; ++reads) {
         const TimePoint start = this->state.environment.now();
-        const std::uint64_t known = this->state.storeRevision;
+        const StoreRevision known = this->state.storeRevision;
+        if (!this->isOfCurrentGeneration(known.generation())) {
+            co_return ReadResult::Incomplete; // Changes between two generations have no order.
+        }
         const StoreResult<StorePage> result = co_await this->store.readChanges(prefix, known);
         if (const auto *failure = std::get_if<StoreFailure>(&result)) {
             if (failure->kind == StoreFailure::Kind::HistoryCompacted) {
@@ -335,16 +332,19 @@
             co_return failure->kind == StoreFailure::Kind::Malformed ? ReadResult::Incomplete : ReadResult::Failed;
         }
         const StorePage &page = std::get<StorePage>(result);
-        this->noteGeneration(page.generation);
+        this->noteGeneration(page.revision.generation());
         this->recordSuccess();
         this->logRead("read-changes", page, start);
+        if (page.revision.generation() > known.generation()) {
+            co_return ReadResult::Incomplete;
+        }
         if (this->isOutdated(page, known)) {
             continue;
         }
         if (page.items.empty() && page.revision > this->state.storeRevision) {
             co_return ReadResult::Incomplete; // A store that drops its history may leave out changes.
         }
-        const std::uint64_t before = this->state.storeRevision;
+        const StoreRevision before = this->state.storeRevision;
         this->applyAll(page.items, page.revision);
         this->state.confirmChanges(start);
         // Without a live watcher in the group, as when the store rejects all of them, whoever can read tells the
@@ -364,17 +364,17 @@
     co_return ReadResult::Incomplete;
 }
 
-boost::asio::awaitable<std::optional<std::uint64_t>> FleetSync::readAll(std::string prefix)
+boost::asio::awaitable<std::optional<StoreRevision>> FleetSync::readAll(std::string prefix)
 {
     const TimePoint start = this->state.environment.now();
-    const std::uint64_t known = this->state.storeRevision;
+    const StoreRevision known = this->state.storeRevision;
     const StoreResult<StorePage> result = co_await this->store.list(prefix);
     if (const auto *failure = std::get_if<StoreFailure>(&result)) {
         this->recordFailure("list", *failure);
         co_return std::nullopt;
     }
     const StorePage &page = std::get<StorePage>(result);
-    this->noteGeneration(page.generation);
+    this->noteGeneration(page.revision.generation());
     this->recordSuccess();
     this->logRead("list", page, start);
     this->contact.resyncNeeded = this->isOutdated(page, known);
@@ -387,7 +387,7 @@
     changes.isSnapshotDiff = true;
     const auto applyNew = [&](const std::vector<StoreItem> &items) {
         std::copy_if(items.begin(), items.end(), std::back_inserter(changes.items),
-                     [this](const StoreItem &item) { return this->apply(item); });
+                     [this](const StoreItem &item) { return this->apply(item, true); });
     };
     applyNew(page.items);
     applyNew(this->findRemoved(prefix, page));
@@ -396,7 +396,7 @@
     this->state.storeRevision = std::max(changes.after, page.revision);
     this->state.confirmChanges(start);
     this->state.regroup();
-    if (changes.after > 0 && changes.upTo > changes.after && this->state.isDesignatedWatcher()) {
+    if (changes.after != StoreRevision() && changes.upTo > changes.after && this->state.isDesignatedWatcher()) {
         this->state.queueChangesForPeers(changes);
     }
     if (this->codec.backendPrefix.starts_with(prefix)) {
@@ -405,17 +405,6 @@
     co_return page.revision;
 }
 
-void FleetSync::expire(TimePoint now)
-{
-    const std::size_t gone = this->state.backends.expire(now);
-    if (gone > 0) {
-        LogLine("held-backends-removed").add("count", std::uint64_t(gone)).write();
-    }
-    if (this->state.members.expire(now) + gone > 0) {
-        this->state.regroup();
-    }
-}
-
 void FleetSync::recordSuccess()
 {
     const TimePoint now = this->state.environment.now();
--- a/src/gateway/fleetsync.h
+++ b/src/gateway/fleetsync.h
@@ -3,6 +3,7 @@
 #include "cyclamencross/base/timing.h"
 #include "cyclamencross/gateway/fleetcodec.h"
 #include "cyclamencross/gateway/statestore.h"
+#include "cyclamencross/route/storereturn.h"
 #include "cyclamencross/route/streamorigin.h"
 
 #include <map>
@@ -122,7 +123,7 @@
     boost::asio::awaitable<ReadResult> readMissing(std::string prefix);
     /// Reads and applies all items under @p prefix and queues the differences for peers.
     /// @return the revision of the read, or std::nullopt if it failed.
-    boost::asio::awaitable<std::optional<std::uint64_t>> readAll(std::string prefix);
+    boost::asio::awaitable<std::optional<StoreRevision>> readAll(std::string prefix);
     /// Reads all items under @p prefix and restarts the watch.
     boost::asio::awaitable<ReadResult> readAllAgain(std::string prefix);
     /// Returns whether keepFresh() reads the changes or is about to. A second read of the same changes would halve the
@@ -130,10 +131,13 @@
     bool keepFreshReads() const;
     /// Logs why this router reads the store although it watches it or is told of its changes.
     void logCatchUp(const std::string &reason) const;
-    /// Records the generation of the store that answered a call, and logs a new one.
-    void noteGeneration(std::uint64_t generation);
+    /// Records the generation of the store that answered a call or that a peer has heard of.
+    void noteGeneration(std::uint64_t newest);
+    /// Records that the store has returned from an older copy.
+    void beginReturn();
+    bool isOfCurrentGeneration(std::uint64_t generation) const;
     /// Returns the newest known revision of an item of the lists or records; 0 if none is known.
-    std::uint64_t knownRevision(const std::string &key) const;
+    StoreRevision knownRevision(const std::string &key) const;
     /// Logs what a read of the store has brought, other than a watch.
     /// @param start when the read began.
     void logRead(const std::string &call, const StorePage &page, TimePoint start) const;
@@ -142,18 +146,21 @@
     boost::asio::awaitable<bool> registerOnce();
     /// Applies one item. Leaves RouterState::storeRevision to the caller, which knows up to which revision no change is
     /// missing.
+    /// @param isDifference whether the item is part of the difference to a list, in which a removal only means that the
+    /// list lacks the item.
     /// @return whether the known state has changed.
-    bool apply(const StoreItem &item);
+    bool apply(const StoreItem &item, bool isDifference = false);
     /// Waits until another call to the store succeeds, at most @p maxWait. A router that is not a designated watcher
     /// then gives the watchers a head start.
     boost::asio::awaitable<void> waitForStore(Millis maxWait);
     /// Applies changes.
     /// @param revision newest revision that they cover.
-    void applyAll(const std::vector<StoreItem> &items, std::uint64_t revision);
+    /// @param isDifference see apply().
+    void applyAll(const std::vector<StoreItem> &items, StoreRevision revision, bool isDifference = false);
     /// Returns whether @p page is older than what this router has learned while it waited for it. It must not be
     /// applied then: it may hold entries whose removal is known already.
     /// @param before known revision when the call was made.
-    bool isOutdated(const StorePage &page, std::uint64_t before) const;
+    bool isOutdated(const StorePage &page, StoreRevision before) const;
     /// Applies changes from a peer unless earlier changes are missing or all of them are known.
     void applyPeerChanges(const StoreChanges &changes);
     /// Returns whether this router has to watch the store itself.
@@ -168,7 +175,8 @@
     bool putStreamOrigins(const StoreItem &item);
     /// Returns whether a change of an item concerns the lists of routers or backend servers.
     bool isInLists(const StoreItem &item) const;
-    bool remove(const std::string &key, std::uint64_t revision);
+    /// @param isAbsence whether a list lacks the item, instead of a removal that the store has told.
+    bool remove(const std::string &key, StoreRevision revision, bool isAbsence = false);
     /// Returns a removal for each known entry under @p prefix that a complete list does not contain.
     std::vector<StoreItem> findRemoved(const std::string &prefix, const StorePage &page) const;
     /// Records that the store has responded; after an outage, requests a complete read.
@@ -177,9 +185,9 @@
     void recordFailure(const std::string &call, const StoreFailure &failure);
     /// Returns whether a call was refused or not answered, and none has succeeded since.
     bool isStoreLost() const;
-    /// Returns until when removed entries are kept; std::nullopt if no outage of the store has ended within
-    /// LapseGracePeriod.
-    std::optional<TimePoint> keepUntil() const;
+    /// Returns until when a removed entry is kept; std::nullopt if no outage of the store has ended within
+    /// LapseGracePeriod and the store has not returned lately.
+    std::optional<TimePoint> keepUntil(bool isAbsence) const;
     /// Returns the delay after a number of failures in a row, with jitter.
     Millis backoff(int failures);
 
@@ -188,15 +196,15 @@
     FleetCodec codec;
     /// Revision up to which changes were read; unset before the first complete read.
     bool readsForFreshness = false; ///< keepFresh() reads the changes.
-    std::optional<std::uint64_t> watchRevision;
+    std::optional<StoreRevision> watchRevision;
     StoreContact contact;
-    std::uint64_t generation = 0; ///< Generation of the store that answered last.
+    StoreReturn storeReturn;
     Clock::duration leaseConfirmedAt{0}; ///< On the boot-time clock: start of the last call that confirmed the lease.
     std::uint64_t originsLease = 0; ///< Lease of the latest records of where streams began.
     TimePoint originsLeaseEnd;
     std::uint64_t originsWritten = 0; ///< Number of these records, for their keys.
     bool registered = false;
-    std::uint64_t registrationRevision = 0; ///< Revision of the last write of this router's registration.
+    StoreRevision registrationRevision; ///< Revision of the last write of this router's registration.
 };
 
 }
--- a/src/gateway/fleetsync_test.cpp
+++ b/src/gateway/fleetsync_test.cpp
@@ -27,7 +27,7 @@
     return codec;
 }
 
-StoreAwaitable<StorePage> blockingWatch(std::string /*prefix*/, std::uint64_t /*after*/, Millis /*wait*/)
+StoreAwaitable<StorePage> blockingWatch(std::string /*prefix*/, StoreRevision /*after*/, Millis /*wait*/)
 {
     co_await sleepFor(Millis(100000));
     co_return StorePage{};
@@ -40,7 +40,7 @@
     {
         this->store.watch = blockingWatch;
         this->store.cancelWatch = [] {};
-        this->store.readChanges = [](std::string /*prefix*/, std::uint64_t after) -> StoreAwaitable<StorePage> {
+        this->store.readChanges = [](std::string /*prefix*/, StoreRevision after) -> StoreAwaitable<StorePage> {
             co_return StorePage{{}, after};
         };
     }
@@ -118,7 +118,7 @@
     TestRouter router;
     makeFollower(router);
     router.store.list = [](std::string /*prefix*/) -> StoreAwaitable<StorePage> { co_return StorePage{{}, 10}; };
-    router.store.readChanges = [](std::string /*prefix*/, std::uint64_t after) -> StoreAwaitable<StorePage> {
+    router.store.readChanges = [](std::string /*prefix*/, StoreRevision after) -> StoreAwaitable<StorePage> {
         if (after >= 12) {
             co_return StorePage{{}, after};
         }
@@ -145,7 +145,7 @@
         co_return StorePage{{StoreItem{isFirst ? "servers/a" : "servers/b", "x", isFirst ? 10U : 20U, false}},
                             isFirst ? 10U : 20U};
     };
-    router.store.readChanges = [](std::string /*prefix*/, std::uint64_t /*after*/) -> StoreAwaitable<StorePage> {
+    router.store.readChanges = [](std::string /*prefix*/, StoreRevision /*after*/) -> StoreAwaitable<StorePage> {
         co_return StoreFailure{StoreFailure::Kind::Malformed, "too large"};
     };
     router.follow(StoreFreshness::MaxAge + Millis(500), true);
@@ -161,11 +161,11 @@
     makeFollower(router);
     router.store.list = [](std::string /*prefix*/) -> StoreAwaitable<StorePage> { co_return StorePage{{}, 10}; };
     int reads = 0;
-    router.store.readChanges = [&reads](std::string /*prefix*/, std::uint64_t after) -> StoreAwaitable<StorePage> {
+    router.store.readChanges = [&reads](std::string /*prefix*/, StoreRevision after) -> StoreAwaitable<StorePage> {
         if (++reads <= 2) { // A read and its repetition.
             co_return StoreFailure{StoreFailure::Kind::Unreachable, "no connection"};
         }
-        co_return StorePage{{StoreItem{"servers/a", "x", 12, false}}, std::max<std::uint64_t>(after, 12)};
+        co_return StorePage{{StoreItem{"servers/a", "x", 12, false}}, std::max(after, StoreRevision(12))};
     };
     const auto reportAnswers = [](RouterState &state) -> boost::asio::awaitable<void> {
         PeerReport report;
@@ -232,7 +232,7 @@
         }
         co_return page;
     };
-    router.store.watch = [&lists](std::string prefix, std::uint64_t after, Millis wait) -> StoreAwaitable<StorePage> {
+    router.store.watch = [&lists](std::string prefix, StoreRevision after, Millis wait) -> StoreAwaitable<StorePage> {
         if (lists == 1) {
             co_return StoreFailure{StoreFailure::Kind::HistoryCompacted, ""};
         }
@@ -259,7 +259,7 @@
         co_return ++lists == 1 ? StorePage{{}, 10} : StorePage{{onFirstPage, onLastPage}, 12};
     };
     bool sentDifference = false;
-    watcher.store.watch = [&](std::string prefix, std::uint64_t after, Millis wait) -> StoreAwaitable<StorePage> {
+    watcher.store.watch = [&](std::string prefix, StoreRevision after, Millis wait) -> StoreAwaitable<StorePage> {
         if (lists == 1) {
             co_return StoreFailure{StoreFailure::Kind::HistoryCompacted, ""};
         }
@@ -304,7 +304,7 @@
         ++lists;
         co_return StorePage{{StoreItem{"servers/a", "x", 5, false}}, 10};
     };
-    std::vector<std::uint64_t> reads;
+    std::vector<StoreRevision> reads;
     bool emptyPage = false;
     SECTION("The changes are read from the known revision on")
     {
@@ -313,7 +313,7 @@
     {
         emptyPage = true;
     }
-    router.store.readChanges = [&](std::string /*prefix*/, std::uint64_t after) -> StoreAwaitable<StorePage> {
+    router.store.readChanges = [&](std::string /*prefix*/, StoreRevision after) -> StoreAwaitable<StorePage> {
         reads.push_back(after);
         StorePage page{{}, 12};
         if (!emptyPage) {
@@ -347,7 +347,7 @@
         }(),
         Clock::now());
     router.follow(Millis(1300), true);
-    CHECK(reads == std::vector<std::uint64_t>{10});
+    CHECK(reads == std::vector<StoreRevision>{10});
     CHECK(lists == (emptyPage ? 2 : 1));
     CHECK((router.state.backends.find("b") != nullptr) == !emptyPage);
 }
@@ -379,7 +379,7 @@
 }
 
 // A store that holds one backend server at revision 10 and another one since revision 12.
-StoreAwaitable<StorePage> readNewBackend(std::string /*prefix*/, std::uint64_t after)
+StoreAwaitable<StorePage> readNewBackend(std::string /*prefix*/, StoreRevision after)
 {
     StorePage page{{}, 12};
     if (after < 12) {
@@ -403,7 +403,7 @@
     makeFollower(router);
     int reads = 0;
     router.store.list = listOldBackend;
-    router.store.readChanges = [&reads](std::string prefix, std::uint64_t after) {
+    router.store.readChanges = [&reads](std::string prefix, StoreRevision after) {
         ++reads;
         return readNewBackend(std::move(prefix), after);
     };
@@ -422,7 +422,7 @@
     }
     SECTION("The connection of the first read has gone silent")
     {
-        router.store.readChanges = [&reads](std::string prefix, std::uint64_t after) -> StoreAwaitable<StorePage> {
+        router.store.readChanges = [&reads](std::string prefix, StoreRevision after) -> StoreAwaitable<StorePage> {
             if (++reads == 1) {
                 co_await sleepFor(StoreFreshness::ReadTimeout);
                 co_return StoreFailure{StoreFailure::Kind::Unreachable, "no answer"};
@@ -442,7 +442,7 @@
     TestRouter router;
     makeFollower(router);
     router.store.list = listOldBackend;
-    router.store.readChanges = [&router](std::string prefix, std::uint64_t after) -> StoreAwaitable<StorePage> {
+    router.store.readChanges = [&router](std::string prefix, StoreRevision after) -> StoreAwaitable<StorePage> {
         const auto page = co_await readNewBackend(std::move(prefix), after);
         if (after < 12) {
             const std::vector<StoreItem> changes{StoreItem{"servers/b", "x", 12, false},
@@ -481,12 +481,12 @@
         co_return StorePage{{StoreItem{"servers/a", "x", 5, false}}, lists == 1 ? 10U : 12U};
     };
     const std::uint64_t named = GENERATE(10, 12);
-    router.store.watch = [named](std::string /*prefix*/, std::uint64_t /*after*/,
+    router.store.watch = [named](std::string /*prefix*/, StoreRevision /*after*/,
                                  Millis wait) -> StoreAwaitable<StorePage> {
         co_await sleepFor(wait);
         co_return StorePage{{}, named};
     };
-    router.store.readChanges = [named](std::string /*prefix*/, std::uint64_t /*after*/) -> StoreAwaitable<StorePage> {
+    router.store.readChanges = [named](std::string /*prefix*/, StoreRevision /*after*/) -> StoreAwaitable<StorePage> {
         co_return StorePage{{}, named};
     };
     router.follow(Millis(900), true);
@@ -547,7 +547,7 @@
         }
         co_return co_await listOldBackend(std::move(prefix));
     };
-    router.store.watch = [&](std::string prefix, std::uint64_t after, Millis wait) -> StoreAwaitable<StorePage> {
+    router.store.watch = [&](std::string prefix, StoreRevision after, Millis wait) -> StoreAwaitable<StorePage> {
         co_await sleepFor(Millis(110));
         if (isRejected()) {
             co_return StoreFailure{StoreFailure::Kind::Refused, "503"};
@@ -581,7 +581,7 @@
     TestRouter router;
     makeFollower(router);
     router.store.list = [](std::string /*prefix*/) -> StoreAwaitable<StorePage> { co_return StorePage{{}, 10}; };
-    router.store.readChanges = [](std::string /*prefix*/, std::uint64_t /*after*/) -> StoreAwaitable<StorePage> {
+    router.store.readChanges = [](std::string /*prefix*/, StoreRevision /*after*/) -> StoreAwaitable<StorePage> {
         co_return StorePage{{StoreItem{"servers/a", "x", 11, false}}, 11};
     };
     const bool hasWatcher = GENERATE(false, true);
@@ -611,14 +611,16 @@
     TestRouter router;
     int reads = 0;
     router.store.list = listOldBackend;
-    router.store.readChanges = [&reads](std::string /*prefix*/, std::uint64_t /*after*/) -> StoreAwaitable<StorePage> {
+    router.store.readChanges = [&reads](std::string /*prefix*/, StoreRevision /*after*/) -> StoreAwaitable<StorePage> {
         ++reads;
         co_return StoreFailure{StoreFailure::Kind::Refused, "429"};
     };
-    router.store.grantLease = [](Millis /*lifetime*/) -> StoreAwaitable<std::uint64_t> { co_return std::uint64_t(1); };
-    router.store.renewLease = [](std::uint64_t lease) -> StoreAwaitable<std::uint64_t> { co_return lease; };
+    router.store.grantLease = [](Millis /*lifetime*/) -> StoreAwaitable<StoreLease> { co_return StoreLease{1, 0}; };
+    router.store.renewLease = [](std::uint64_t /*lease*/) -> StoreAwaitable<std::uint64_t> {
+        co_return std::uint64_t(0);
+    };
     router.store.write = [](std::string /*key*/, std::string /*value*/,
-                            std::uint64_t /*lease*/) -> StoreAwaitable<std::uint64_t> { co_return std::uint64_t(11); };
+                            std::uint64_t /*lease*/) -> StoreAwaitable<StoreRevision> { co_return StoreRevision(11); };
     router.state.settings.name = "r0";
     router.state.settings.callerAddress = "10.0.0.1:1";
     router.state.settings.peerAddress = "10.0.0.1:2";
--- a/src/gateway/fleetsyncitems.cpp
+++ b/src/gateway/fleetsyncitems.cpp
@@ -22,7 +22,7 @@
         present.insert(item.key);
     }
     std::vector<StoreItem> result;
-    const auto addMissing = [&](const std::string &knownPrefix, const std::map<std::string, std::uint64_t> &known) {
+    const auto addMissing = [&](const std::string &knownPrefix, const std::map<std::string, StoreRevision> &known) {
         if (!knownPrefix.starts_with(prefix)) {
             return;
         }
@@ -38,30 +38,21 @@
     if (!this->state.leadership.router.empty()) {
         addMissing("", {{leaderKey(), this->state.leadership.revision}});
     }
-    if (this->state.serviceVersionsRevision > 0) {
+    if (this->state.serviceVersionsRevision != StoreRevision()) {
         addMissing("", {{serviceVersionsKey(), this->state.serviceVersionsRevision}});
     }
-    if (this->state.containmentsRevision > 0) {
+    if (this->state.containmentsRevision != StoreRevision()) {
         addMissing("", {{containmentsKey(), this->state.containmentsRevision}});
     }
     return result;
 }
 
-bool FleetSync::isOutdated(const StorePage &page, std::uint64_t before) const
+bool FleetSync::isOutdated(const StorePage &page, StoreRevision before) const
 {
     return this->state.storeRevision > before && page.revision < this->state.storeRevision;
 }
 
-std::optional<TimePoint> FleetSync::keepUntil() const
-{
-    const auto outageEnd = this->state.freshness.outageEndedAt();
-    if (!outageEnd || this->state.environment.now() >= *outageEnd + LapseGracePeriod) {
-        return std::nullopt;
-    }
-    return *outageEnd + LapseGracePeriod;
-}
-
-std::uint64_t FleetSync::knownRevision(const std::string &key) const
+StoreRevision FleetSync::knownRevision(const std::string &key) const
 {
     if (key.starts_with(this->codec.backendPrefix)) {
         return this->state.backends.revisionOf(key.substr(this->codec.backendPrefix.size()));
@@ -78,22 +69,22 @@
     if (key == serviceVersionsKey()) {
         return this->state.serviceVersionsRevision;
     }
-    return key == containmentsKey() ? this->state.containmentsRevision : 0;
+    return key == containmentsKey() ? this->state.containmentsRevision : StoreRevision();
 }
 
-bool FleetSync::apply(const StoreItem &item)
+bool FleetSync::apply(const StoreItem &item, bool isDifference)
 {
-    if (const std::uint64_t known = this->knownRevision(item.key); item.revision < known) {
-        // An answer that was overtaken by another one, or a store whose revisions went back.
+    if (const StoreRevision known = this->knownRevision(item.key); item.revision < known) {
+        // The answer was overtaken by another one.
         LogLine("change-ignored")
             .add("key", item.key)
-            .add("revision", item.revision)
-            .add("known", known)
+            .add("revision", item.revision.number())
+            .add("known", known.number())
             .add("removed", item.removed)
             .write();
     }
     if (item.removed) {
-        return this->remove(item.key, item.revision);
+        return this->remove(item.key, item.revision, isDifference);
     }
     if (item.key == this->codec.configKey) {
         return this->putConfig(item);
@@ -126,7 +117,7 @@
         LogLine("config-rejected")
             .add("field", fault->key)
             .add("expected", fault->expected)
-            .add("revision", item.revision)
+            .add("revision", item.revision.number())
             .error();
         return false;
     }
@@ -138,7 +129,7 @@
         .add("version", table.version())
         .add("before", this->state.table ? this->state.table->version() : 0)
         .add("routes", std::uint64_t(table.routeCount()))
-        .add("revision", item.revision)
+        .add("revision", item.revision.number())
         .write();
     this->state.table = std::make_shared<const RouteTable>(std::move(table));
     this->state.quotas.configure(this->state.table->workspaces(), this->state.environment.now());
@@ -177,7 +168,7 @@
             .add("draining", server.draining)
             .add("stage", int(server.stage))
             .add("version", server.version)
-            .add("revision", item.revision)
+            .add("revision", item.revision.number())
             .write();
     }
     return changed;
@@ -193,7 +184,7 @@
     }
     const bool changed = this->state.members.put(name, *member, item.revision);
     if (changed) {
-        LogLine("router-changed").add("router", name).add("revision", item.revision).write();
+        LogLine("router-changed").add("router", name).add("revision", item.revision.number()).write();
     }
     return changed;
 }
@@ -205,7 +196,7 @@
     }
     const auto leadership = decodeLeadership(item.value, item.revision);
     if (!leadership) {
-        LogLine("leader-record-rejected").add("revision", item.revision).warn();
+        LogLine("leader-record-rejected").add("revision", item.revision.number()).warn();
         return false;
     }
     this->state.leadership = *leadership;
@@ -219,7 +210,7 @@
     }
     auto plan = decodeStagePlan(item.value);
     if (!plan) {
-        LogLine("stage-plan-rejected").add("revision", item.revision).warn();
+        LogLine("stage-plan-rejected").add("revision", item.revision.number()).warn();
         return false;
     }
     this->state.stagePlan = std::move(*plan);
@@ -238,7 +229,7 @@
     auto containments =
         decodeContainments(item.value, this->state.environment.now(), this->state.environment.unixSeconds());
     if (!containments) {
-        LogLine("containments-rejected").add("revision", item.revision).warn();
+        LogLine("containments-rejected").add("revision", item.revision.number()).warn();
         this->state.storedContainments.clear(); // The record is replaced if this router has any containments.
         return false;
     }
@@ -254,7 +245,7 @@
     }
     auto versions = decodeServiceVersions(item.value);
     if (!versions) {
-        LogLine("service-versions-rejected").add("revision", item.revision).warn();
+        LogLine("service-versions-rejected").add("revision", item.revision.number()).warn();
         versions = ServiceVersions(); // No stream goes on until the record is replaced.
     }
     this->state.serviceVersions = std::move(*versions);
@@ -265,7 +256,7 @@
                 .add("service", service)
                 .add("version", version)
                 .add("open", state == ServiceVersions::State::Open)
-                .add("revision", item.revision)
+                .add("revision", item.revision.number())
                 .write();
         }
     }
@@ -276,7 +267,7 @@
 {
     const auto origins = decodeStreamOrigins(item.value);
     if (!origins) {
-        LogLine("stream-origins-rejected").add("key", item.key).add("revision", item.revision).warn();
+        LogLine("stream-origins-rejected").add("key", item.key).add("revision", item.revision.number()).warn();
         return false;
     }
     return this->state.streamOrigins.learn(*origins, true, this->state.environment.now());
@@ -288,11 +279,11 @@
         && !item.key.starts_with(streamOriginsPrefix());
 }
 
-bool FleetSync::remove(const std::string &key, std::uint64_t revision)
+bool FleetSync::remove(const std::string &key, StoreRevision revision, bool isAbsence)
 {
     if (key == serviceVersionsKey() && revision >= this->state.serviceVersionsRevision) {
         this->state.serviceVersions = ServiceVersions();
-        this->state.serviceVersionsRevision = 0;
+        this->state.serviceVersionsRevision = StoreRevision();
         return true;
     }
     if (key == leaderKey() && revision >= this->state.leadership.revision) {
@@ -301,11 +292,11 @@
         return known;
     }
     if (key == containmentsKey()) {
-        this->state.containmentsRevision = 0;
+        this->state.containmentsRevision = StoreRevision();
         this->state.storedContainments.clear();
         return true;
     }
-    const auto until = this->keepUntil();
+    const auto until = this->keepUntil(isAbsence);
     if (key.starts_with(this->codec.backendPrefix)) {
         const std::string id = key.substr(this->codec.backendPrefix.size());
         const bool known = this->state.backends.find(id) != nullptr;
--- a/src/gateway/fleetsyncwrites.cpp
+++ b/src/gateway/fleetsyncwrites.cpp
@@ -4,6 +4,7 @@
 #include "containmentcodec.h"
 #include "fleetsync.h"
 #include "memberrecord.h"
+#include "peerreport.h"
 #include "routerstate.h"
 #include "stageplancodec.h"
 #include "versioncodec.h"
@@ -51,6 +52,7 @@
             }
         } else {
             failures = 0;
+            this->noteGeneration(std::get<std::uint64_t>(renewed));
             this->leaseConfirmedAt = renewalStart;
             this->recordSuccess();
         }
@@ -61,30 +63,39 @@
 {
     const Millis lifetime = std::max(LeaseLifetime, this->state.settings.minLeaseLifetime);
     const Clock::duration start = this->state.environment.bootTime();
-    const StoreResult<std::uint64_t> granted = co_await this->store.grantLease(lifetime);
+    const StoreResult<StoreLease> granted = co_await this->store.grantLease(lifetime);
     if (const auto *failure = std::get_if<StoreFailure>(&granted)) {
         this->recordFailure("lease", *failure);
         co_return false;
     }
-    this->state.registrationLease = std::get<std::uint64_t>(granted);
+    const StoreLease lease = std::get<StoreLease>(granted);
+    this->noteGeneration(lease.generation);
+    this->state.registrationLease = lease.id;
     this->leaseConfirmedAt = start;
     const RouterSettings &settings = this->state.settings;
-    const RouterMember member{settings.name, this->state.incarnation, settings.zone, settings.callerAddress,
-                              settings.peerAddress};
-    const StoreResult<std::uint64_t> written =
-        co_await this->store.write(memberPrefix() + settings.name, encodeMember(member), this->state.registrationLease);
+    RouterMember member;
+    member.name = settings.name;
+    member.incarnation = this->state.incarnation;
+    member.zone = settings.zone;
+    member.callerAddress = settings.callerAddress;
+    member.peerAddress = settings.peerAddress;
+    member.reportFormat = PeerReport::Format;
+    const StoreResult<StoreRevision> written =
+        co_await this->store.write(memberPrefix() + settings.name, encodeMember(member), lease.id);
     if (const auto *failure = std::get_if<StoreFailure>(&written)) {
         this->recordFailure("register", *failure);
         co_return false;
     }
     this->recordSuccess();
+    this->noteGeneration(std::get<StoreRevision>(written).generation());
     this->registered = true;
-    this->registrationRevision = std::get<std::uint64_t>(written);
+    this->registrationRevision = std::get<StoreRevision>(written);
     this->state.members.put(settings.name, member, this->registrationRevision);
     this->state.regroup();
     LogLine("registered")
         .add("lease", this->state.registrationLease)
-        .add("revision", this->registrationRevision)
+        .add("revision", this->registrationRevision.number())
+        .add("generation", lease.generation)
         .write();
     co_return true;
 }
@@ -95,9 +106,9 @@
         co_return;
     }
     const std::uint64_t lease = this->state.registrationLease;
-    const Leadership record{this->state.settings.name, this->state.incarnation, lease, 0};
-    const StoreResult<std::uint64_t> written =
-        co_await this->store.writeIf(leaderKey(), encodeLeadership(record), lease, leaderKey(), 0);
+    const Leadership record{this->state.settings.name, this->state.incarnation, lease, StoreRevision()};
+    const StoreResult<StoreRevision> written =
+        co_await this->store.writeIf(leaderKey(), encodeLeadership(record), lease, leaderKey(), StoreRevision());
     if (const auto *failure = std::get_if<StoreFailure>(&written)) {
         if (failure->kind != StoreFailure::Kind::Conflict) {
             this->recordFailure("claim-leadership", *failure);
@@ -109,7 +120,7 @@
 
 boost::asio::awaitable<void> FleetSync::writeStagePlan(StagePlan plan)
 {
-    const StoreResult<std::uint64_t> written = co_await this->store.writeIf(
+    const StoreResult<StoreRevision> written = co_await this->store.writeIf(
         stagePlanKey(), encodeStagePlan(plan), 0, leaderKey(), this->state.leadership.revision);
     if (const auto *failure = std::get_if<StoreFailure>(&written)) {
         this->recordFailure("write-stage-plan", *failure);
@@ -122,7 +133,7 @@
 {
     std::string value = encodeContainments(this->state.crashes.containments(), this->state.environment.now(),
                                            this->state.environment.unixSeconds());
-    const StoreResult<std::uint64_t> written = co_await this->store.writeIf(
+    const StoreResult<StoreRevision> written = co_await this->store.writeIf(
         containmentsKey(), std::move(value), 0, containmentsKey(), this->state.containmentsRevision);
     if (const auto *failure = std::get_if<StoreFailure>(&written)) {
         // After a conflict, the next difference is that to the newer record.
@@ -134,7 +145,7 @@
 
 boost::asio::awaitable<void> FleetSync::writeServiceVersions(ServiceVersions versions)
 {
-    const StoreResult<std::uint64_t> written =
+    const StoreResult<StoreRevision> written =
         co_await this->store.writeIf(serviceVersionsKey(), encodeServiceVersions(versions), 0, serviceVersionsKey(),
                                      this->state.serviceVersionsRevision);
     if (const auto *failure = std::get_if<StoreFailure>(&written)) {
@@ -158,23 +169,25 @@
     if (this->originsLease == 0 || this->originsLeaseEnd < now + longest) {
         // Lasts for the records of some time, so that most of them need no lease of their own.
         const Millis lifetime = std::max(longest * 2, this->state.settings.minLeaseLifetime);
-        const StoreResult<std::uint64_t> granted = co_await this->store.grantLease(lifetime);
+        const StoreResult<StoreLease> granted = co_await this->store.grantLease(lifetime);
         if (const auto *failure = std::get_if<StoreFailure>(&granted)) {
             this->recordFailure("lease", *failure);
             co_return false;
         }
-        this->originsLease = std::get<std::uint64_t>(granted);
+        this->noteGeneration(std::get<StoreLease>(granted).generation);
+        this->originsLease = std::get<StoreLease>(granted).id;
         this->originsLeaseEnd = now + lifetime;
     }
     std::string key = streamOriginsPrefix() + this->state.settings.name + "/" + toHex(this->state.incarnation) + "-"
         + std::to_string(++this->originsWritten);
-    const StoreResult<std::uint64_t> written =
+    const StoreResult<StoreRevision> written =
         co_await this->store.write(std::move(key), encodeStreamOrigins(origins), this->originsLease);
     if (const auto *failure = std::get_if<StoreFailure>(&written)) {
         this->originsLease = 0;
         this->recordFailure("write-stream-origins", *failure);
         co_return false;
     }
+    this->noteGeneration(std::get<StoreRevision>(written).generation());
     this->recordSuccess();
     co_return true;
 }
--- a/src/gateway/leadership.cpp
+++ b/src/gateway/leadership.cpp
@@ -12,7 +12,7 @@
         .dump();
 }
 
-std::optional<Leadership> decodeLeadership(const std::string &text, std::uint64_t revision)
+std::optional<Leadership> decodeLeadership(const std::string &text, StoreRevision revision)
 {
     const auto record = nlohmann::json::parse(text, nullptr, false);
     if (!record.is_object()) {
--- a/src/gateway/leadership.h
+++ b/src/gateway/leadership.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "cyclamencross/route/storerevision.h"
+
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -13,8 +15,9 @@
     std::string router; ///< Empty if there is no leader.
     std::uint64_t incarnation = 0; ///< Incarnation of the router.
     std::uint64_t lease = 0; ///< Lease under which the record was written; the leadership ends with it.
-    /// Store revision of the record. Increases with each new leader, so it is the fencing token of its orders.
-    std::uint64_t revision = 0;
+    /// Store revision of the record. Its number increases with each new leader, so it is the fencing token of its
+    /// orders.
+    StoreRevision revision;
 
     bool operator==(const Leadership &) const = default;
 };
@@ -23,6 +26,6 @@
 std::string encodeLeadership(const Leadership &leadership);
 /// Decodes the value of a store item; std::nullopt if it is malformed.
 /// @param revision revision of the item.
-std::optional<Leadership> decodeLeadership(const std::string &text, std::uint64_t revision);
+std::optional<Leadership> decodeLeadership(const std::string &text, StoreRevision revision);
 
 }
--- a/src/gateway/memberrecord.cpp
+++ b/src/gateway/memberrecord.cpp
@@ -2,17 +2,28 @@
 
 #include "cyclamencross/base/ipport.h"
 
+#include <algorithm>
+#include <limits>
+
 #include <nlohmann/json.hpp>
 
 namespace Cyclamen
 {
 
+namespace
+{
+
+constexpr std::uint64_t MaxFormat = std::numeric_limits<std::uint32_t>::max();
+
+}
+
 std::string encodeMember(const RouterMember &member)
 {
     const nlohmann::json record{{"incarnation", member.incarnation},
                                 {"zone", member.zone},
                                 {"caller_address", member.callerAddress},
-                                {"peer_address", member.peerAddress}};
+                                {"peer_address", member.peerAddress},
+                                {"report_format", member.reportFormat}};
     return record.dump();
 }
 
@@ -37,6 +48,10 @@
         return std::nullopt;
     }
     member.incarnation = incarnation->get<std::uint64_t>();
+    const auto format = record.find("report_format");
+    if (format != record.end() && format->is_number_unsigned()) {
+        member.reportFormat = std::uint32_t(std::min<std::uint64_t>(format->get<std::uint64_t>(), MaxFormat));
+    }
     return member;
 }
 
--- a/src/gateway/packedchanges.cpp
+++ b/src/gateway/packedchanges.cpp
@@ -22,6 +22,17 @@
 
 }
 
+// The generations are not packed: a report names them once for all revisions.
+template<typename Archive>
+void serialize(Archive &archive, StoreRevision &revision)
+{
+    std::uint64_t number = revision.number();
+    archive(number);
+    if constexpr (Archive::is_loading::value) {
+        revision = StoreRevision(number);
+    }
+}
+
 template<typename Archive>
 void serialize(Archive &archive, StoreItem &item)
 {
--- a/src/gateway/peerreport.cpp
+++ b/src/gateway/peerreport.cpp
@@ -4,9 +4,11 @@
 #include "packedchanges.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <limits>
 #include <sstream>
+#include <string_view>
 
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/array.hpp>
@@ -32,6 +34,17 @@
     archive(sample.route, sample.service, sample.expectedTokens, sample.events, sample.millisPerEvent);
 }
 
+// Archives the number of a revision; its generation is part of the appendix.
+template<typename Archive>
+void archiveNumber(Archive &archive, StoreRevision &revision)
+{
+    std::uint64_t number = revision.number();
+    archive(number);
+    if constexpr (Archive::is_loading::value) {
+        revision = StoreRevision(number);
+    }
+}
+
 template<typename Archive>
 void archiveMillis(Archive &archive, Millis &duration)
 {
@@ -114,7 +127,7 @@
 {
     std::string packed;
     if constexpr (Archive::is_saving::value) {
-        packed = changes.upTo == 0 ? std::string() : packChanges(changes);
+        packed = changes.upTo == StoreRevision() ? std::string() : packChanges(changes);
     }
     archive(packed);
     if constexpr (Archive::is_loading::value) {
@@ -145,15 +158,45 @@
     archiveMillis(archive, report.sentAt);
     archive(report.isCrashNews, report.isGroupReport, report.groupWork, report.stageLoads, report.knowsOtherGroups,
             report.otherGroupsWork);
-    archive(report.router, report.incarnation, report.sequence, report.storeRevision, report.work, report.waiting,
-            report.reportedCalls, report.slowdowns, report.namedLimits, report.statements, report.outcomes,
-            report.streams, report.crashes, report.servedSuspects);
+    archive(report.router, report.incarnation, report.sequence);
+    archiveNumber(archive, report.storeRevision);
+    archive(report.work, report.waiting, report.reportedCalls, report.slowdowns, report.namedLimits, report.statements,
+            report.outcomes, report.streams, report.crashes, report.servedSuspects);
     archive(report.quota, report.otherGroupsQuota, report.streamOrigins, report.cutOff);
 }
 
 namespace
 {
 
+// First byte of a datagram of format 1; one of format 0 begins with a 1. The generations follow, then all that format 0
+// has.
+constexpr char Format1Mark = '\x81';
+
+// Appends a number in as many bytes as it needs, seven bits each, the lowest first.
+void appendCompact(std::string &bytes, std::uint64_t number)
+{
+    while (number >= 0x80U) {
+        bytes.push_back(char((number & 0x7FU) | 0x80U));
+        number >>= 7U;
+    }
+    bytes.push_back(char(number));
+}
+
+// Reads such a number and removes it from @p bytes; std::nullopt if it is malformed.
+std::optional<std::uint64_t> takeCompact(std::string_view &bytes)
+{
+    std::uint64_t number = 0;
+    for (unsigned int shift = 0; shift < 63 && !bytes.empty(); shift += 7) {
+        const auto byte = std::uint8_t(bytes.front());
+        bytes.remove_prefix(1);
+        number |= std::uint64_t(byte & 0x7FU) << shift;
+        if ((byte & 0x80U) == 0) {
+            return number;
+        }
+    }
+    return std::nullopt;
+}
+
 // The offset of clocks at the end of a datagram: a number of eight bytes, the lowest first.
 constexpr std::size_t OffsetBytes = 8;
 constexpr std::int64_t UnknownOffset = std::numeric_limits<std::int64_t>::min();
@@ -251,9 +294,25 @@
 
 }
 
-std::string encodePeerReportBody(const PeerReport &report)
+std::string encodePeerReportBody(const PeerReport &report, std::uint32_t format)
 {
+    const StoreChanges &changes = report.changes;
+    const bool isOverReturn = changes.after.generation() != changes.upTo.generation();
+    if (format == 0 && changes.upTo != StoreRevision() && isOverReturn) {
+        // The receiver would apply them by their numbers alone. Without them it reads the store.
+        PeerReport plain = report;
+        plain.changes = StoreChanges();
+        return encodePeerReportBody(plain, format);
+    }
+    std::string generations;
+    if (format > 0) {
+        generations.push_back(Format1Mark);
+        appendCompact(generations, report.storeRevision.generation());
+        appendCompact(generations, changes.after.generation());
+        appendCompact(generations, changes.upTo.generation());
+    }
     std::ostringstream output;
+    output << generations;
     cereal::PortableBinaryOutputArchive archive(output);
     archive(report);
     return output.str();
@@ -269,9 +328,22 @@
     return result;
 }
 
-std::string encodePeerReport(const PeerReport &report)
+std::string encodePeerReport(const PeerReport &report, std::uint32_t format)
+{
+    return withClockOffset(encodePeerReportBody(report, format), report.clockOffset);
+}
+
+void PeerReport::setGenerations(std::uint64_t store, std::uint64_t changesAfter, std::uint64_t changesUpTo)
 {
-    return withClockOffset(encodePeerReportBody(report), report.clockOffset);
+    this->storeRevision = StoreRevision(store, this->storeRevision.number());
+    if (this->changes.upTo == StoreRevision()) {
+        return;
+    }
+    this->changes.after = StoreRevision(changesAfter, this->changes.after.number());
+    this->changes.upTo = StoreRevision(changesUpTo, this->changes.upTo.number());
+    for (StoreItem &item : this->changes.items) {
+        item.revision = StoreRevision(changesUpTo, item.revision.number());
+    }
 }
 
 bool decodePeerReport(const std::string &bytes, PeerReport &report)
@@ -279,15 +351,29 @@
     if (bytes.size() < OffsetBytes) {
         return false;
     }
-    const std::string body = bytes.substr(0, bytes.size() - OffsetBytes);
+    std::string_view body(bytes.data(), bytes.size() - OffsetBytes);
     std::uint64_t bits = 0;
     for (std::size_t i = 0; i < OffsetBytes; ++i) {
-        bits |= std::uint64_t(std::uint8_t(bytes[body.size() + i])) << (8 * i);
+        bits |= std::uint64_t(std::uint8_t(bytes[bytes.size() - OffsetBytes + i])) << (8 * i);
     }
     const auto offset = std::int64_t(bits);
+    const bool namesGenerations = !body.empty() && body.front() == Format1Mark;
+    std::array<std::uint64_t, 3> generations{};
+    if (namesGenerations) {
+        body.remove_prefix(1);
+        for (std::uint64_t &generation : generations) {
+            const auto number = takeCompact(body);
+            if (!number) {
+                return false;
+            }
+            generation = *number;
+        }
+    }
     try {
         BoundedInputArchive archive(body);
         archive(report);
+        report.namesGenerations = namesGenerations;
+        report.setGenerations(generations[0], generations[1], generations[2]);
         report.clockOffset = offset == UnknownOffset ? std::nullopt : std::optional<Millis>(offset);
         return archive.isAtEnd() && isPlausible(report);
     } catch (const cereal::Exception &) {
--- a/src/gateway/peerreport.h
+++ b/src/gateway/peerreport.h
@@ -28,6 +28,11 @@
 /// The order and types of the serialized fields are part of the protocol between routers.
 struct PeerReport
 {
+    /// Newest format that this release reads and writes. A router reads older ones too, and writes to each receiver the
+    /// newest one that the receiver's registration names. Format 0, of 72bc030, has no generations; format 1 puts them
+    /// before it.
+    static constexpr std::uint32_t Format = 1;
+
     /// Numbers of calls to one backend server by outcome, and the pace of its streams.
     struct Outcomes
     {
@@ -43,7 +48,9 @@
     std::string router;
     std::uint64_t incarnation = 0;
     std::uint64_t sequence = 0; ///< Increases with each report of an incarnation.
-    std::uint64_t storeRevision = 0; ///< Newest store revision that the router has seen.
+    StoreRevision storeRevision; ///< Newest store revision that the router has seen.
+    /// Whether the report names the generations of its revisions; releases before Format 1 know none.
+    bool namesGenerations = true;
     bool watching = false; ///< The router watches the store and can reach it.
     /// Age of the last answer of the store which showed the router that it knew all changes, also counting the time for
     /// which its host was suspended; negative if there was none. What peers have told it does not count.
@@ -87,17 +94,24 @@
     std::vector<CrashedCall> crashes; ///< Recent ones, repeated in several reports.
     std::vector<ServedSuspect> servedSuspects; ///< Recent ones, repeated in several reports.
 
+    /// Sets the generations of all revisions, whose numbers stay.
+    /// @param store of `storeRevision`.
+    /// @param changesAfter of the revision after which the changes begin.
+    /// @param changesUpTo of the newest revision that they cover, and of the items.
+    void setGenerations(std::uint64_t store, std::uint64_t changesAfter, std::uint64_t changesUpTo);
+
     bool operator==(const PeerReport &) const = default;
 };
 
-/// Encodes what all receivers of a report get, so that this is done once for all of them.
-std::string encodePeerReportBody(const PeerReport &report);
+/// Encodes what all receivers of a report that read the same format get, so that this is done once for all of them.
+/// @param format newest format that the receivers read.
+std::string encodePeerReportBody(const PeerReport &report, std::uint32_t format = PeerReport::Format);
 /// Appends the field that differs between receivers.
 /// @param body of encodePeerReportBody().
 /// @return the payload of a datagram.
 std::string withClockOffset(const std::string &body, std::optional<Millis> offset);
 /// Encodes a report as the payload of a datagram.
-std::string encodePeerReport(const PeerReport &report);
+std::string encodePeerReport(const PeerReport &report, std::uint32_t format = PeerReport::Format);
 /// Decodes the payload of a datagram. @p report is unspecified on failure.
 /// @return whether @p bytes are exactly one complete report with plausible numbers.
 bool decodePeerReport(const std::string &bytes, PeerReport &report);
--- a/src/gateway/peersocket.cpp
+++ b/src/gateway/peersocket.cpp
@@ -5,6 +5,9 @@
 
 #include "cyclamencross/base/logline.h"
 
+#include <algorithm>
+#include <map>
+
 namespace Cyclamen
 {
 
@@ -64,38 +67,44 @@
         this->state.work->expire(Clock::now());
         this->state.waiting->expire(Clock::now());
         if (const auto groupReport = this->state.takeGroupReport(Clock::now())) {
-            this->sendTo(this->state.otherDelegates(), encodePeerReportBody(*groupReport));
+            this->sendTo(this->state.otherDelegates(), *groupReport);
         }
         const auto report = this->state.takeReport(Clock::now());
         if (!report) {
             continue;
         }
-        const std::string bytes = encodePeerReportBody(*report);
         const std::vector<RouterMember> lapsed = this->state.lapsedPeers(Clock::now());
-        this->sendTo(this->state.groupPeers(), bytes);
-        this->sendTo(lapsed, bytes);
-        if (report->changes.upTo != 0) {
+        this->sendTo(this->state.groupPeers(), *report);
+        this->sendTo(lapsed, *report);
+        if (report->changes.upTo != StoreRevision()) {
             LogLine("changes-sent")
-                .add("after", report->changes.after)
-                .add("up_to", report->changes.upTo)
+                .add("after", report->changes.after.number())
+                .add("up_to", report->changes.upTo.number())
+                .add("generation", report->changes.upTo.generation())
                 .add("items", std::uint64_t(report->changes.items.size()))
-                .add("datagram_bytes", std::uint64_t(bytes.size()))
+                .add("datagram_bytes", std::uint64_t(encodePeerReportBody(*report).size()))
                 .add("peers", std::uint64_t(this->state.groupPeers().size() + lapsed.size()))
                 .write();
         }
         if (const auto news = RouterState::crashNews(*report)) {
-            this->sendTo(this->state.otherGroupsRouters(), encodePeerReportBody(*news));
+            this->sendTo(this->state.otherGroupsRouters(), *news);
         }
     }
 }
 
-void PeerSocket::sendTo(const std::vector<RouterMember> &routers, const std::string &body)
+void PeerSocket::sendTo(const std::vector<RouterMember> &routers, const PeerReport &report)
 {
+    std::map<std::uint32_t, std::string> bodies; // By format.
     for (const RouterMember &member : routers) {
         const auto endpoint = toUdpEndpoint(member.peerAddress);
         if (member.name == this->state.settings.name || !endpoint) {
             continue;
         }
+        const std::uint32_t format = std::min(member.reportFormat, PeerReport::Format);
+        std::string &body = bodies[format];
+        if (body.empty()) {
+            body = encodePeerReportBody(report, format);
+        }
         const std::string bytes = withClockOffset(body, this->state.clockOffset(member));
         boost::system::error_code error;
         this->socket.send_to(boost::asio::buffer(bytes), *endpoint, 0, error);
--- a/src/gateway/peersocket.h
+++ b/src/gateway/peersocket.h
@@ -11,6 +11,7 @@
 {
 
 class RouterState;
+struct PeerReport;
 struct RouterMember;
 
 /// UDP socket that exchanges reports with the other routers.
@@ -31,9 +32,8 @@
     boost::asio::awaitable<void> send();
 
 private:
-    /// Sends a report to each of @p routers except this one.
-    /// @param body of encodePeerReportBody().
-    void sendTo(const std::vector<RouterMember> &routers, const std::string &body);
+    /// Sends a report to each of @p routers except this one, in the newest format that the router reads.
+    void sendTo(const std::vector<RouterMember> &routers, const PeerReport &report);
 
     static constexpr std::size_t MaxDatagramBytes = 65000;
 
--- a/src/gateway/routerstate.h
+++ b/src/gateway/routerstate.h
@@ -274,7 +274,7 @@
     Metrics metrics;
     BusiestLabels workspaceLabels{MaxWorkspaceLabels};
     ServiceVersions serviceVersions; ///< As recorded in the store.
-    std::uint64_t serviceVersionsRevision = 0;
+    StoreRevision serviceVersionsRevision;
     VersionPlanner::Registered registeredVersions; ///< Of the registered backend servers.
     VersionPlanner::Registered servingVersions; ///< Of those that are not draining.
     StreamOrigins streamOrigins;
@@ -282,19 +282,21 @@
     /// Newest lease that the store has granted for the registration of this router; 0 if there is none.
     std::uint64_t registrationLease = 0;
     StagePlan stagePlan; ///< As recorded in the store.
-    std::uint64_t stagePlanRevision = 0;
+    StoreRevision stagePlanRevision;
     TimePoint stagePlanSince; ///< When this router learned of the plan.
     std::map<std::string, Containment> storedContainments; ///< As recorded in the store, by crash suspect.
-    std::uint64_t containmentsRevision = 0;
+    StoreRevision containmentsRevision;
     bool backendsKnown = false; ///< The backend servers were read from the store at least once.
-    std::uint64_t storeRevision = 0; ///< Newest store revision that this router has seen.
+    StoreRevision storeRevision; ///< Newest store revision that this router has seen.
     bool watching = false; ///< This router watches the store and can reach it.
     /// Since when calls to the store have failed and none has succeeded.
     std::optional<TimePoint> storeLostSince;
     StoreFreshness freshness; ///< Until when this router knows all changes of the store.
     /// Called with the store changes in a peer's report.
     std::function<void(const StoreChanges &changes)> onPeerChanges;
-    std::uint64_t newestPeerRevision = 0; ///< Newest store revision that a peer has reported.
+    StoreRevision newestPeerRevision; ///< Newest store revision that a peer has reported.
+    std::uint64_t storeGeneration = 0; ///< Newest known generation of the store; 0 if it names none.
+    bool hasStoreReturned = false; ///< This process has seen the generation rise.
     bool stopping = false;
     std::optional<StopSchedule> stopSchedule; ///< Set while the router stops.
 
@@ -451,6 +453,10 @@
     /// Returns the age of the last answer of the store to the sender of a report; without the time for which the report
     /// was under way if its clock offset is not known. std::nullopt if there was none.
     std::optional<Clock::duration> ageOfAnswer(const PeerReport &report) const;
+    /// Names the generations in a report of a release that knows none.
+    void nameGenerations(PeerReport &report) const;
+    /// Applies a report of a router of the same group that names generations.
+    void applyPeerReport(const PeerReport &report, TimePoint now);
     /// Applies the crashes and served suspects of a report.
     void applyCrashNews(const PeerReport &report, TimePoint now);
     /// Returns whether @p report is newer than the last one of the same router, and remembers it then.
--- a/src/gateway/routerstate_test.cpp
+++ b/src/gateway/routerstate_test.cpp
@@ -537,7 +537,7 @@
     }
     all.upTo = 60;
     state.queueChangesForPeers(all);
-    std::uint64_t next = 10;
+    StoreRevision next = 10;
     std::size_t items = 0;
     int reports = 0;
     while (next < 60 && reports < 20) {
--- a/src/gateway/routerstatereports.cpp
+++ b/src/gateway/routerstatereports.cpp
@@ -319,6 +319,32 @@
     if (!isNewer(report, this->peerSequences)) {
         return;
     }
+    if (!report.namesGenerations) {
+        PeerReport named = report;
+        this->nameGenerations(named);
+        this->applyPeerReport(named, now);
+        return;
+    }
+    this->applyPeerReport(report, now);
+}
+
+void RouterState::nameGenerations(PeerReport &report) const
+{
+    report.namesGenerations = true;
+    if (this->hasStoreReturned) {
+        // A router that knows no generations takes numbers that the store has given out again for known ones, so what
+        // it says of the store's changes does not count.
+        report.changes = StoreChanges();
+        report.changesKnownAge = Millis(-1);
+        report.watching = false;
+        report.storeRevision = StoreRevision();
+        return;
+    }
+    report.setGenerations(this->storeGeneration, this->storeGeneration, this->storeGeneration);
+}
+
+void RouterState::applyPeerReport(const PeerReport &report, TimePoint now)
+{
     if (report.knowsOtherGroups && !this->isPrimaryWatcher()) {
         this->otherGroupsWork = report.otherGroupsWork;
         this->otherGroupsWorkTime = now;
@@ -337,7 +363,7 @@
     if (age) {
         this->freshness.recordAnswer(now - *age); // Before the changes: entries may have expired in an outage.
     }
-    if (report.changes.upTo != 0 && this->onPeerChanges) {
+    if (report.changes.upTo != StoreRevision() && this->onPeerChanges) {
         this->onPeerChanges(report.changes);
     }
     if (age && report.clockOffset && this->storeRevision >= report.storeRevision) {
--- a/src/gateway/stagecontroller.cpp
+++ b/src/gateway/stagecontroller.cpp
@@ -50,7 +50,7 @@
             this->balancers.clear();
             this->orders.clear();
             this->fixedServices.clear();
-            LogLine("leader").add("fencing_token", this->state.leadership.revision).write();
+            LogLine("leader").add("fencing_token", this->state.leadership.revision.number()).write();
         }
         if (!this->mayOrder()) {
             continue;
@@ -137,7 +137,8 @@
         if (!this->mayOrder() || !this->state.isRegistered(server) || silent) {
             return std::nullopt;
         }
-        return this->codec.stageOrder(server.id, stage, this->state.settings.name, this->state.leadership.revision);
+        return this->codec.stageOrder(server.id, stage, this->state.settings.name,
+                                      this->state.leadership.revision.number());
     };
     const std::optional<int> code = co_await this->sendOrder(server, makeOrder);
     if (!code) {
@@ -146,7 +147,7 @@
     LogLine("engine-order")
         .add("backend", server.id)
         .add("stage", stageName(stage))
-        .add("fencing_token", this->state.leadership.revision)
+        .add("fencing_token", this->state.leadership.revision.number())
         .add("status", *code)
         .write();
     // Any other status may change: the engine is busy, another one has its address, or it did not answer.
--- a/src/gateway/storechanges.h
+++ b/src/gateway/storechanges.h
@@ -2,7 +2,6 @@
 
 #include "cyclamencross/gateway/storeitem.h"
 
-#include <cstdint>
 #include <vector>
 
 namespace Cyclamen
@@ -11,8 +10,8 @@
 /// Changes of the store that one router has read and reports to its peers.
 struct StoreChanges
 {
-    std::uint64_t after = 0; ///< The changes begin after this revision.
-    std::uint64_t upTo = 0; ///< Newest revision that they cover; 0 if there are no changes to report.
+    StoreRevision after; ///< The changes begin after this revision.
+    StoreRevision upTo; ///< Newest revision that they cover; 0 if there are no changes to report.
     /// The items are the difference between two states of the store, not the individual changes. They may lack changes
     /// that another router has learned in between, so they apply only to the state at revision `after`.
     bool isSnapshotDiff = false;
--- a/src/gateway/virtualstore_test.cpp
+++ b/src/gateway/virtualstore_test.cpp
@@ -21,9 +21,9 @@
     return page;
 }
 
-StoreResult<StorePage> VirtualStore::changes(std::uint64_t after) const
+StoreResult<StorePage> VirtualStore::changes(const StoreRevision &after) const
 {
-    if (after < this->droppedUpTo) {
+    if (after.number() < this->droppedUpTo) {
         if (!this->hidesDropped) {
             return StoreFailure{StoreFailure::Kind::HistoryCompacted, ""};
         }
@@ -37,11 +37,12 @@
     return page;
 }
 
-StoreResult<std::uint64_t> VirtualStore::writeIf(const std::string &key, const std::string &value, std::uint64_t lease,
-                                                 const std::string &conditionKey, std::uint64_t conditionRevision)
+StoreResult<StoreRevision> VirtualStore::writeIf(const std::string &key, const std::string &value, std::uint64_t lease,
+                                                 const std::string &conditionKey,
+                                                 const StoreRevision &conditionRevision)
 {
     const auto condition = this->items.find(conditionKey);
-    const std::uint64_t known = condition == this->items.end() ? 0 : condition->second.first.revision;
+    const StoreRevision known = condition == this->items.end() ? StoreRevision() : condition->second.first.revision;
     if (known != conditionRevision) {
         return StoreFailure{StoreFailure::Kind::Conflict, ""};
     }
@@ -61,7 +62,7 @@
     this->answerWatches();
 }
 
-std::uint64_t VirtualStore::put(const std::string &key, const std::string &value, std::uint64_t lease)
+StoreRevision VirtualStore::put(const std::string &key, const std::string &value, std::uint64_t lease)
 {
     const StoreItem item{key, value, this->revision + 1, false};
     this->items[key] = {item, lease};
--- a/src/gateway/virtualstore_test.h
+++ b/src/gateway/virtualstore_test.h
@@ -46,7 +46,7 @@
     StateStore makeClient(const ProcessPtr &process);
     /// Writes an item.
     /// @param lease 0 for none.
-    std::uint64_t put(const std::string &key, const std::string &value, std::uint64_t lease);
+    StoreRevision put(const std::string &key, const std::string &value, std::uint64_t lease);
     void remove(const std::string &key);
     std::uint64_t grantLease(Millis lifetime);
     bool renewLease(std::uint64_t lease);
@@ -113,7 +113,7 @@
     };
     struct Watch
     {
-        std::uint64_t after;
+        StoreRevision after;
         TimePoint until;
         Reply<StorePage> reply;
     };
@@ -126,9 +126,9 @@
     StoreAwaitable<Value> callNow(ClientPtr client, StoreCalls calls, Millis timeout,
                                   std::function<StoreResult<Value>()> execute);
     StoreResult<StorePage> list() const;
-    StoreResult<StorePage> changes(std::uint64_t after) const;
-    StoreResult<std::uint64_t> writeIf(const std::string &key, const std::string &value, std::uint64_t lease,
-                                       const std::string &conditionKey, std::uint64_t conditionRevision);
+    StoreResult<StorePage> changes(const StoreRevision &after) const;
+    StoreResult<StoreRevision> writeIf(const std::string &key, const std::string &value, std::uint64_t lease,
+                                       const std::string &conditionKey, const StoreRevision &conditionRevision);
     Fault faultOf(std::size_t router, StoreCalls calls) const;
     Millis latency();
     /// Lets @p connection go silent if silenceIdle() demands it, and records traffic on it.
--- a/src/gateway/virtualstoreclient_test.cpp
+++ b/src/gateway/virtualstoreclient_test.cpp
@@ -147,7 +147,7 @@
         ++this->lists;
         return this->callNow<StorePage>(client, StoreCalls::Reads, CallTimeout, [this] { return this->list(); });
     };
-    store.watch = [this, client](std::string /*prefix*/, std::uint64_t after, Millis wait) {
+    store.watch = [this, client](std::string /*prefix*/, StoreRevision after, Millis wait) {
         return this->call<StorePage>(
             client, StoreCalls::Reads, wait + WatchSlack, true, [this, after, wait](const Reply<StorePage> &reply) {
                 this->watches.push_back(Watch{after, this->time.now() + wait, reply});
@@ -155,7 +155,7 @@
                 this->answerWatches();
             });
     };
-    store.readChanges = [this, client](std::string /*prefix*/, std::uint64_t after) {
+    store.readChanges = [this, client](std::string /*prefix*/, StoreRevision after) {
         return this->callNow<StorePage>(client, StoreCalls::Reads, ReadTimeout,
                                         [this, after] { return this->changes(after); });
     };
@@ -167,34 +167,39 @@
     const auto callForLease = [this, client](auto execute) {
         return this->callNow<std::uint64_t>(client, StoreCalls::Writes, CallTimeout, execute);
     };
-    store.grantLease = [this, callForLease](Millis lifetime) {
-        return callForLease([this, lifetime]() -> StoreResult<std::uint64_t> { return this->grantLease(lifetime); });
+    const auto callForRevision = [this, client](auto execute) {
+        return this->callNow<StoreRevision>(client, StoreCalls::Writes, CallTimeout, execute);
+    };
+    store.grantLease = [this, client](Millis lifetime) {
+        return this->callNow<StoreLease>(client, StoreCalls::Writes, CallTimeout, [this, lifetime] {
+            return StoreLease{this->grantLease(lifetime), 0};
+        });
     };
     store.renewLease = [this, callForLease](std::uint64_t lease) {
         return callForLease([this, lease]() -> StoreResult<std::uint64_t> {
             if (!this->renewLease(lease)) {
                 return StoreFailure{StoreFailure::Kind::LeaseExpired, ""};
             }
-            return lease;
+            return std::uint64_t(0);
         });
     };
     store.endLease = [this, callForLease](std::uint64_t lease) {
         return callForLease([this, lease]() -> StoreResult<std::uint64_t> {
             this->endLease(lease);
-            return lease;
+            return std::uint64_t(0);
         });
     };
-    store.write = [this, callForLease](std::string key, std::string value, std::uint64_t lease) {
-        return callForLease([this, key, value, lease]() -> StoreResult<std::uint64_t> {
+    store.write = [this, callForRevision](std::string key, std::string value, std::uint64_t lease) {
+        return callForRevision([this, key, value, lease]() -> StoreResult<StoreRevision> {
             if (lease != 0 && !this->leases.contains(lease)) {
                 return StoreFailure{StoreFailure::Kind::LeaseExpired, ""};
             }
             return this->put(key, value, lease);
         });
     };
-    store.writeIf = [this, callForLease](std::string key, std::string value, std::uint64_t lease,
-                                         std::string conditionKey, std::uint64_t conditionRevision) {
-        return callForLease([this, key, value, lease, conditionKey, conditionRevision] {
+    store.writeIf = [this, callForRevision](std::string key, std::string value, std::uint64_t lease,
+                                            std::string conditionKey, StoreRevision conditionRevision) {
+        return callForRevision([this, key, value, lease, conditionKey, conditionRevision] {
             return this->writeIf(key, value, lease, conditionKey, conditionRevision);
         });
     };
--- a/src/include/cyclamencross/gateway/storefailure.h
+++ b/src/include/cyclamencross/gateway/storefailure.h
@@ -19,7 +19,8 @@
     };
     Kind kind = Kind::Unreachable;
     std::string detail; ///< For the log.
-    std::uint64_t generation = 0; ///< Generation of the store that answered, see StateStore; 0 if none did.
+    /// Generation of the store that answered, see StoreRevision; 0 if it did not answer or names none.
+    std::uint64_t generation = 0;
 
     bool operator==(const StoreFailure &) const = default;
 };
--- a/src/include/cyclamencross/gateway/storeitem.h
+++ b/src/include/cyclamencross/gateway/storeitem.h
@@ -1,6 +1,7 @@
 #pragma once
 
-#include <cstdint>
+#include "cyclamencross/route/storerevision.h"
+
 #include <string>
 
 namespace Cyclamen
@@ -11,7 +12,7 @@
 {
     std::string key;
     std::string value;
-    std::uint64_t revision = 0; ///< Store revision of the write or the removal.
+    StoreRevision revision; ///< Store revision of the write or the removal.
     bool removed = false;
 
     bool operator==(const StoreItem &) const = default;
--- a/src/include/cyclamencross/gateway/storepage.h
+++ b/src/include/cyclamencross/gateway/storepage.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "cyclamencross/gateway/storeitem.h"
+#include "cyclamencross/route/storerevision.h"
 
-#include <cstdint>
 #include <vector>
 
 namespace Cyclamen
@@ -12,8 +12,7 @@
 struct StorePage
 {
     std::vector<StoreItem> items;
-    std::uint64_t revision = 0; ///< Store revision up to which the page is complete.
-    std::uint64_t generation = 0; ///< Generation of the store that answered, see StateStore.
+    StoreRevision revision; ///< Store revision up to which the page is complete.
 
     bool operator==(const StorePage &) const = default;
 };
--- a/src/include/cyclamencross/route/registrationcache.h
+++ b/src/include/cyclamencross/route/registrationcache.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "cyclamencross/base/timing.h"
+#include "cyclamencross/route/storerevision.h"
 
-#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -21,7 +21,7 @@
     /// Adds or replaces an entry.
     /// @param revision store revision of the write; ignored if older than the known revision of the entry.
     /// @return whether the entry changed.
-    bool put(const std::string &key, Entry entry, std::uint64_t revision)
+    bool put(const std::string &key, Entry entry, StoreRevision revision)
     {
         Record &record = this->records[key];
         if (revision < record.revision) {
@@ -36,7 +36,7 @@
     /// the entry cancels the removal, and a later remove() does not postpone it.
     /// @param revision store revision of the removal; ignored if older than the known revision of the entry.
     /// @return whether the entry has been removed now.
-    bool remove(const std::string &key, std::uint64_t revision, std::optional<TimePoint> keepUntil)
+    bool remove(const std::string &key, StoreRevision revision, std::optional<TimePoint> keepUntil)
     {
         const auto it = this->records.find(key);
         if (it == this->records.end() || revision < it->second.revision) {
@@ -59,9 +59,9 @@
     }
 
     /// Returns the revision of each entry by its key.
-    std::map<std::string, std::uint64_t> revisions() const
+    std::map<std::string, StoreRevision> revisions() const
     {
-        std::map<std::string, std::uint64_t> result;
+        std::map<std::string, StoreRevision> result;
         for (const auto &[key, record] : this->records) {
             result[key] = record.revision;
         }
@@ -69,10 +69,10 @@
     }
 
     /// Returns the revision of the entry of @p key; 0 if there is none.
-    std::uint64_t revisionOf(const std::string &key) const
+    StoreRevision revisionOf(const std::string &key) const
     {
         const auto it = this->records.find(key);
-        return it == this->records.end() ? 0 : it->second.revision;
+        return it == this->records.end() ? StoreRevision() : it->second.revision;
     }
 
     /// Returns the entry of @p key, or nullptr if there is none. The pointer is valid until the entry is removed.
@@ -100,7 +100,7 @@
     struct Record
     {
         Entry entry;
-        std::uint64_t revision = 0;
+        StoreRevision revision;
         std::optional<TimePoint> keptUntil; ///< Set while the entry is marked for removal.
     };
     std::map<std::string, Record> records;
--- a/src/include/cyclamencross/route/routermember.h
+++ b/src/include/cyclamencross/route/routermember.h
@@ -14,6 +14,7 @@
     std::string zone; ///< Availability zone.
     std::string callerAddress; ///< "IP:PORT" that callers connect to.
     std::string peerAddress; ///< "IP:PORT" that receives the datagrams of other routers.
+    std::uint32_t reportFormat = 0; ///< Newest format of reports that it reads, see PeerReport::Format.
 
     bool operator==(const RouterMember &) const = default;
 };
