Leases, leadership and tokens hold in one generation of the store (ONE)

Two routers gave orders to one engine, under one fencing token or a lower one after a higher one. Cause: a leader whose record is gone with a return of the store goes on: its lease number stands in the copy, or was given out again, and the renewal succeeds; and the token of the next leader is the revision of its record, a number that the store gives out again.

A router that sees the generation rise gives up its lease and its leadership at once and registers anew, spread over 5 ms for each router, at most 1.5 s. It never renews or ends a lease of another generation, nor writes under a condition of one. A new leader gives no order before the store has been in its generation for the time that a former leader, cut off from it, trusts its lease, and the pause. Generations begin with 0 or 1; registrations name the lowest one seen, so that routers agree.

--- a/src/gateway/fleetsync.h
+++ b/src/gateway/fleetsync.h
@@ -50,6 +50,10 @@
     static constexpr Millis LeaseTrust{1800};
     /// Calls after which readChanges() gives up, since new changes may follow each other without end.
     static constexpr int MaxChangeReads = 4;
+    /// After a return of the store all routers register again, each after a random part of this interval for each
+    /// router: two writes, of the several hundred a second that the platform allows to all routers.
+    static constexpr Millis RegistrationInterval{5};
+    static constexpr Millis MaxRegistrationSpread{1500};
     /// How long other routers wait, after an outage of the store, for the watchers of the group to read it and report
     /// the changes: a few periods of their reports.
     static constexpr Millis WatcherHeadStart{500};
@@ -85,6 +89,9 @@
     /// Returns whether the lease of this router's registration is certain to be in force for a while: the last renewal
     /// is recent, also counting the time for which this host was suspended.
     bool isLeaseConfirmed() const;
+    /// Returns whether the store has been in its present generation for @p duration, as far as this router knows; also
+    /// if it names no generation.
+    bool hasSeenGenerationFor(Millis duration) const;
     /// Removes kept entries whose grace period is over.
     void expire(TimePoint now);
     /// Returns the prefix under which routers register.
@@ -133,9 +140,18 @@
     void logCatchUp(const std::string &reason) const;
     /// Records the generation of the store that answered a call or that a peer has heard of.
     void noteGeneration(std::uint64_t newest);
-    /// Records that the store has returned from an older copy.
+    /// Gives up what holds in one generation of the store only: the leases of this router and its leadership.
     void beginReturn();
+    /// Returns the time over which the routers register again after a return.
+    Millis registrationSpread() const;
     bool isOfCurrentGeneration(std::uint64_t generation) const;
+    /// Writes a record if the item @p conditionKey has the given revision.
+    /// @param call name of the call in the log.
+    /// @param countsConflicts whether an unmet condition counts as a failure.
+    /// @return whether that has succeeded.
+    boost::asio::awaitable<bool> writeRecord(std::string call, std::string key, std::string value, std::uint64_t lease,
+                                             std::string conditionKey, StoreRevision conditionRevision,
+                                             bool countsConflicts);
     /// Returns the newest known revision of an item of the lists or records; 0 if none is known.
     StoreRevision knownRevision(const std::string &key) const;
     /// Logs what a read of the store has brought, other than a watch.
@@ -187,7 +203,7 @@
     bool isStoreLost() const;
     /// Returns until when a removed entry is kept; std::nullopt if no outage of the store has ended within
     /// LapseGracePeriod and the store has not returned lately.
-    std::optional<TimePoint> keepUntil(bool isAbsence) const;
+    std::optional<TimePoint> keepUntil(const std::string &key, bool isAbsence) const;
     /// Returns the delay after a number of failures in a row, with jitter.
     Millis backoff(int failures);
 
@@ -199,6 +215,8 @@
     std::optional<StoreRevision> watchRevision;
     StoreContact contact;
     StoreReturn storeReturn;
+    TimePoint registerAfter; ///< Time of the next registration after a return of the store.
+    TimePoint membersSettled; ///< When all routers have registered again after a return.
     Clock::duration leaseConfirmedAt{0}; ///< On the boot-time clock: start of the last call that confirmed the lease.
     std::uint64_t originsLease = 0; ///< Lease of the latest records of where streams began.
     TimePoint originsLeaseEnd;
--- a/src/gateway/fleetsyncitems.cpp
+++ b/src/gateway/fleetsyncitems.cpp
@@ -182,6 +182,10 @@
         LogLine("router-entry-rejected").add("router", name).warn();
         return false;
     }
+    if (member->lowestGeneration) {
+        this->state.lowestGeneration =
+            std::min(this->state.lowestGeneration.value_or(*member->lowestGeneration), *member->lowestGeneration);
+    }
     const bool changed = this->state.members.put(name, *member, item.revision);
     if (changed) {
         LogLine("router-changed").add("router", name).add("revision", item.revision.number()).write();
@@ -296,7 +300,7 @@
         this->state.storedContainments.clear();
         return true;
     }
-    const auto until = this->keepUntil(isAbsence);
+    const auto until = this->keepUntil(key, isAbsence);
     if (key.starts_with(this->codec.backendPrefix)) {
         const std::string id = key.substr(this->codec.backendPrefix.size());
         const bool known = this->state.backends.find(id) != nullptr;
--- a/src/gateway/fleetsyncreturn.cpp
+++ b/src/gateway/fleetsyncreturn.cpp
@@ -25,6 +25,9 @@
     hasReturned ? line.warn() : line.write();
     this->state.metrics.set("cyclamencross_store_generation", double(newest));
     this->state.storeGeneration = newest;
+    this->state.storeGenerationSince = this->state.environment.now();
+    this->state.lowestGeneration =
+        std::min(this->state.lowestGeneration.value_or(newest), hasReturned ? before : newest);
     if (hasReturned) {
         this->beginReturn();
     }
@@ -36,6 +39,20 @@
     this->state.hasStoreReturned = true;
     this->state.metrics.count("cyclamencross_store_returns_total");
     this->storeReturn.begin(now + LapseGracePeriod);
+    // Ids of leases are given out again: a renewal could keep the lease of somebody else, and a record that names this
+    // router's lease may not be its own.
+    this->registered = false;
+    this->state.registrationLease = 0;
+    this->originsLease = 0;
+    this->state.leadership = Leadership{"", 0, 0, this->state.leadership.revision};
+    const Millis spread = this->registrationSpread();
+    this->registerAfter = now + Millis(std::int64_t(this->state.random() * double(spread.count())));
+    this->membersSettled = now + LapseGracePeriod + spread;
+}
+
+Millis FleetSync::registrationSpread() const
+{
+    return std::min(MaxRegistrationSpread, RegistrationInterval * std::int64_t(this->state.members.size()));
 }
 
 bool FleetSync::isOfCurrentGeneration(std::uint64_t generation) const
@@ -43,7 +60,13 @@
     return generation >= this->state.storeGeneration;
 }
 
-std::optional<TimePoint> FleetSync::keepUntil(bool isAbsence) const
+bool FleetSync::hasSeenGenerationFor(Millis duration) const
+{
+    const auto since = this->state.storeGenerationSince;
+    return !since || this->state.environment.now() - *since >= duration;
+}
+
+std::optional<TimePoint> FleetSync::keepUntil(const std::string &key, bool isAbsence) const
 {
     const TimePoint now = this->state.environment.now();
     std::optional<TimePoint> until;
@@ -51,7 +74,9 @@
         until = *outageEnd + LapseGracePeriod;
     }
     if (isAbsence && this->state.hasStoreReturned) {
-        until = std::max(until, this->storeReturn.settledAt(now));
+        const bool isMember = key.starts_with(memberPrefix());
+        const auto settled = isMember ? std::optional(this->membersSettled) : this->storeReturn.settledAt(now);
+        until = std::max(until, settled);
     }
     return until && now < *until ? until : std::nullopt;
 }
--- a/src/gateway/fleetsyncwrites.cpp
+++ b/src/gateway/fleetsyncwrites.cpp
@@ -17,11 +17,25 @@
 namespace Cyclamen
 {
 
+namespace
+{
+
+// Interval at which the wait for the next registration sees the stop of the router.
+constexpr Millis StopPollPeriod{50};
+
+}
+
 boost::asio::awaitable<void> FleetSync::keepRegistered()
 {
     int failures = 0;
     while (!this->state.stopping) {
         if (!this->registered) {
+            const TimePoint now = this->state.environment.now();
+            if (now < this->registerAfter) {
+                co_await this->state.environment.sleep(
+                    std::min(StopPollPeriod, std::chrono::ceil<Millis>(this->registerAfter - now)));
+                continue;
+            }
             const bool done = co_await this->registerOnce();
             failures = done ? 0 : failures + 1;
             if (this->state.stopping) {
@@ -42,7 +56,8 @@
             continue;
         }
         const Clock::duration renewalStart = this->state.environment.bootTime();
-        const StoreResult<std::uint64_t> renewed = co_await this->store.renewLease(this->state.registrationLease);
+        const std::uint64_t lease = this->state.registrationLease;
+        const StoreResult<std::uint64_t> renewed = co_await this->store.renewLease(lease);
         if (const auto *failure = std::get_if<StoreFailure>(&renewed)) {
             this->recordFailure("renew", *failure);
             if (failure->kind == StoreFailure::Kind::LeaseExpired) {
@@ -53,7 +68,9 @@
         } else {
             failures = 0;
             this->noteGeneration(std::get<std::uint64_t>(renewed));
-            this->leaseConfirmedAt = renewalStart;
+            if (this->state.registrationLease == lease) {
+                this->leaseConfirmedAt = renewalStart;
+            }
             this->recordSuccess();
         }
     }
@@ -80,6 +97,7 @@
     member.callerAddress = settings.callerAddress;
     member.peerAddress = settings.peerAddress;
     member.reportFormat = PeerReport::Format;
+    member.lowestGeneration = this->state.lowestGeneration;
     const StoreResult<StoreRevision> written =
         co_await this->store.write(memberPrefix() + settings.name, encodeMember(member), lease.id);
     if (const auto *failure = std::get_if<StoreFailure>(&written)) {
@@ -88,6 +106,9 @@
     }
     this->recordSuccess();
     this->noteGeneration(std::get<StoreRevision>(written).generation());
+    if (!this->isOfCurrentGeneration(lease.generation)) {
+        co_return false; // The store has returned meanwhile.
+    }
     this->registered = true;
     this->registrationRevision = std::get<StoreRevision>(written);
     this->state.members.put(settings.name, member, this->registrationRevision);
@@ -107,54 +128,49 @@
     }
     const std::uint64_t lease = this->state.registrationLease;
     const Leadership record{this->state.settings.name, this->state.incarnation, lease, StoreRevision()};
-    const StoreResult<StoreRevision> written =
-        co_await this->store.writeIf(leaderKey(), encodeLeadership(record), lease, leaderKey(), StoreRevision());
-    if (const auto *failure = std::get_if<StoreFailure>(&written)) {
-        if (failure->kind != StoreFailure::Kind::Conflict) {
-            this->recordFailure("claim-leadership", *failure);
-        }
-        co_return;
-    }
-    this->recordSuccess();
+    co_await this->writeRecord("claim-leadership", leaderKey(), encodeLeadership(record), lease, leaderKey(),
+                               StoreRevision(), false);
 }
 
 boost::asio::awaitable<void> FleetSync::writeStagePlan(StagePlan plan)
 {
-    const StoreResult<StoreRevision> written = co_await this->store.writeIf(
-        stagePlanKey(), encodeStagePlan(plan), 0, leaderKey(), this->state.leadership.revision);
-    if (const auto *failure = std::get_if<StoreFailure>(&written)) {
-        this->recordFailure("write-stage-plan", *failure);
-        co_return;
-    }
-    this->recordSuccess();
+    co_await this->writeRecord("write-stage-plan", stagePlanKey(), encodeStagePlan(plan), 0, leaderKey(),
+                               this->state.leadership.revision, true);
 }
 
 boost::asio::awaitable<void> FleetSync::writeContainments()
 {
     std::string value = encodeContainments(this->state.crashes.containments(), this->state.environment.now(),
                                            this->state.environment.unixSeconds());
-    const StoreResult<StoreRevision> written = co_await this->store.writeIf(
-        containmentsKey(), std::move(value), 0, containmentsKey(), this->state.containmentsRevision);
-    if (const auto *failure = std::get_if<StoreFailure>(&written)) {
-        // After a conflict, the next difference is that to the newer record.
-        this->recordFailure("write-containments", *failure);
-        co_return;
-    }
-    this->recordSuccess();
+    // After a conflict, the next difference is that to the newer record.
+    co_await this->writeRecord("write-containments", containmentsKey(), std::move(value), 0, containmentsKey(),
+                               this->state.containmentsRevision, true);
 }
 
 boost::asio::awaitable<void> FleetSync::writeServiceVersions(ServiceVersions versions)
 {
-    const StoreResult<StoreRevision> written =
-        co_await this->store.writeIf(serviceVersionsKey(), encodeServiceVersions(versions), 0, serviceVersionsKey(),
-                                     this->state.serviceVersionsRevision);
+    co_await this->writeRecord("write-service-versions", serviceVersionsKey(), encodeServiceVersions(versions), 0,
+                               serviceVersionsKey(), this->state.serviceVersionsRevision, false);
+}
+
+boost::asio::awaitable<bool> FleetSync::writeRecord(std::string call, std::string key, std::string value,
+                                                    std::uint64_t lease, std::string conditionKey,
+                                                    StoreRevision conditionRevision, bool countsConflicts)
+{
+    if (conditionRevision != StoreRevision() && !this->isOfCurrentGeneration(conditionRevision.generation())) {
+        co_return false; // The number may have been given out again, for another write.
+    }
+    const StoreResult<StoreRevision> written = co_await this->store.writeIf(std::move(key), std::move(value), lease,
+                                                                            std::move(conditionKey), conditionRevision);
     if (const auto *failure = std::get_if<StoreFailure>(&written)) {
-        if (failure->kind != StoreFailure::Kind::Conflict) {
-            this->recordFailure("write-service-versions", *failure);
+        if (countsConflicts || failure->kind != StoreFailure::Kind::Conflict) {
+            this->recordFailure(call, *failure);
         }
-        co_return;
+        co_return false;
     }
+    this->noteGeneration(std::get<StoreRevision>(written).generation());
     this->recordSuccess();
+    co_return true;
 }
 
 boost::asio::awaitable<bool> FleetSync::writeStreamOrigins(StreamOriginsByVersion origins)
--- a/src/gateway/invariants_test.cpp
+++ b/src/gateway/invariants_test.cpp
@@ -140,7 +140,7 @@
 {
     const RouterState &state = router.state;
     if (router.stages.mayOrder()) {
-        this->recordOrder(router, state.leadership.revision.number());
+        this->recordOrder(router, state.fencingToken());
     }
     const std::uint64_t version = state.table ? state.table->version() : 0;
     auto &[incarnation, seen] = this->seenVersions[router.process->router];
--- a/src/gateway/leadership.h
+++ b/src/gateway/leadership.h
@@ -15,8 +15,7 @@
     std::string router; ///< Empty if there is no leader.
     std::uint64_t incarnation = 0; ///< Incarnation of the router.
     std::uint64_t lease = 0; ///< Lease under which the record was written; the leadership ends with it.
-    /// Store revision of the record. Its number increases with each new leader, so it is the fencing token of its
-    /// orders.
+    /// Store revision of the record. Increases with each new leader; see RouterState::fencingToken().
     StoreRevision revision;
 
     bool operator==(const Leadership &) const = default;
--- a/src/gateway/memberrecord.cpp
+++ b/src/gateway/memberrecord.cpp
@@ -19,11 +19,14 @@
 
 std::string encodeMember(const RouterMember &member)
 {
-    const nlohmann::json record{{"incarnation", member.incarnation},
-                                {"zone", member.zone},
-                                {"caller_address", member.callerAddress},
-                                {"peer_address", member.peerAddress},
-                                {"report_format", member.reportFormat}};
+    nlohmann::json record{{"incarnation", member.incarnation},
+                          {"zone", member.zone},
+                          {"caller_address", member.callerAddress},
+                          {"peer_address", member.peerAddress},
+                          {"report_format", member.reportFormat}};
+    if (member.lowestGeneration) {
+        record["lowest_generation"] = *member.lowestGeneration;
+    }
     return record.dump();
 }
 
@@ -52,6 +55,10 @@
     if (format != record.end() && format->is_number_unsigned()) {
         member.reportFormat = std::uint32_t(std::min<std::uint64_t>(format->get<std::uint64_t>(), MaxFormat));
     }
+    const auto generation = record.find("lowest_generation");
+    if (generation != record.end() && generation->is_number_unsigned()) {
+        member.lowestGeneration = generation->get<std::uint64_t>();
+    }
     return member;
 }
 
--- a/src/gateway/routerstate.cpp
+++ b/src/gateway/routerstate.cpp
@@ -212,6 +212,15 @@
         && this->leadership.lease != 0 && this->leadership.lease == this->registrationLease;
 }
 
+std::uint64_t RouterState::fencingToken() const
+{
+    const StoreRevision &record = this->leadership.revision;
+    // Generations begin with 0 or 1: a store of a later one has returned before, whether or not a router has seen it.
+    const std::uint64_t first = std::min(this->lowestGeneration.value_or(0), FirstGeneration);
+    const std::uint64_t returns = record.generation() - std::min(record.generation(), first);
+    return returns * TokensPerGeneration + record.number();
+}
+
 void RouterState::recordOutcome(const std::string &backend, CallOutcome outcome, TimePoint now)
 {
     this->health.add(backend, outcome, now);
--- a/src/gateway/routerstate.h
+++ b/src/gateway/routerstate.h
@@ -172,6 +172,9 @@
     /// Returns whether this router is the leader, by a record under its newest lease. A record under an earlier lease
     /// is gone from the store even if this router has not read that yet, and another router may lead.
     bool isLeader() const;
+    /// Returns the fencing token of the leader's orders: higher than those of all leaders before, also over returns of
+    /// the store. While the store has not returned, it is the number of the record's revision.
+    std::uint64_t fencingToken() const;
     /// Records the outcome of a call for this router's health data and its next report to peers.
     void recordOutcome(const std::string &backend, CallOutcome outcome, TimePoint now);
     /// Records how many calls a shared backend server reported, for this router and its next report to peers. Ignored
@@ -296,11 +299,19 @@
     std::function<void(const StoreChanges &changes)> onPeerChanges;
     StoreRevision newestPeerRevision; ///< Newest store revision that a peer has reported.
     std::uint64_t storeGeneration = 0; ///< Newest known generation of the store; 0 if it names none.
+    std::optional<TimePoint> storeGenerationSince; ///< When this router learned of it; unset if the store names none.
     bool hasStoreReturned = false; ///< This process has seen the generation rise.
+    /// Lowest generation that this router, or another one by its registration, has seen; unset if the store names none.
+    std::optional<std::uint64_t> lowestGeneration;
     bool stopping = false;
     std::optional<StopSchedule> stopSchedule; ///< Set while the router stops.
 
 private:
+    /// Highest number that the first generation of a store may have.
+    static constexpr std::uint64_t FirstGeneration = 1;
+    /// Revisions that a store may give out in one generation. Tokens of several thousand generations are exact as
+    /// numbers with a fraction of 53 bits.
+    static constexpr std::uint64_t TokensPerGeneration = std::uint64_t(1) << 40U;
     /// Interval at which requests that wait for isCurrent() check it.
     static constexpr Millis CurrencyPollPeriod{10};
     /// Interval between reports if nothing has changed: a third of the time for which peers keep a report.
--- a/src/gateway/stagecontroller.cpp
+++ b/src/gateway/stagecontroller.cpp
@@ -50,7 +50,7 @@
             this->balancers.clear();
             this->orders.clear();
             this->fixedServices.clear();
-            LogLine("leader").add("fencing_token", this->state.leadership.revision.number()).write();
+            LogLine("leader").add("fencing_token", this->state.fencingToken()).write();
         }
         if (!this->mayOrder()) {
             continue;
@@ -67,7 +67,10 @@
 {
     const Millis pause = this->state.settings.orderPause + TakeoverMargin;
     return this->state.isLeader() && !this->state.stopping && this->leaderSince
-        && this->state.environment.now() - *this->leaderSince >= pause && this->sync.isLeaseConfirmed();
+        && this->state.environment.now() - *this->leaderSince >= pause
+        && this->sync.isLeaseConfirmed()
+        // A former leader that the store cut off before it returned trusts its lease for LeaseTrust at most.
+        && this->sync.hasSeenGenerationFor(FleetSync::LeaseTrust + pause);
 }
 
 boost::asio::awaitable<void> StageController::claim()
@@ -137,8 +140,7 @@
         if (!this->mayOrder() || !this->state.isRegistered(server) || silent) {
             return std::nullopt;
         }
-        return this->codec.stageOrder(server.id, stage, this->state.settings.name,
-                                      this->state.leadership.revision.number());
+        return this->codec.stageOrder(server.id, stage, this->state.settings.name, this->state.fencingToken());
     };
     const std::optional<int> code = co_await this->sendOrder(server, makeOrder);
     if (!code) {
@@ -147,7 +149,7 @@
     LogLine("engine-order")
         .add("backend", server.id)
         .add("stage", stageName(stage))
-        .add("fencing_token", this->state.leadership.revision.number())
+        .add("fencing_token", this->state.fencingToken())
         .add("status", *code)
         .write();
     // Any other status may change: the engine is busy, another one has its address, or it did not answer.
