Entries that a returned store holds still do not replace newer ones (DRAIN)

Cause: such an entry has a revision of the new generation, so it counted as newer than what routers knew.

For the 2 s in which writers repeat their writes, an entry is held if it is older by what it says: of an earlier start than the known entry, not draining though the same start of the server is known to be, or of a server whose removal was seen within a minute. A newer write or a removal replaces it; at the end of the 2 s the store's word holds. StoreReturn decides this without the network. Entries that name no start count as of the same start.

--- a/src/gateway/fleetsync.h
+++ b/src/gateway/fleetsync.h
@@ -92,7 +92,7 @@
     /// Returns whether the store has been in its present generation for @p duration, as far as this router knows; also
     /// if it names no generation.
     bool hasSeenGenerationFor(Millis duration) const;
-    /// Removes kept entries whose grace period is over.
+    /// Removes kept entries whose grace period is over, and applies those that were held.
     void expire(TimePoint now);
     /// Returns the prefix under which routers register.
     static std::string memberPrefix();
@@ -145,6 +145,9 @@
     /// Returns the time over which the routers register again after a return.
     Millis registrationSpread() const;
     bool isOfCurrentGeneration(std::uint64_t generation) const;
+    /// Keeps an entry apart, until a return of the store is over, if it is older than what is known of the server.
+    /// @return whether it is kept apart.
+    bool holdIfOlder(const StoreItem &item, const BackendServer &server);
     /// Writes a record if the item @p conditionKey has the given revision.
     /// @param call name of the call in the log.
     /// @param countsConflicts whether an unmet condition counts as a failure.
@@ -164,7 +167,7 @@
     /// missing.
     /// @param isDifference whether the item is part of the difference to a list, in which a removal only means that the
     /// list lacks the item.
-    /// @return whether the known state has changed.
+    /// @return whether the known state has changed, or will when the return of the store is over.
     bool apply(const StoreItem &item, bool isDifference = false);
     /// Waits until another call to the store succeeds, at most @p maxWait. A router that is not a designated watcher
     /// then gives the watchers a head start.
@@ -215,6 +218,7 @@
     std::optional<StoreRevision> watchRevision;
     StoreContact contact;
     StoreReturn storeReturn;
+    std::map<std::string, StoreItem> heldItems; ///< See holdIfOlder(); by key.
     TimePoint registerAfter; ///< Time of the next registration after a return of the store.
     TimePoint membersSettled; ///< When all routers have registered again after a return.
     Clock::duration leaseConfirmedAt{0}; ///< On the boot-time clock: start of the last call that confirmed the lease.
--- a/src/gateway/fleetsyncitems.cpp
+++ b/src/gateway/fleetsyncitems.cpp
@@ -150,6 +150,9 @@
         return this->remove(item.key, item.revision);
     }
     const auto &server = std::get<BackendServer>(decoded);
+    if (this->holdIfOlder(item, server)) {
+        return true;
+    }
     const BackendServer *known = this->state.backends.find(id);
     if (known != nullptr && known->startUnixMillis != server.startUnixMillis) {
         this->state.namedLimits->forget(id);
@@ -285,6 +288,7 @@
 
 bool FleetSync::remove(const std::string &key, StoreRevision revision, bool isAbsence)
 {
+    this->heldItems.erase(key);
     if (key == serviceVersionsKey() && revision >= this->state.serviceVersionsRevision) {
         this->state.serviceVersions = ServiceVersions();
         this->state.serviceVersionsRevision = StoreRevision();
@@ -303,7 +307,11 @@
     const auto until = this->keepUntil(key, isAbsence);
     if (key.starts_with(this->codec.backendPrefix)) {
         const std::string id = key.substr(this->codec.backendPrefix.size());
-        const bool known = this->state.backends.find(id) != nullptr;
+        const BackendServer *server = this->state.backends.find(id);
+        const bool known = server != nullptr;
+        if (known && !until && !isAbsence) {
+            this->storeReturn.recordRemoval(*server, this->state.environment.now());
+        }
         if (known) {
             LogLine("backend-removed").add("backend", id).add("held", until.has_value()).write();
         }
--- a/src/gateway/fleetsyncreturn.cpp
+++ b/src/gateway/fleetsyncreturn.cpp
@@ -6,6 +6,7 @@
 #include "cyclamencross/base/logline.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Cyclamen
 {
@@ -39,6 +40,7 @@
     this->state.hasStoreReturned = true;
     this->state.metrics.count("cyclamencross_store_returns_total");
     this->storeReturn.begin(now + LapseGracePeriod);
+    this->heldItems.clear();
     // Ids of leases are given out again: a renewal could keep the lease of somebody else, and a record that names this
     // router's lease may not be its own.
     this->registered = false;
@@ -81,13 +83,35 @@
     return until && now < *until ? until : std::nullopt;
 }
 
+bool FleetSync::holdIfOlder(const StoreItem &item, const BackendServer &server)
+{
+    const BackendServer *known = this->state.backends.find(server.id);
+    if (!this->storeReturn.isOlder(server, known, this->state.environment.now())) {
+        this->heldItems.erase(item.key);
+        return false;
+    }
+    this->heldItems[item.key] = item;
+    LogLine("backend-entry-held")
+        .add("backend", server.id)
+        .add("known", known != nullptr)
+        .add("revision", item.revision.number())
+        .write();
+    return true;
+}
+
 void FleetSync::expire(TimePoint now)
 {
     const std::size_t gone = this->state.backends.expire(now);
     if (gone > 0) {
         LogLine("held-backends-removed").add("count", std::uint64_t(gone)).write();
     }
-    if (this->state.members.expire(now) + gone > 0) {
+    bool changed = this->state.members.expire(now) + gone > 0;
+    if (!this->heldItems.empty() && !this->storeReturn.settledAt(now)) {
+        for (const auto &[key, item] : std::exchange(this->heldItems, {})) {
+            changed = this->apply(item) || changed;
+        }
+    }
+    if (changed) {
         this->state.regroup();
     }
 }
