--- a/src/gateway/fleetsyncitems.cpp
+++ b/src/gateway/fleetsyncitems.cpp
@@ -220,8 +220,16 @@
         LogLine("stage-plan-rejected").add("revision", item.revision.number()).warn();
         return false;
     }
-    this->state.stagePlan = std::move(*plan);
+    const bool isFromCopy = item.revision.generation() > this->state.stagePlanRevision.generation()
+        && this->state.stagePlanRevision != StoreRevision();
     this->state.stagePlanRevision = item.revision;
+    if (isFromCopy) {
+        // Leaders wait longer than a return takes, so the plan that is known is newer. The next leader writes it.
+        this->state.stagePlanUnwritten = *plan != this->state.stagePlan;
+        return true;
+    }
+    this->state.stagePlanUnwritten = false;
+    this->state.stagePlan = std::move(*plan);
     this->state.stagePlanSince = this->state.environment.now();
     LogLine("stage-plan").add("engines", std::uint64_t(this->state.stagePlan.stages.size())).write();
     return true;
@@ -255,7 +263,11 @@
         LogLine("service-versions-rejected").add("revision", item.revision.number()).warn();
         versions = ServiceVersions(); // No stream goes on until the record is replaced.
     }
-    this->state.serviceVersions = std::move(*versions);
+    const bool isFromCopy = item.revision.generation() > this->state.serviceVersionsRevision.generation();
+    // Streams of a version that the copy lacks may be under way.
+    ServiceVersions merged = isFromCopy ? versions->mergedWith(this->state.serviceVersions) : *versions;
+    this->state.serviceVersionsUnwritten = merged != *versions;
+    this->state.serviceVersions = std::move(merged);
     this->state.serviceVersionsRevision = item.revision;
     for (const auto &[service, states] : this->state.serviceVersions.services()) {
         for (const auto &[version, state] : states) {
@@ -290,7 +302,11 @@
 {
     this->heldItems.erase(key);
     if (key == serviceVersionsKey() && revision >= this->state.serviceVersionsRevision) {
-        this->state.serviceVersions = ServiceVersions();
+        this->state.serviceVersionsUnwritten =
+            isAbsence && revision.generation() > this->state.serviceVersionsRevision.generation();
+        if (!this->state.serviceVersionsUnwritten) {
+            this->state.serviceVersions = ServiceVersions();
+        }
         this->state.serviceVersionsRevision = StoreRevision();
         return true;
     }
--- a/src/gateway/routerstate.h
+++ b/src/gateway/routerstate.h
@@ -278,6 +278,7 @@
     BusiestLabels workspaceLabels{MaxWorkspaceLabels};
     ServiceVersions serviceVersions; ///< As recorded in the store.
     StoreRevision serviceVersionsRevision;
+    bool serviceVersionsUnwritten = false; ///< The record in the store, an older copy, lacks some of them.
     VersionPlanner::Registered registeredVersions; ///< Of the registered backend servers.
     VersionPlanner::Registered servingVersions; ///< Of those that are not draining.
     StreamOrigins streamOrigins;
@@ -286,6 +287,7 @@
     std::uint64_t registrationLease = 0;
     StagePlan stagePlan; ///< As recorded in the store.
     StoreRevision stagePlanRevision;
+    bool stagePlanUnwritten = false; ///< The record in the store, an older copy, differs from the plan.
     TimePoint stagePlanSince; ///< When this router learned of the plan.
     std::map<std::string, Containment> storedContainments; ///< As recorded in the store, by crash suspect.
     StoreRevision containmentsRevision;
--- a/src/gateway/stagecontroller.cpp
+++ b/src/gateway/stagecontroller.cpp
@@ -55,6 +55,9 @@
         if (!this->mayOrder()) {
             continue;
         }
+        if (this->state.stagePlanUnwritten) {
+            co_await this->sync.writeStagePlan(this->state.stagePlan);
+        }
         co_await this->dropFailedChanges();
         const bool pending = co_await this->enforcePlan();
         if (!pending && this->mayOrder()) {
--- a/src/gateway/versionkeeper.cpp
+++ b/src/gateway/versionkeeper.cpp
@@ -20,7 +20,10 @@
             continue;
         }
         const TimePoint now = this->state.environment.now();
-        const auto next = this->planner.next(this->state.serviceVersions, this->state.registeredVersions, now);
+        auto next = this->planner.next(this->state.serviceVersions, this->state.registeredVersions, now);
+        if (!next && this->state.serviceVersionsUnwritten) {
+            next = this->state.serviceVersions;
+        }
         if (!next) {
             this->dueSince = std::nullopt;
             continue;
--- a/src/include/cyclamencross/route/serviceversions.h
+++ b/src/include/cyclamencross/route/serviceversions.h
@@ -36,6 +36,8 @@
     ServiceVersions with(const std::string &service, const std::string &version, State state) const;
     /// Returns these versions without one of them.
     ServiceVersions without(const std::string &service, const std::string &version) const;
+    /// Returns the versions that either of the two has; open if they are open in one of them.
+    ServiceVersions mergedWith(const ServiceVersions &other) const;
 
     bool operator==(const ServiceVersions &) const = default;
 
--- a/src/route/serviceversions.cpp
+++ b/src/route/serviceversions.cpp
@@ -63,4 +63,17 @@
     return result;
 }
 
+ServiceVersions ServiceVersions::mergedWith(const ServiceVersions &other) const
+{
+    ServiceVersions result = *this;
+    for (const auto &[service, versions] : other.versionsOfService) {
+        for (const auto &[version, state] : versions) {
+            if (!result.isOpen(service, version)) {
+                result = result.with(service, version, state);
+            }
+        }
+    }
+    return result;
+}
+
 }
