--- a/src/gateway/router.cpp
+++ b/src/gateway/router.cpp
@@ -22,6 +22,8 @@
 
 constexpr Millis HousekeepingPeriod{100};
 constexpr Millis StopPollPeriod{50};
+// Share of the routers that must reach the backend servers for the others to be left out of the directory.
+constexpr double MinServingShare = 1.0 / 3;
 // Longest time for which a request waits for this router to know all changes: a read of the store on a connection that
 // has gone silent, and one on a new connection.
 constexpr Millis MaxHold{2 * StoreFreshness::ReadTimeout};
@@ -286,16 +288,24 @@
 std::vector<std::string> Router::callerAddresses()
 {
     std::vector<std::string> addresses;
+    std::vector<std::string> cutOff; // Of routers that reach no backend server of a service.
     this->state.members.forEach([&](const std::string &name, const RouterMember &member) {
         if (name != this->state.settings.name) {
-            addresses.push_back(member.callerAddress);
+            (this->state.isPeerCutOff(name) ? cutOff : addresses).push_back(member.callerAddress);
         }
     });
+    const bool isCutOff = !this->state.cutOffServices().empty();
+    // If most are cut off, those that are not would get all callers; peers serve the requests of the others anyway.
+    const std::size_t serving = addresses.size() + (isCutOff ? 0 : 1);
+    const bool listsAll = double(serving) < MinServingShare * double(addresses.size() + cutOff.size() + 1);
+    if (listsAll) {
+        addresses.insert(addresses.end(), cutOff.begin(), cutOff.end());
+    }
     // Fisher-Yates shuffle with random(); std::shuffle would need a generator of its own.
     for (std::size_t i = addresses.size(); i > 1; --i) {
         std::swap(addresses[i - 1], addresses[std::size_t(this->state.random() * double(i)) % i]);
     }
-    if (this->state.isReady() || addresses.empty()) {
+    if ((this->state.isReady() && (!isCutOff || listsAll)) || addresses.empty()) {
         addresses.insert(addresses.begin(), this->state.settings.callerAddress);
     }
     addresses.resize(std::min(addresses.size(), MaxAddresses));
--- a/src/gateway/router.h
+++ b/src/gateway/router.h
@@ -95,7 +95,7 @@
     /// Applies those settings that can change at runtime.
     void reload();
     /// Returns the addresses for a directory response: this router's own if it is ready, then those of others,
-    /// shuffled.
+    /// shuffled. Routers that are cut off from the backend servers of a service are left out, unless most are.
     std::vector<std::string> callerAddresses();
     /// Chooses one of the route's services at random by weight.
     std::string chooseService(const RouteConfig &route);
