A watch is judged by the position that it was sent with (DRAIN)

Found by review: a watch that was sent from a position of the former generation was compared with the position at its answer, which a peer's difference over the return may have raised meanwhile. Its changes were applied and confirmed, those between the difference and the old position were lost. The position that was sent is kept now, as for other reads.

--- a/src/gateway/fleetsync.cpp
+++ b/src/gateway/fleetsync.cpp
@@ -101,12 +101,13 @@
         const TimePoint start = this->state.environment.now();
         const Millis wait = this->state.freshness.watchWait(start);
         const StoreRevision known = this->state.storeRevision;
-        const StoreResult<StorePage> result = co_await this->store.watch(prefix, *this->watchRevision, wait);
+        const StoreRevision position = *this->watchRevision;
+        const StoreResult<StorePage> result = co_await this->store.watch(prefix, position, wait);
         if (const auto *page = std::get_if<StorePage>(&result)) {
             this->noteGeneration(page->revision.generation());
             this->recordSuccess();
             failures = 0;
-            if (page->revision.generation() > this->watchRevision->generation()) {
+            if (page->revision.generation() > position.generation()) {
                 this->watchRevision = std::nullopt; // Changes between the two generations have no order.
                 continue;
             }
