An entry that is held goes when a list lacks it (DRAIN)

Found by review: a server that was removed while its older entry was held came into use at the end of the return, if the router learned of the removal from a list: lists were compared with known entries only. Held ones are compared too, and neither a late removal nor a late older entry replaces a newer held one.

--- a/src/gateway/fleetsyncitems.cpp
+++ b/src/gateway/fleetsyncitems.cpp
@@ -35,6 +35,9 @@
     };
     addMissing(this->codec.backendPrefix, this->state.backends.revisions());
     addMissing(memberPrefix(), this->state.members.revisions());
+    for (const auto &[key, item] : this->heldItems) {
+        addMissing("", {{key, item.revision}});
+    }
     if (!this->state.leadership.router.empty()) {
         addMissing("", {{leaderKey(), this->state.leadership.revision}});
     }
@@ -300,7 +303,10 @@
 
 bool FleetSync::remove(const std::string &key, StoreRevision revision, bool isAbsence)
 {
-    this->heldItems.erase(key);
+    if (const auto held = this->heldItems.find(key);
+        held != this->heldItems.end() && held->second.revision <= revision) {
+        this->heldItems.erase(held);
+    }
     if (key == serviceVersionsKey() && revision >= this->state.serviceVersionsRevision) {
         this->state.serviceVersionsUnwritten =
             isAbsence && revision.generation() > this->state.serviceVersionsRevision.generation();
--- a/src/gateway/fleetsyncreturn.cpp
+++ b/src/gateway/fleetsyncreturn.cpp
@@ -85,6 +85,10 @@
 
 bool FleetSync::holdIfOlder(const StoreItem &item, const BackendServer &server)
 {
+    const auto held = this->heldItems.find(item.key);
+    if (held != this->heldItems.end() && item.revision < held->second.revision) {
+        return true;
+    }
     const BackendServer *known = this->state.backends.find(server.id);
     if (!this->storeReturn.isOlder(server, known, this->state.environment.now())) {
         this->heldItems.erase(item.key);
