--- a/src/include/cyclamencross/route/registrationcache.h
+++ b/src/include/cyclamencross/route/registrationcache.h
@@ -28,12 +28,12 @@
             return false;
         }
         const bool changed = record.revision == 0 || !(record.entry == entry);
-        record = Record{std::move(entry), revision, std::nullopt};
+        record = Record{std::move(entry), revision, std::nullopt, StoreRevision()};
         return changed;
     }
 
     /// Removes an entry at once, or marks it for removal by expire() at @p keepUntil if that is set. A later put() of
-    /// the entry cancels the removal, and a later remove() does not postpone it.
+    /// the entry cancels the removal, and a later remove() postpones it only if the store has returned in between.
     /// @param revision store revision of the removal; ignored if older than the known revision of the entry.
     /// @return whether the entry has been removed now.
     bool remove(const std::string &key, StoreRevision revision, std::optional<TimePoint> keepUntil)
@@ -43,7 +43,11 @@
             return false;
         }
         if (keepUntil) {
-            it->second.keptUntil = it->second.keptUntil.value_or(*keepUntil);
+            Record &record = it->second;
+            if (!record.keptUntil || record.keptSince.generation() < revision.generation()) {
+                record.keptUntil = keepUntil;
+                record.keptSince = revision;
+            }
             return false;
         }
         this->records.erase(it);
@@ -102,6 +106,7 @@
         Entry entry;
         StoreRevision revision;
         std::optional<TimePoint> keptUntil; ///< Set while the entry is marked for removal.
+        StoreRevision keptSince; ///< Of the removal.
     };
     std::map<std::string, Record> records;
 };
