--- a/src/gateway/fleetsyncreturn.cpp
+++ b/src/gateway/fleetsyncreturn.cpp
@@ -46,6 +46,7 @@
     this->registered = false;
     this->state.registrationLease = 0;
     this->originsLease = 0;
+    this->state.streamOrigins.markAllUnstored();
     this->state.leadership = Leadership{"", 0, 0, this->state.leadership.revision};
     const Millis spread = this->registrationSpread();
     this->registerAfter = now + Millis(std::int64_t(this->state.random() * double(spread.count())));
--- a/src/include/cyclamencross/route/streamorigins.h
+++ b/src/include/cyclamencross/route/streamorigins.h
@@ -50,6 +50,8 @@
                                     TimePoint now) const;
     /// Records that streams are in the store.
     void markStored(const StreamOriginsByVersion &stored);
+    /// Records that the store may have lost all streams.
+    void markAllUnstored();
     /// Drops streams that cannot be taken up any more.
     void expire(TimePoint now);
     std::size_t size() const;
--- a/src/route/streamorigins.cpp
+++ b/src/route/streamorigins.cpp
@@ -119,6 +119,15 @@
     }
 }
 
+void StreamOrigins::markAllUnstored()
+{
+    this->notStored.clear();
+    for (auto &[key, stream] : this->streams) {
+        stream.stored = false;
+        this->notStored.push_back(key);
+    }
+}
+
 void StreamOrigins::expire(TimePoint now)
 {
     std::erase_if(this->streams, [now](const auto &stream) { return stream.second.until <= now; });
