A stage plan that the copy of a returned store lacks is written again

Found by review: a plan that was written after the copy was taken stayed out of the store until its next change, so routers that start later send requests to engines by their old stage. The next leader writes it.

--- a/src/gateway/fleetsyncitems.cpp
+++ b/src/gateway/fleetsyncitems.cpp
@@ -41,6 +41,9 @@
     if (!this->state.leadership.router.empty()) {
         addMissing("", {{leaderKey(), this->state.leadership.revision}});
     }
+    if (this->state.stagePlanRevision != StoreRevision()) {
+        addMissing("", {{stagePlanKey(), this->state.stagePlanRevision}});
+    }
     if (this->state.serviceVersionsRevision != StoreRevision()) {
         addMissing("", {{serviceVersionsKey(), this->state.serviceVersionsRevision}});
     }
@@ -316,6 +319,11 @@
         this->state.serviceVersionsRevision = StoreRevision();
         return true;
     }
+    if (key == stagePlanKey()) {
+        const bool isLost = isAbsence && revision.generation() > this->state.stagePlanRevision.generation();
+        this->state.stagePlanUnwritten = this->state.stagePlanUnwritten || isLost;
+        return isLost;
+    }
     if (key == leaderKey() && revision >= this->state.leadership.revision) {
         const bool known = !this->state.leadership.router.empty();
         this->state.leadership = Leadership{"", 0, 0, revision};
