A router that learns of a return late takes the stage plan of the store

Found by review: a router that was frozen or cut off for long took a plan that a leader had written after the return for that of the copy, and as leader wrote its own over it. The known plan is kept only if this router was certain of the store within the time that each new leader waits before its first plan.

--- a/src/gateway/fleetsync.h
+++ b/src/gateway/fleetsync.h
@@ -219,6 +219,8 @@
     StoreContact contact;
     StoreReturn storeReturn;
     std::map<std::string, StoreItem> heldItems; ///< See holdIfOlder(); by key.
+    /// No leader can have given orders in the new generation before this router learned of it.
+    bool noticedReturnInTime = false;
     TimePoint registerAfter; ///< Time of the next registration after a return of the store.
     TimePoint membersSettled; ///< When all routers have registered again after a return.
     Clock::duration leaseConfirmedAt{0}; ///< On the boot-time clock: start of the last call that confirmed the lease.
--- a/src/gateway/fleetsyncitems.cpp
+++ b/src/gateway/fleetsyncitems.cpp
@@ -227,10 +227,11 @@
         return false;
     }
     const bool isFromCopy = item.revision.generation() > this->state.stagePlanRevision.generation()
-        && this->state.stagePlanRevision != StoreRevision();
+        && this->state.stagePlanRevision != StoreRevision() && this->noticedReturnInTime;
     this->state.stagePlanRevision = item.revision;
     if (isFromCopy) {
-        // Leaders wait longer than a return takes, so the plan that is known is newer. The next leader writes it.
+        // Leaders wait longer than the store was unknown to this router, so the plan that it knows is newer. The next
+        // leader writes it.
         this->state.stagePlanUnwritten = *plan != this->state.stagePlan;
         return true;
     }
