Only the store's answers, or a whole difference, show a router a new generation

Found by review: one wrong generation in a peer's report kept a router from registering, leading and writing until it restarted. A generation that a peer names makes the router renew its lease at once, whose answer names the store's own; changes over the return count if they begin at exactly the position that the router knows.

--- a/src/gateway/fleetsync.cpp
+++ b/src/gateway/fleetsync.cpp
@@ -150,7 +150,11 @@
     TimePoint lastInSync = this->state.environment.now();
     while (true) {
         co_await this->state.environment.sleep(PollPeriod);
-        this->noteGeneration(this->state.newestPeerRevision.generation());
+        const std::uint64_t named = this->state.newestPeerRevision.generation();
+        if (named > std::max(this->state.storeGeneration, this->askedGeneration)) {
+            this->askedGeneration = named;
+            this->renewSoon = true; // Only an answer of the store shows which generation it has.
+        }
         const bool behind = this->state.newestPeerRevision > this->state.storeRevision;
         const bool overdue = behind && this->state.environment.now() - lastInSync >= CatchUpDelay;
         if (!behind) {
@@ -291,7 +295,9 @@
 
 void FleetSync::applyPeerChanges(const StoreChanges &changes)
 {
-    this->noteGeneration(changes.upTo.generation());
+    if (this->watchRevision && this->state.storeRevision == changes.after) {
+        this->noteGeneration(changes.upTo.generation());
+    }
     // If changes before these are missing, the peer's newer revision causes a read of the store later.
     const StoreRevision known = this->state.storeRevision;
     if (!this->watchRevision || known < changes.after || known >= changes.upTo
--- a/src/gateway/fleetsync.h
+++ b/src/gateway/fleetsync.h
@@ -217,6 +217,8 @@
     bool readsForFreshness = false; ///< keepFresh() reads the changes.
     std::optional<StoreRevision> watchRevision;
     StoreContact contact;
+    std::uint64_t askedGeneration = 0; ///< Newest one that a peer has named and that a renewal was to show.
+    bool renewSoon = false; ///< The next renewal of the lease is due.
     StoreReturn storeReturn;
     std::map<std::string, StoreItem> heldItems; ///< See holdIfOlder(); by key.
     /// No leader can have given orders in the new generation before this router learned of it.
--- a/src/gateway/fleetsyncwrites.cpp
+++ b/src/gateway/fleetsyncwrites.cpp
@@ -48,7 +48,7 @@
         // Sleeps in short steps, so that a registration that was removed by others is written again soon.
         // After a failed call of another kind, the next renewal shows at once whether the store is away.
         const TimePoint next = this->state.environment.now() + RenewPeriod;
-        while (this->registered && !this->state.stopping && !this->isStoreLost()
+        while (this->registered && !this->state.stopping && !this->isStoreLost() && !this->renewSoon
                && this->state.environment.now() < next) {
             co_await this->state.environment.sleep(Millis(100));
         }
@@ -56,6 +56,7 @@
             continue;
         }
         const Clock::duration renewalStart = this->state.environment.bootTime();
+        this->renewSoon = false;
         const std::uint64_t lease = this->state.registrationLease;
         const StoreResult<std::uint64_t> renewed = co_await this->store.renewLease(lease);
         if (const auto *failure = std::get_if<StoreFailure>(&renewed)) {
