--- a/src/gateway/fleetsync.h
+++ b/src/gateway/fleetsync.h
@@ -75,7 +75,7 @@
     /// Removes this router's registration.
     boost::asio::awaitable<void> unregister();
     /// Tries to become the leader: writes the leader's record under the lease of this router's registration unless
-    /// there is one. The result is learned from the store.
+    /// there is one of another process. The result is learned from the store.
     boost::asio::awaitable<void> claimLeadership();
     /// Writes the stage plan, provided that this router is still the leader.
     boost::asio::awaitable<void> writeStagePlan(StagePlan plan);
--- a/src/gateway/fleetsyncwrites.cpp
+++ b/src/gateway/fleetsyncwrites.cpp
@@ -128,9 +128,10 @@
         co_return;
     }
     const std::uint64_t lease = this->state.registrationLease;
+    const StoreRevision former = this->state.hasFormerRecord() ? this->state.leadership.revision : StoreRevision();
     const Leadership record{this->state.settings.name, this->state.incarnation, lease, StoreRevision()};
-    co_await this->writeRecord("claim-leadership", leaderKey(), encodeLeadership(record), lease, leaderKey(),
-                               StoreRevision(), false);
+    co_await this->writeRecord("claim-leadership", leaderKey(), encodeLeadership(record), lease, leaderKey(), former,
+                               false);
 }
 
 boost::asio::awaitable<void> FleetSync::writeStagePlan(StagePlan plan)
@@ -161,17 +162,19 @@
     if (conditionRevision != StoreRevision() && !this->isOfCurrentGeneration(conditionRevision.generation())) {
         co_return false; // The number may have been given out again, for another write.
     }
+    const std::uint64_t generation = this->state.storeGeneration;
     const StoreResult<StoreRevision> written = co_await this->store.writeIf(std::move(key), std::move(value), lease,
                                                                             std::move(conditionKey), conditionRevision);
     if (const auto *failure = std::get_if<StoreFailure>(&written)) {
         if (countsConflicts || failure->kind != StoreFailure::Kind::Conflict) {
             this->recordFailure(call, *failure);
         }
+        this->noteGeneration(failure->generation);
         co_return false;
     }
     this->noteGeneration(std::get<StoreRevision>(written).generation());
     this->recordSuccess();
-    co_return true;
+    co_return this->state.storeGeneration == generation; // Otherwise the condition or the lease was another one's.
 }
 
 boost::asio::awaitable<bool> FleetSync::writeStreamOrigins(StreamOriginsByVersion origins)
@@ -197,6 +200,7 @@
     }
     std::string key = streamOriginsPrefix() + this->state.settings.name + "/" + toHex(this->state.incarnation) + "-"
         + std::to_string(++this->originsWritten);
+    const std::uint64_t generation = this->state.storeGeneration;
     const StoreResult<StoreRevision> written =
         co_await this->store.write(std::move(key), encodeStreamOrigins(origins), this->originsLease);
     if (const auto *failure = std::get_if<StoreFailure>(&written)) {
@@ -206,7 +210,7 @@
     }
     this->noteGeneration(std::get<StoreRevision>(written).generation());
     this->recordSuccess();
-    co_return true;
+    co_return this->state.storeGeneration == generation; // Otherwise the lease was another one's.
 }
 
 bool FleetSync::isLeaseConfirmed() const
--- a/src/gateway/routerstate.cpp
+++ b/src/gateway/routerstate.cpp
@@ -212,6 +212,12 @@
         && this->leadership.lease != 0 && this->leadership.lease == this->registrationLease;
 }
 
+bool RouterState::hasFormerRecord() const
+{
+    return this->hasStoreReturned && this->leadership.router == this->settings.name
+        && this->leadership.incarnation == this->incarnation && !this->isLeader();
+}
+
 std::uint64_t RouterState::fencingToken() const
 {
     const StoreRevision &record = this->leadership.revision;
--- a/src/gateway/routerstate.h
+++ b/src/gateway/routerstate.h
@@ -172,6 +172,9 @@
     /// Returns whether this router is the leader, by a record under its newest lease. A record under an earlier lease
     /// is gone from the store even if this router has not read that yet, and another router may lead.
     bool isLeader() const;
+    /// Returns whether the leader's record is one of this process under a lease that it does not hold any more. After a
+    /// return of the store it may be bound to the lease of somebody else, and then does not end with its own.
+    bool hasFormerRecord() const;
     /// Returns the fencing token of the leader's orders: higher than those of all leaders before, also over returns of
     /// the store. While the store has not returned, it is the number of the record's revision.
     std::uint64_t fencingToken() const;
--- a/src/gateway/stagecontroller.cpp
+++ b/src/gateway/stagecontroller.cpp
@@ -40,7 +40,8 @@
         co_await this->state.environment.sleep(Period);
         if (!this->state.isLeader()) {
             this->leaderSince = std::nullopt;
-            if (this->state.leadership.router.empty() && this->state.isPrimaryWatcher() && this->state.isReady()) {
+            const bool isVacant = this->state.leadership.router.empty() && this->state.isPrimaryWatcher();
+            if ((isVacant || this->state.hasFormerRecord()) && this->state.isReady()) {
                 co_await this->claim();
             }
             continue;
@@ -79,7 +80,7 @@
 boost::asio::awaitable<void> StageController::claim()
 {
     co_await this->state.environment.sleep(Millis(std::int64_t(this->state.random() * double(MaxClaimPause.count()))));
-    if (this->state.leadership.router.empty() && !this->state.stopping) {
+    if ((this->state.leadership.router.empty() || this->state.hasFormerRecord()) && !this->state.stopping) {
         co_await this->sync.claimLeadership();
     }
 }
