--- a/src/gateway/changequeue.cpp
+++ b/src/gateway/changequeue.cpp
@@ -49,6 +49,7 @@
     }
     this->pending.upTo = std::max(this->pending.upTo, added.upTo);
     this->pending.isSnapshotDiff = this->pending.isSnapshotDiff || added.isSnapshotDiff;
+    this->pending.copiedUpTo = std::max(this->pending.copiedUpTo, added.copiedUpTo);
     std::vector<StoreItem> &items = this->pending.items;
     items.insert(items.end(), added.items.begin(), added.items.end());
     std::set<std::string> later;
--- a/src/gateway/fleetsync.cpp
+++ b/src/gateway/fleetsync.cpp
@@ -304,6 +304,9 @@
         || (changes.isSnapshotDiff && known != changes.after)) {
         return;
     }
+    if (changes.after.generation() < changes.upTo.generation()) {
+        this->copiedUpTo = changes.copiedUpTo;
+    }
     this->applyAll(changes.items, changes.upTo, changes.isSnapshotDiff);
     this->state.storeRevision = std::max(this->state.storeRevision, changes.upTo);
     this->state.metrics.count("cyclamencross_peer_changes_total", {}, double(changes.items.size()));
@@ -392,6 +395,10 @@
     changes.after = this->state.storeRevision;
     changes.upTo = page.revision;
     changes.isSnapshotDiff = true;
+    if (changes.after.generation() < changes.upTo.generation()) {
+        this->copiedUpTo = this->findCopiedUpTo(page);
+        changes.copiedUpTo = this->copiedUpTo;
+    }
     const auto applyNew = [&](const std::vector<StoreItem> &items) {
         std::copy_if(items.begin(), items.end(), std::back_inserter(changes.items),
                      [this](const StoreItem &item) { return this->apply(item, true); });
--- a/src/gateway/fleetsyncitems.cpp
+++ b/src/gateway/fleetsyncitems.cpp
@@ -90,7 +90,7 @@
             .write();
     }
     if (item.removed) {
-        return this->remove(item.key, item.revision, isDifference);
+        return this->remove(item.key, item.revision, isDifference && this->mayBeLost(item));
     }
     if (item.key == this->codec.configKey) {
         return this->putConfig(item);
--- a/src/gateway/fleetsyncreturn.cpp
+++ b/src/gateway/fleetsyncreturn.cpp
@@ -43,6 +43,7 @@
     this->state.metrics.count("cyclamencross_store_returns_total");
     this->storeReturn.begin(now + LapseGracePeriod);
     this->heldItems.clear();
+    this->copiedUpTo = 0;
     // Ids of leases are given out again: a renewal could keep the lease of somebody else, and a record that names this
     // router's lease may not be its own.
     this->registered = false;
@@ -86,6 +87,26 @@
     return until && now < *until ? until : std::nullopt;
 }
 
+bool FleetSync::mayBeLost(const StoreItem &item) const
+{
+    const StoreRevision known = this->knownRevision(item.key);
+    return known.generation() < item.revision.generation() && known.number() > this->copiedUpTo;
+}
+
+std::uint64_t FleetSync::findCopiedUpTo(const StorePage &page) const
+{
+    std::uint64_t result = 0;
+    for (const StoreItem &item : page.items) {
+        // Items that the copy has as they were known. One that was written again under the same number is rare, and
+        // costs a sound server the time until it writes its entry again.
+        const StoreRevision known = this->knownRevision(item.key);
+        if (known.generation() < item.revision.generation() && known.number() == item.revision.number()) {
+            result = std::max(result, known.number());
+        }
+    }
+    return result;
+}
+
 bool FleetSync::holdIfOlder(const StoreItem &item, const BackendServer &server)
 {
     const auto held = this->heldItems.find(item.key);
--- a/src/gateway/peerreport.cpp
+++ b/src/gateway/peerreport.cpp
@@ -168,8 +168,8 @@
 namespace
 {
 
-// First byte of a datagram of format 1; one of format 0 begins with a 1. The generations follow, then all that format 0
-// has.
+// First byte of a datagram of format 1; one of format 0 begins with a 1. The generations and StoreChanges::copiedUpTo
+// follow, then all that format 0 has.
 constexpr char Format1Mark = '\x81';
 
 // Appends a number in as many bytes as it needs, seven bits each, the lowest first.
@@ -310,6 +310,7 @@
         appendCompact(generations, report.storeRevision.generation());
         appendCompact(generations, changes.after.generation());
         appendCompact(generations, changes.upTo.generation());
+        appendCompact(generations, changes.copiedUpTo);
     }
     std::ostringstream output;
     output << generations;
@@ -358,22 +359,23 @@
     }
     const auto offset = std::int64_t(bits);
     const bool namesGenerations = !body.empty() && body.front() == Format1Mark;
-    std::array<std::uint64_t, 3> generations{};
+    std::array<std::uint64_t, 4> numbers{};
     if (namesGenerations) {
         body.remove_prefix(1);
-        for (std::uint64_t &generation : generations) {
-            const auto number = takeCompact(body);
-            if (!number) {
+        for (std::uint64_t &number : numbers) {
+            const auto taken = takeCompact(body);
+            if (!taken) {
                 return false;
             }
-            generation = *number;
+            number = *taken;
         }
     }
     try {
         BoundedInputArchive archive(body);
         archive(report);
         report.namesGenerations = namesGenerations;
-        report.setGenerations(generations[0], generations[1], generations[2]);
+        report.setGenerations(numbers[0], numbers[1], numbers[2]);
+        report.changes.copiedUpTo = numbers[3];
         report.clockOffset = offset == UnknownOffset ? std::nullopt : std::optional<Millis>(offset);
         return archive.isAtEnd() && isPlausible(report);
     } catch (const cereal::Exception &) {
