--- a/src/gateway/stagecontroller.cpp
+++ b/src/gateway/stagecontroller.cpp
@@ -139,12 +139,14 @@
 
 boost::asio::awaitable<void> StageController::order(BackendServer server, EngineStage stage)
 {
-    const auto makeOrder = [this, &server, stage]() -> std::optional<OrderCall> {
+    std::uint64_t token = 0; // What is sent: the leader's record may change while the engine answers.
+    const auto makeOrder = [this, &server, stage, &token]() -> std::optional<OrderCall> {
         const bool silent = this->state.statements.isSilent(server.id, this->state.environment.now());
         if (!this->mayOrder() || !this->state.isRegistered(server) || silent) {
             return std::nullopt;
         }
-        return this->codec.stageOrder(server.id, stage, this->state.settings.name, this->state.fencingToken());
+        token = this->state.fencingToken();
+        return this->codec.stageOrder(server.id, stage, this->state.settings.name, token);
     };
     const std::optional<int> code = co_await this->sendOrder(server, makeOrder);
     if (!code) {
@@ -153,7 +155,7 @@
     LogLine("engine-order")
         .add("backend", server.id)
         .add("stage", stageName(stage))
-        .add("fencing_token", this->state.fencingToken())
+        .add("fencing_token", token)
         .add("status", *code)
         .write();
     // Any other status may change: the engine is busy, another one has its address, or it did not answer.
