An answer of the store without its generation confirms nothing once one is known (DRAIN, CONFIG)

Found by review: changes in such an answer were ignored for their generation, and yet the answer counted as a sign that nothing is missing. It is read again now, after a pause. The same holds for answers that one of a later generation has overtaken. The new case failed before.

--- a/src/gateway/fleetsync.cpp
+++ b/src/gateway/fleetsync.cpp
@@ -106,11 +106,16 @@
         if (const auto *page = std::get_if<StorePage>(&result)) {
             this->noteGeneration(page->revision.generation());
             this->recordSuccess();
-            failures = 0;
+            if (!this->isOfCurrentGeneration(page->revision.generation())) {
+                // Overtaken by an answer of a later generation, or without a generation, and so without an order.
+                co_await this->state.environment.sleep(this->backoff(++failures));
+                continue;
+            }
             if (page->revision.generation() > position.generation()) {
                 this->watchRevision = std::nullopt; // Changes between the two generations have no order.
                 continue;
             }
+            failures = 0;
             if (this->isOutdated(*page, known)) {
                 this->watchRevision = std::max(*this->watchRevision, page->revision);
                 continue;
@@ -345,8 +350,9 @@
         this->noteGeneration(page.revision.generation());
         this->recordSuccess();
         this->logRead("read-changes", page, start);
-        if (page.revision.generation() > known.generation()) {
-            co_return ReadResult::Incomplete;
+        if (page.revision.generation() != known.generation()) {
+            co_return this->isOfCurrentGeneration(page.revision.generation()) ? ReadResult::Incomplete
+                                                                              : ReadResult::Failed;
         }
         if (this->isOutdated(page, known)) {
             continue;
@@ -387,7 +393,8 @@
     this->noteGeneration(page.revision.generation());
     this->recordSuccess();
     this->logRead("list", page, start);
-    this->contact.resyncNeeded = this->isOutdated(page, known);
+    this->contact.resyncNeeded =
+        this->isOutdated(page, known) || !this->isOfCurrentGeneration(page.revision.generation());
     if (this->contact.resyncNeeded) {
         co_return std::nullopt;
     }
--- a/src/gateway/fleetsyncreturn_test.cpp
+++ b/src/gateway/fleetsyncreturn_test.cpp
@@ -40,10 +40,12 @@
         store.list = [items](std::string /*prefix*/) -> StoreAwaitable<StorePage> {
             co_return StorePage{items, Known};
         };
-        store.watch = [](std::string /*prefix*/, StoreRevision /*after*/,
-                         Millis /*wait*/) -> StoreAwaitable<StorePage> {
-            co_await sleepFor(Millis(100000));
-            co_return StorePage{};
+        store.watch = [this](std::string /*prefix*/, StoreRevision after,
+                             Millis /*wait*/) -> StoreAwaitable<StorePage> {
+            while (!this->page || this->page->revision == after) {
+                co_await sleepFor(Millis(10));
+            }
+            co_return *this->page;
         };
         store.cancelWatch = [] {};
         this->sync = std::make_unique<FleetSync>(this->state, store, makeTestCodec());
@@ -57,6 +59,7 @@
         this->state.onPeerChanges(StoreChanges{Known, StoreRevision(After, 5), true, items});
     }
 
+    std::optional<StorePage> page; ///< Answer to watches.
     boost::asio::io_context context;
     RouterState state{context.get_executor(), RouterSettings(), 1};
     std::unique_ptr<FleetSync> sync;
@@ -153,6 +156,20 @@
     CHECK(tokenOf(3, StoreRevision(3, 1)) > tokenOf(1, StoreRevision(2, 1'000'000)));
 }
 
+TEST_CASE("An answer of the store that names no generation confirms nothing once one is known")
+{
+    // Guards against changes that are ignored for their generation and yet count as known (DRAIN, CONFIG).
+    InformedRouter router({});
+    REQUIRE(router.state.storeGeneration == Before);
+    const auto certain = router.state.freshness.confirmedAt();
+    router.page = StorePage{{StoreItem{"servers/b", "x", 11}}, 11};
+    router.context.run_for(Millis(300));
+    CHECK(router.state.freshness.confirmedAt() == certain);
+    router.page = StorePage{{StoreItem{"servers/b", "x", {Before, 11}}}, {Before, 11}};
+    router.context.run_for(Millis(2000));
+    CHECK(router.state.backends.find("b") != nullptr);
+}
+
 TEST_CASE("What a router that knows no generations says of changes counts until the store has returned")
 {
     // Guards against certainty and changes of releases that take numbers which were given out again for known ones.
