Tests: damaged reports of both formats are rejected

The case damaged the second byte, which was a bool in format 0 and is a generation since format 1, so it failed. It damages the bool in both formats now, and leaves out parts of what format 1 has in addition.

--- a/src/gateway/pieces_test.cpp
+++ b/src/gateway/pieces_test.cpp
@@ -115,10 +115,18 @@
     PeerReport report;
     report.router = "r1";
     PeerReport decoded;
-    std::string bytes = encodePeerReport(report);
-    REQUIRE(decodePeerReport(bytes, decoded));
-    bytes[1] = 2; // The first field is a bool; the byte before it stands for the byte order.
-    CHECK_FALSE(decodePeerReport(bytes, decoded));
+    const std::string oldest = encodePeerReport(report, 0);
+    const std::string newest = encodePeerReport(report);
+    const std::size_t prefix = newest.size() - oldest.size(); // What the newest format has in addition.
+    for (std::string bytes : {oldest, newest}) {
+        REQUIRE(decodePeerReport(bytes, decoded));
+        // The first field is a bool; the byte before it stands for the byte order.
+        bytes[bytes.size() - oldest.size() + 1] = 2;
+        CHECK_FALSE(decodePeerReport(bytes, decoded));
+    }
+    for (std::size_t length = 1; length < prefix; ++length) {
+        CHECK_FALSE(decodePeerReport(newest.substr(0, length) + newest.substr(prefix), decoded));
+    }
 
     const auto isAccepted = [&report](const auto &damage) {
         PeerReport damaged = report;
