Tests: what a router without generations has vouched for does not count after a return, red

Measured: the case fails for reports without generations (isReadDue is false) and passes for those with generations.

--- a/src/gateway/fleetsync_test.cpp
+++ b/src/gateway/fleetsync_test.cpp
@@ -527,6 +527,32 @@
     }
 }
 
+TEST_CASE("What a router without generations has vouched for does not count after a return of the store")
+{
+    // Guards against work for a leaving backend server: a router of 72bc030 takes changes after a return for known ones
+    // and vouches for them, which holds back the read of a router that has learned of the return.
+    const bool namesGenerations = GENERATE(false, true);
+    TestRouter router;
+    router.store.list = [](std::string /*prefix*/) -> StoreAwaitable<StorePage> {
+        co_return StorePage{{}, StoreRevision(1, 10)};
+    };
+    router.follow(Millis(20));
+    PeerReport report;
+    report.router = "peer";
+    report.sequence = 1;
+    report.storeRevision = StoreRevision(namesGenerations ? 1 : 0, 10);
+    report.namesGenerations = namesGenerations;
+    report.changesKnownAge = Millis(0);
+    report.clockOffset = Millis(0);
+    report.sentAt = sentNow() + Millis(100);
+    const TimePoint later = Clock::now() + Millis(100);
+    router.state.applyReport(report, later);
+    REQUIRE(router.state.freshness.confirmedAt() == later);
+    router.state.onPeerChanges(StoreChanges{StoreRevision(2, 3), StoreRevision(2, 4), false, {}});
+    REQUIRE(router.state.hasStoreReturned);
+    CHECK(router.state.freshness.isReadDue(2, later) == !namesGenerations);
+}
+
 TEST_CASE("A backend server that is removed while the store rejects only this router is not kept")
 {
     // Guards against work for a leaving engine by a router that takes its own rejection for an outage of the store, in
