A return of the store takes back what routers without generations vouched for

What they had vouched for still counted when a router of this build learned of the return, so that it read the store only when the last such report was 0.8 to 1 s old. With the renewal that shows the return, up to 1.2 s after it, that adds up to more than the 2 s in which a change has to take effect.

RouterState remembers whether a report without generations has made it certain. When the generation rises, it takes back the certainty, except for that of the store's answers to this router, so the next check reads the store. Routers that are certain by reports with generations only do not read earlier than before.

Measured: the case "What a router without generations has vouched for does not count after a return of the store" passes.

--- a/src/gateway/fleetsyncreturn.cpp
+++ b/src/gateway/fleetsyncreturn.cpp
@@ -38,6 +38,7 @@
 {
     const TimePoint now = this->state.environment.now();
     this->state.hasStoreReturned = true;
+    this->state.forgetUnnamedCertainty();
     const auto unknown = this->state.certaintyAge();
     this->noticedReturnInTime = unknown && *unknown <= LeaseTrust + this->state.settings.orderPause;
     this->state.metrics.count("cyclamencross_store_returns_total");
--- a/src/gateway/routerstate.h
+++ b/src/gateway/routerstate.h
@@ -114,6 +114,9 @@
     /// Returns the age of the time until which this router knows all changes of the store, also counting the time for
     /// which its host was suspended; std::nullopt if it has never known them.
     std::optional<Millis> certaintyAge() const;
+    /// Takes back what routers that name no generations have vouched for: after a return of the store they take new
+    /// changes for known ones.
+    void forgetUnnamedCertainty();
     /// Returns whether what this router knows may decide a request: it knows all changes that must be in force.
     bool isCurrent() const;
     /// Suspends the calling coroutine until isCurrent(), until the store has been away for OutageTrust, or until @p
@@ -421,6 +424,7 @@
     /// The same as an answer of the store to this router shows it. Only this is told to peers: each of them learns by
     /// its own reports how old it is.
     std::optional<Clock::duration> ownConfirmedBootTime;
+    bool isCertainWithoutGeneration = false; ///< A report that names no generations has made this router certain.
     PeerClocks peerClocks;
     bool confirmationPending = false; ///< An answer of the store was confirmed since the last report.
     TimePoint lastWatcherReport;
--- a/src/gateway/routerstatereports.cpp
+++ b/src/gateway/routerstatereports.cpp
@@ -48,6 +48,14 @@
     this->confirmedBootTime = std::max(this->confirmedBootTime.value_or(confirmed), confirmed);
 }
 
+void RouterState::forgetUnnamedCertainty()
+{
+    if (std::exchange(this->isCertainWithoutGeneration, false)) {
+        this->freshness.forgetConfirmations();
+        this->confirmedBootTime = this->ownConfirmedBootTime;
+    }
+}
+
 std::optional<Millis> RouterState::certaintyAge() const
 {
     if (!this->confirmedBootTime) {
@@ -322,7 +330,9 @@
     if (!report.namesGenerations) {
         PeerReport named = report;
         this->nameGenerations(named);
+        const auto before = this->freshness.confirmedAt();
         this->applyPeerReport(named, now);
+        this->isCertainWithoutGeneration = this->isCertainWithoutGeneration || this->freshness.confirmedAt() != before;
         return;
     }
     this->applyPeerReport(report, now);
--- a/src/include/cyclamencross/route/storefreshness.h
+++ b/src/include/cyclamencross/route/storefreshness.h
@@ -56,6 +56,8 @@
     /// Records that an answer of the store, to this router or a peer, shows that all changes made until @p at are
     /// known. Earlier times than the known one are ignored.
     void confirm(TimePoint at);
+    /// Takes back all confirmations.
+    void forgetConfirmations();
     /// Returns the time until which all changes are known; std::nullopt if there was no confirmation.
     std::optional<TimePoint> confirmedAt() const;
     /// Returns whether all changes are known that are older than @p revokeTime less RevokeMargin, so that a request
--- a/src/route/storefreshness.cpp
+++ b/src/route/storefreshness.cpp
@@ -33,6 +33,11 @@
     this->knownUntil = std::max(this->knownUntil.value_or(at), at);
 }
 
+void StoreFreshness::forgetConfirmations()
+{
+    this->knownUntil = std::nullopt;
+}
+
 std::optional<TimePoint> StoreFreshness::confirmedAt() const
 {
     return this->knownUntil;
