Explorer: the store returns from an older copy

VirtualStore keeps its content in a value of its own (VirtualStoreContent), of which it can give a copy and from which it returns: items, leases with the time that they had left, numbers and history, one generation higher, which all answers name, failures too. A watch or readChanges from a number above the current one gets 410. Generations are named only in schedules with returns, whose entries of backend servers also tell the number of the start.

A return is a disturbance of three kinds (the store refuses, resets or is silent while it is away). generateWithReturns() makes the schedules: a copy of 1 to 8 s, 0 to 0.9 s away, one or two returns within 5 s, up to two other disturbances, changes mostly within the time that the copy lacks. 0.1 to 1.2 s after a return the platform writes again what it wrote.

New rules: routers register again within 3.5 s of a return; a server that served before and after is not left out meanwhile (kept-through-return); one that left 2 s or more before a return is not used again (left-before-return); one that has been there for 2 s is known (left-out, in schedules with returns only); no fencing token of two holders. The present rules count from the last return as from the end of an outage; a version that the copy lacks counts from its repeated write.

--- a/src/gateway/disturbance_test.cpp
+++ b/src/gateway/disturbance_test.cpp
@@ -12,9 +12,10 @@
 {
 
 constexpr std::array<const char *, DisturbanceKinds> KindNames{
-    "refuse",       "refuse-reads",       "refuse-writes", "reset",          "silent",        "lose-answers", "delay",
-    "silent-watch", "silent-connections", "silent-idle",   "lose-reports",   "freeze",        "suspend",      "kill",
-    "drop-history", "hide-history",       "write-config",  "remove-backend", "drain-backend", "stop-backend"};
+    "refuse",        "refuse-reads", "refuse-writes",      "reset",        "silent",       "lose-answers",
+    "delay",         "silent-watch", "silent-connections", "silent-idle",  "lose-reports", "freeze",
+    "suspend",       "kill",         "drop-history",       "hide-history", "write-config", "remove-backend",
+    "drain-backend", "stop-backend", "return-refuse",      "return-reset", "return-silent"};
 constexpr std::array<const char *, DisturbanceRoles> RoleNames{
     "leader", "primary-watcher", "first-standby", "second-standby", "all-watchers", "last-to-order",
     "newest", "no-watcher",      "half",          "all-but-one",    "all"};
@@ -63,7 +64,7 @@
     for (int i = 0; i < changes; ++i) {
         // The changes lie around the begin and the end of the first disturbance.
         const int around = below(2) == 0 ? begin : begin + length;
-        const int kind = FirstChangeKind + below(DisturbanceKinds - FirstChangeKind);
+        const int kind = FirstChangeKind + below(FirstReturnKind - FirstChangeKind);
         addDisturbance(kind, 0, around - 1500 + below(5000));
     }
     return schedule;
--- a/src/gateway/disturbance_test.h
+++ b/src/gateway/disturbance_test.h
@@ -32,6 +32,10 @@
     RemoveBackend, ///< A backend server removes its entry, and registers again at the end.
     DrainBackend, ///< A backend server is marked draining until the end.
     StopBackend, ///< A backend server lets its entry expire, and registers again at the end.
+    ReturnRefuse, ///< The store is away, refuses all calls, and comes back from a copy of Disturbance::target ms
+                  ///< before.
+    ReturnReset, ///< The same; connections break meanwhile.
+    ReturnSilent, ///< The same; there are no answers meanwhile.
 };
 
 /// The routers that a disturbance meets, by their roles when it begins.
@@ -49,8 +53,9 @@
     All,
 };
 
-constexpr int DisturbanceKinds = int(DisturbanceKind::StopBackend) + 1;
+constexpr int DisturbanceKinds = int(DisturbanceKind::ReturnSilent) + 1;
 constexpr int FirstChangeKind = int(DisturbanceKind::WriteConfig);
+constexpr int FirstReturnKind = int(DisturbanceKind::ReturnRefuse);
 constexpr int DisturbanceRoles = int(DisturbanceRole::All) + 1;
 
 /// One entry of a schedule.
@@ -60,7 +65,9 @@
     DisturbanceRole role = DisturbanceRole::Leader;
     Millis at{0}; ///< Since the start of the schedule.
     Millis duration{0};
-    int target = 0; ///< Number of the backend server or router, where the role leaves a choice.
+    /// Number of the backend server or router, where the role leaves a choice; the age of the copy, in milliseconds, if
+    /// the store returns from one.
+    int target = 0;
 
     bool operator==(const Disturbance &) const = default;
 };
@@ -78,6 +85,11 @@
 
     /// Returns the schedule of a number. Consecutive numbers go through all kinds and roles.
     static ExplorationSchedule generate(std::uint64_t seed);
+    /// Returns the schedule of a number in which the store returns from older copies once or twice. They are no part of
+    /// generate(), whose schedules stay as they are.
+    static ExplorationSchedule generateWithReturns(std::uint64_t seed);
+    /// Returns whether the store returns from an older copy.
+    bool hasReturns() const;
     /// Returns the schedule as text on one line.
     std::string toText() const;
     /// Parses the result of toText(); std::nullopt if it has another form.
--- a/src/gateway/exploration_test.cpp
+++ b/src/gateway/exploration_test.cpp
@@ -65,6 +65,18 @@
     CHECK(toHex(hash) == "64967eeb19fe818c");
 }
 
+TEST_CASE("A seed makes the same schedule with returns of the store on each kind of machine")
+{
+    // Guards against the same for the schedules of a kind of their own.
+    std::uint64_t hash = 0;
+    for (std::uint64_t seed = 1; seed <= 1000; ++seed) {
+        const ExplorationSchedule schedule = ExplorationSchedule::generateWithReturns(seed);
+        CHECK(ExplorationSchedule::fromText(schedule.toText()) == schedule);
+        hash = hash64(schedule.toText(), hash);
+    }
+    CHECK(toHex(hash) == "6b281965aa8f48a0");
+}
+
 TEST_CASE("Silent connections of all routers at once are no outage of the store")
 {
     // Guards against routers that keep the entry of a leaving backend server for 2 s, because all their connections to
@@ -117,9 +129,11 @@
 TEST_CASE("Schedules by hand", "[.explore]")
 {
     // EXPLORE_FIRST, EXPLORE_COUNT: the schedules to run. EXPLORE_SCHEDULE: one schedule as text, to replay it.
-    // EXPLORE_FAILURES: number of violations after which to end.
+    // EXPLORE_FAILURES: number of violations after which to end. EXPLORE_RETURNS=1: schedules in which the store
+    // returns from older copies.
     const SilentLog silence;
     const bool dropIdle = setting("EXPLORE_KEEP_IDLE_CONNECTIONS", 0) == 0;
+    const bool returns = setting("EXPLORE_RETURNS", 0) != 0;
     if (const char *text = std::getenv("EXPLORE_SCHEDULE")) {
         replay(text, dropIdle);
         return;
@@ -129,7 +143,8 @@
     const std::uint64_t count = setting("EXPLORE_COUNT", 1000);
     std::uint64_t failures = 0;
     for (std::uint64_t seed = first; seed < first + count; ++seed) {
-        const ExplorationSchedule schedule = ExplorationSchedule::generate(seed);
+        const ExplorationSchedule schedule =
+            returns ? ExplorationSchedule::generateWithReturns(seed) : ExplorationSchedule::generate(seed);
         const auto violation = Explorer(schedule, dropIdle).run();
         if (violation) {
             const ExplorationSchedule shortened = Explorer::shorten(schedule, violation->rule, dropIdle);
--- a/src/gateway/explorer_test.cpp
+++ b/src/gateway/explorer_test.cpp
@@ -36,6 +36,9 @@
 {
     this->store.clientsDropIdleConnections = clientsDropIdleConnections;
     this->store.onChange = [this](const StoreItem &item) { this->invariants.recordChange(item); };
+    if (this->schedule.hasReturns()) {
+        this->store.nameGeneration();
+    }
 }
 
 Explorer::~Explorer()
@@ -71,7 +74,11 @@
         this->time.runAt(this->time.now() + start, nullptr, [this, i] { this->startRouter(i); });
     }
     for (const Disturbance &item : this->schedule.disturbances) {
-        this->time.runAt(VirtualTime::Start + item.at, nullptr, [this, &item] { this->apply(item); });
+        if (int(item.kind) >= FirstReturnKind) {
+            this->scheduleReturn(item);
+        } else {
+            this->time.runAt(VirtualTime::Start + item.at, nullptr, [this, &item] { this->apply(item); });
+        }
     }
     const TimePoint end = VirtualTime::Start + ExplorationSchedule::Duration;
     TimePoint nextTick = this->time.now();
@@ -135,13 +142,21 @@
 {
     backend.alive = true;
     backend.draining = false;
+    backend.removed = false;
     backend.lease = 0;
-    this->heartbeat(backend, ++backend.starts);
+    ++backend.starts;
+    this->heartbeat(backend, ++backend.beats);
+}
+
+std::string Explorer::value(const Backend &backend) const
+{
+    // Entries tell the start only where old and new ones may meet.
+    return VirtualRouter::backendValue(backend.draining, this->schedule.hasReturns() ? backend.starts : 0);
 }
 
-void Explorer::heartbeat(Backend &backend, int start)
+void Explorer::heartbeat(Backend &backend, int beats)
 {
-    if (!backend.alive || start != backend.starts) {
+    if (!backend.alive || beats != backend.beats) {
         return;
     }
     Millis next = HeartbeatPeriod;
@@ -153,9 +168,9 @@
         next = Millis(std::int64_t(this->time.random() * double(latest.count())));
     } else if (!this->store.renewLease(backend.lease)) {
         backend.lease = this->store.grantLease(BackendLease);
-        this->store.put(this->key(backend), VirtualRouter::backendValue(backend.draining), backend.lease);
+        this->store.put(this->key(backend), this->value(backend), backend.lease);
     }
-    this->time.runAt(this->time.now() + next, nullptr, [this, &backend, start] { this->heartbeat(backend, start); });
+    this->time.runAt(this->time.now() + next, nullptr, [this, &backend, beats] { this->heartbeat(backend, beats); });
 }
 
 std::vector<std::size_t> Explorer::findRouters(const Disturbance &item) const
--- a/src/gateway/explorerdisturbances_test.cpp
+++ b/src/gateway/explorerdisturbances_test.cpp
@@ -141,12 +141,14 @@
     }
     if (item.kind == DisturbanceKind::DrainBackend) {
         backend.draining = true;
-        this->store.put(this->key(backend), VirtualRouter::backendValue(true), backend.lease);
+        this->store.put(this->key(backend), this->value(backend), backend.lease);
     } else {
         backend.alive = false;
         this->invariants.recordStopped(backend.id);
         if (item.kind == DisturbanceKind::RemoveBackend) {
+            backend.removed = true;
             this->store.endLease(backend.lease);
+            this->store.remove(this->key(backend)); // After a return the entry may not be under that lease.
         }
     }
     this->time.runAt(this->time.now() + item.duration, nullptr, [this, &backend] { this->startBackend(backend); });
--- a/src/gateway/invariants_test.cpp
+++ b/src/gateway/invariants_test.cpp
@@ -41,16 +41,20 @@
     if (item.key == VirtualRouter::configKey()) {
         this->versions.emplace_back(std::stoull(item.value), now);
     }
+    if (item.key.starts_with(FleetSync::memberPrefix()) && !item.removed) {
+        this->registeredAt[std::stoul(item.key.substr(FleetSync::memberPrefix().size() + 1))] = now;
+    }
     if (!item.key.starts_with(VirtualRouter::backendPrefix())) {
         return;
     }
     BackendTruth &backend = this->backends[item.key.substr(VirtualRouter::backendPrefix().size())];
     const bool wasUsable = backend.usable;
-    const bool usable = !item.removed && item.value == VirtualRouter::backendValue(false);
+    const bool usable = !item.removed && VirtualRouter::isServing(item.value);
     if (usable != backend.usable) {
         backend.changedAt = now;
     }
     backend.usable = usable;
+    this->recordChangeAfterReturn(backend, usable);
     backend.returnedAt = usable ? backend.returnedAt : TimePoint();
     if (item.removed) {
         backend.lapsed = this->store.isDown() && !backend.stopped && wasUsable;
@@ -93,6 +97,7 @@
 void Invariants::recordStopped(const std::string &backend)
 {
     this->backends[backend].stopped = true;
+    this->backends[backend].kept = false;
 }
 
 void Invariants::recordOrder(const VirtualRouter &router, std::uint64_t token)
@@ -104,6 +109,9 @@
                    who + " may order " + std::to_string((this->time.now() - this->lastOrder) / Millis(1)) + " ms after "
                        + VirtualRouter::nameOf(this->lastOrderer->first));
     }
+    if (this->lastOrderer && *this->lastOrderer != orderer && token == this->highestToken) {
+        this->fail("leadership", who + " may order with the token of another holder");
+    }
     if (token < this->highestToken) {
         this->fail("leadership", who + " may order after token " + std::to_string(this->highestToken));
     }
@@ -120,7 +128,7 @@
 bool Invariants::isUndisturbed(const VirtualRouter &router, Millis duration) const
 {
     const auto disturbed = this->disturbedUntil.find(router.process->router);
-    TimePoint since = std::max({router.startTime, this->storeDisturbedUntil, this->outageEnd});
+    TimePoint since = std::max({router.startTime, this->storeDisturbedUntil, this->outageEnd, this->returnEnd});
     if (disturbed != this->disturbedUntil.end()) {
         since = std::max(since, disturbed->second);
     }
@@ -133,7 +141,7 @@
     const bool wasDisturbed =
         disturbed != this->disturbedUntil.end() && disturbed->second >= this->outageBegin - TouchTime;
     return !wasDisturbed && this->storeDisturbedUntil < this->outageBegin - TouchTime
-        && router.startTime < this->outageBegin - TouchTime;
+        && this->returnEnd < this->outageBegin - TouchTime && router.startTime < this->outageBegin - TouchTime;
 }
 
 void Invariants::check(const VirtualRouter &router)
@@ -164,6 +172,7 @@
             }
         }
     }
+    this->checkRegistration(router);
     for (auto &[id, backend] : this->backends) {
         this->checkBackend(router, id, backend);
     }
@@ -185,6 +194,7 @@
     if (!used && backend.lapsed && this->knowsOnlyOutage(router) && now < this->outageEnd + ReturnTime) {
         backend.lost = true;
     }
+    this->checkReturned(router, id, backend, used);
     const bool isBack = backend.usable && backend.returnedAt > this->outageBegin;
     if (!used && isBack && now < this->outageEnd + GapCheckTime && this->knowsOnlyOutage(router)) {
         this->fail("kept", this->describe(router.state) + " removed " + id + ", which was back in time");
--- a/src/gateway/invariants_test.h
+++ b/src/gateway/invariants_test.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -38,6 +39,9 @@
     /// Time of undisturbed running after which a router that was started again is ready.
     static constexpr Millis ReadyTime{5000};
 
+    /// Time from a return of the store by which routers that reach it are registered again.
+    static constexpr Millis RegisterTime{3500};
+
     Invariants(VirtualTime &time, VirtualStore &store);
 
     /// Records a change that the store has executed.
@@ -48,6 +52,12 @@
     void recordStoreDisturbance(Millis duration);
     /// Records that the store is away for a while, for everybody.
     void recordOutage(Millis duration);
+    /// Records that the store is away for a while and then returns from an older copy.
+    void recordReturnBegin(Millis duration);
+    /// Records that the store has returned from an older copy.
+    /// @param serving backend servers that run and do not leave.
+    /// @param leaving those that have told that they leave, or removed their entry.
+    void recordReturn(const std::set<std::string> &serving, const std::set<std::string> &leaving);
     /// Records that the owner of an entry does not renew it any more.
     void recordStopped(const std::string &backend);
     /// Records that a router gives an order, or may give one now.
@@ -70,6 +80,9 @@
         bool lapsed = false; ///< The entry expired during the last outage and is not back.
         TimePoint returnedAt; ///< Time at which it was back after that outage, if it was in time.
         bool lost = false; ///< A router that should keep it does not.
+        bool kept = false; ///< Served before and after the last returns of the store, whatever the copies lack.
+        bool left = false; ///< Told that it leaves, ChangeTime or more before a return of the store.
+        TimePoint leftAt; ///< When it told that, if left is set.
     };
 
     /// Returns the name of a router and what it takes for true of the store.
@@ -80,6 +93,14 @@
     bool isUndisturbed(const VirtualRouter &router, Millis duration) const;
     /// Returns whether the last outage is the only disturbance that the router has had for a while.
     bool knowsOnlyOutage(const VirtualRouter &router) const;
+    /// Returns whether the router has had no disturbance from TouchTime before @p begin on, except for returns of the
+    /// store.
+    bool knowsOnlyReturnsSince(const VirtualRouter &router, TimePoint begin) const;
+    /// Checks the rules on returns of the store.
+    void checkRegistration(const VirtualRouter &router);
+    void checkReturned(const VirtualRouter &router, const std::string &id, const BackendTruth &backend, bool used);
+    /// Records what a change after a return of the store means for the rules on returns.
+    void recordChangeAfterReturn(BackendTruth &backend, bool usable);
 
     VirtualTime &time;
     VirtualStore &store;
@@ -87,6 +108,9 @@
     TimePoint storeDisturbedUntil; ///< Outages not included.
     TimePoint outageBegin;
     TimePoint outageEnd;
+    TimePoint returnsBegin; ///< Begin of the first return of the last series.
+    TimePoint returnEnd; ///< End of the last return.
+    std::map<std::size_t, TimePoint> registeredAt; ///< By router.
     std::map<std::string, BackendTruth> backends;
     std::vector<std::pair<std::uint64_t, TimePoint>> versions; ///< Of the configuration, with their times.
     std::map<std::size_t, std::pair<std::uint64_t, std::uint64_t>> seenVersions; ///< By router: incarnation, version.
--- a/src/gateway/virtualrouter_test.cpp
+++ b/src/gateway/virtualrouter_test.cpp
@@ -59,7 +59,9 @@
     };
     codec.decodeBackend = [](const std::string &id, std::string_view value) {
         const EngineStage stage = id.starts_with("e") ? EngineStage::Prefill : EngineStage::None;
-        return BackendServer{id, "s", "10.0.1.1:1", "z", value == "draining", stage, 1, 0};
+        const auto space = value.find(' ');
+        const std::int64_t start = space == value.npos ? 0 : std::stoll(std::string(value.substr(space)));
+        return BackendServer{id, "s", "10.0.1.1:1", "z", value.starts_with("draining"), stage, 1, start};
     };
     return codec;
 }
@@ -154,9 +156,18 @@
     return "config";
 }
 
-std::string VirtualRouter::backendValue(bool draining)
+std::string VirtualRouter::backendValue(bool draining, int start)
 {
-    return draining ? "draining" : "serving";
+    std::string value = draining ? "draining" : "serving";
+    if (start != 0) {
+        value += " " + std::to_string(start);
+    }
+    return value;
+}
+
+bool VirtualRouter::isServing(const std::string &value)
+{
+    return value.starts_with("serving");
 }
 
 }
--- a/src/gateway/virtualrouter_test.h
+++ b/src/gateway/virtualrouter_test.h
@@ -35,7 +35,10 @@
     /// Returns the key of the configuration, whose value is its version.
     static std::string configKey();
     /// Returns the value of a backend server's entry.
-    static std::string backendValue(bool draining);
+    /// @param start number of its start; 0 if the entry does not tell.
+    static std::string backendValue(bool draining, int start = 0);
+    /// Returns whether the value of a backend server's entry says that it takes requests.
+    static bool isServing(const std::string &value);
 
     const ProcessPtr process;
     const TimePoint startTime;
--- a/src/gateway/virtualstore_test.cpp
+++ b/src/gateway/virtualstore_test.cpp
@@ -11,29 +11,45 @@
 {
 }
 
+StoreFailure VirtualStore::failure(StoreFailure::Kind kind) const
+{
+    return StoreFailure{kind, "", this->generation};
+}
+
+StoreItem VirtualStore::answered(StoreItem item) const
+{
+    item.revision = StoreRevision(this->generation, item.revision.number());
+    return item;
+}
+
 StoreResult<StorePage> VirtualStore::list() const
 {
     StorePage page;
-    page.revision = this->revision;
-    for (const auto &[key, item] : this->items) {
-        page.items.push_back(item.first);
+    page.revision = StoreRevision(this->generation, this->content.revision);
+    for (const auto &[key, item] : this->content.items) {
+        page.items.push_back(this->answered(item.first));
     }
     return page;
 }
 
 StoreResult<StorePage> VirtualStore::changes(const StoreRevision &after) const
 {
-    if (after.number() < this->droppedUpTo) {
-        if (!this->hidesDropped) {
-            return StoreFailure{StoreFailure::Kind::HistoryCompacted, ""};
+    StorePage page;
+    page.revision = StoreRevision(this->generation, this->content.revision);
+    if (after.number() > this->content.revision) {
+        return this->failure(StoreFailure::Kind::HistoryCompacted);
+    }
+    if (after.number() < this->content.droppedUpTo) {
+        if (!this->content.hidesDropped) {
+            return this->failure(StoreFailure::Kind::HistoryCompacted);
+        }
+        return page;
+    }
+    for (const StoreItem &item : this->content.history) {
+        if (item.revision.number() > after.number()) {
+            page.items.push_back(this->answered(item));
         }
-        return StorePage{{}, this->revision};
     }
-    StorePage page;
-    page.revision = this->revision;
-    const auto first = std::find_if(this->history.begin(), this->history.end(),
-                                    [after](const StoreItem &item) { return item.revision > after; });
-    page.items.assign(first, this->history.end());
     return page;
 }
 
@@ -41,21 +57,22 @@
                                                  const std::string &conditionKey,
                                                  const StoreRevision &conditionRevision)
 {
-    const auto condition = this->items.find(conditionKey);
-    const StoreRevision known = condition == this->items.end() ? StoreRevision() : condition->second.first.revision;
-    if (known != conditionRevision) {
-        return StoreFailure{StoreFailure::Kind::Conflict, ""};
+    const auto condition = this->content.items.find(conditionKey);
+    const StoreRevision known =
+        condition == this->content.items.end() ? StoreRevision() : condition->second.first.revision;
+    if (known.number() != conditionRevision.number()) {
+        return this->failure(StoreFailure::Kind::Conflict);
     }
-    if (lease != 0 && !this->leases.contains(lease)) {
-        return StoreFailure{StoreFailure::Kind::LeaseExpired, ""};
+    if (lease != 0 && !this->content.leases.contains(lease)) {
+        return this->failure(StoreFailure::Kind::LeaseExpired);
     }
     return this->put(key, value, lease);
 }
 
 void VirtualStore::commit(StoreItem item)
 {
-    item.revision = ++this->revision;
-    this->history.push_back(item);
+    item.revision = StoreRevision(this->generation, ++this->content.revision);
+    this->content.history.push_back(item);
     if (this->onChange) {
         this->onChange(item);
     }
@@ -64,23 +81,49 @@
 
 StoreRevision VirtualStore::put(const std::string &key, const std::string &value, std::uint64_t lease)
 {
-    const StoreItem item{key, value, this->revision + 1, false};
-    this->items[key] = {item, lease};
+    const StoreItem item{key, value, StoreRevision(this->generation, this->content.revision + 1), false};
+    this->content.items[key] = {item, lease};
     this->commit(item);
     return item.revision;
 }
 
 void VirtualStore::remove(const std::string &key)
 {
-    if (this->items.erase(key) > 0) {
+    if (this->content.items.erase(key) > 0) {
         this->commit(StoreItem{key, "", 0, true});
     }
 }
 
 std::optional<std::string> VirtualStore::find(const std::string &key) const
 {
-    const auto item = this->items.find(key);
-    return item == this->items.end() ? std::nullopt : std::optional(item->second.first.value);
+    const auto item = this->content.items.find(key);
+    return item == this->content.items.end() ? std::nullopt : std::optional(item->second.first.value);
+}
+
+std::uint64_t VirtualStore::leaseOf(const std::string &key) const
+{
+    const auto item = this->content.items.find(key);
+    return item == this->content.items.end() ? 0 : item->second.second;
+}
+
+void VirtualStore::nameGeneration()
+{
+    this->generation = 1;
+}
+
+const VirtualStoreContent &VirtualStore::currentContent() const
+{
+    return this->content;
+}
+
+void VirtualStore::returnFrom(VirtualStoreContent copy, Clock::duration age)
+{
+    this->content = std::move(copy);
+    for (auto &[id, lease] : this->content.leases) {
+        lease.expiry += age;
+    }
+    ++this->generation;
+    this->answerWatches();
 }
 
 void VirtualStore::answerWatches()
@@ -98,14 +141,14 @@
 
 std::uint64_t VirtualStore::grantLease(Millis lifetime)
 {
-    this->leases[this->nextLease] = Lease{lifetime, this->time.now() + lifetime};
-    return this->nextLease++;
+    this->content.leases[this->content.nextLease] = VirtualStoreContent::Lease{lifetime, this->time.now() + lifetime};
+    return this->content.nextLease++;
 }
 
 bool VirtualStore::renewLease(std::uint64_t lease)
 {
-    const auto known = this->leases.find(lease);
-    if (known == this->leases.end()) {
+    const auto known = this->content.leases.find(lease);
+    if (known == this->content.leases.end()) {
         return false;
     }
     known->second.expiry = this->time.now() + known->second.lifetime;
@@ -114,11 +157,11 @@
 
 void VirtualStore::endLease(std::uint64_t lease)
 {
-    if (this->leases.erase(lease) == 0) {
+    if (this->content.leases.erase(lease) == 0) {
         return;
     }
     std::vector<std::string> keys;
-    for (const auto &[key, item] : this->items) {
+    for (const auto &[key, item] : this->content.items) {
         if (item.second == lease) {
             keys.push_back(key);
         }
@@ -131,7 +174,7 @@
 void VirtualStore::expireLeases()
 {
     std::vector<std::uint64_t> due;
-    for (const auto &[id, lease] : this->leases) {
+    for (const auto &[id, lease] : this->content.leases) {
         if (lease.expiry <= this->time.now()) {
             due.push_back(id);
         }
@@ -211,9 +254,9 @@
 
 void VirtualStore::dropHistory(bool hidesChanges)
 {
-    this->droppedUpTo = this->revision;
-    this->hidesDropped = hidesChanges;
-    this->history.clear();
+    this->content.droppedUpTo = this->content.revision;
+    this->content.hidesDropped = hidesChanges;
+    this->content.history.clear();
     this->answerWatches();
 }
 
--- a/src/gateway/virtualstore_test.h
+++ b/src/gateway/virtualstore_test.h
@@ -1,10 +1,10 @@
 #pragma once
 
+#include "virtualstorecontent_test.h"
 #include "virtualtime_test.h"
 
 #include "cyclamencross/gateway/statestore.h"
 
-#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -64,6 +64,16 @@
     void silenceIdle(std::size_t router, Millis duration);
     /// Drops the history of changes. Later reads of it fail; if @p hidesChanges, they return an empty page instead.
     void dropHistory(bool hidesChanges);
+    /// Returns the lease of an item; 0 if it has none or does not exist.
+    std::uint64_t leaseOf(const std::string &key) const;
+    /// Names the first generation in all answers from now on, see StoreRevision. Before, answers name none.
+    void nameGeneration();
+    /// Returns what the store holds now.
+    const VirtualStoreContent &currentContent() const;
+    /// Returns from an older copy: what was written since is gone, numbers are given out again, and the generation
+    /// rises by one. Leases go on with the time that they had left.
+    /// @param age time since @p copy was taken.
+    void returnFrom(VirtualStoreContent copy, Clock::duration age);
     /// Takes the store away from everybody until a time.
     void setDown(TimePoint until);
     bool isDown() const;
@@ -106,11 +116,6 @@
         TimePoint until;
         Millis delay{0};
     };
-    struct Lease
-    {
-        Millis lifetime;
-        TimePoint expiry;
-    };
     struct Watch
     {
         StoreRevision after;
@@ -125,6 +130,10 @@
     template<typename Value>
     StoreAwaitable<Value> callNow(ClientPtr client, StoreCalls calls, Millis timeout,
                                   std::function<StoreResult<Value>()> execute);
+    /// Returns a failure that the store answers, with its generation.
+    StoreFailure failure(StoreFailure::Kind kind) const;
+    /// Returns an item as the store answers it: all revisions in an answer are of the present generation.
+    StoreItem answered(StoreItem item) const;
     StoreResult<StorePage> list() const;
     StoreResult<StorePage> changes(const StoreRevision &after) const;
     StoreResult<StoreRevision> writeIf(const std::string &key, const std::string &value, std::uint64_t lease,
@@ -137,13 +146,8 @@
     void answerWatches();
 
     VirtualTime &time;
-    std::map<std::string, std::pair<StoreItem, std::uint64_t>> items; ///< With their leases.
-    std::map<std::uint64_t, Lease> leases;
-    std::uint64_t nextLease = 1;
-    std::uint64_t revision = 0;
-    std::deque<StoreItem> history;
-    std::uint64_t droppedUpTo = 0;
-    bool hidesDropped = false;
+    VirtualStoreContent content;
+    std::uint64_t generation = 0; ///< Named in all answers; 0 for a store that names none.
     std::vector<Watch> watches;
     std::map<std::size_t, std::vector<Fault>> faults;
     std::map<std::size_t, TimePoint> silencesIdleUntil; ///< By router.
--- a/src/gateway/virtualstoreclient_test.cpp
+++ b/src/gateway/virtualstoreclient_test.cpp
@@ -93,7 +93,7 @@
             return;
         }
         if (fault.kind == StoreFault::Refuse) {
-            reply(StoreFailure{StoreFailure::Kind::Refused, ""}, this->latency());
+            reply(this->failure(StoreFailure::Kind::Refused), this->latency());
         } else if (fault.kind == StoreFault::Reset) {
             fail(this->latency());
         } else {
@@ -172,27 +172,27 @@
     };
     store.grantLease = [this, client](Millis lifetime) {
         return this->callNow<StoreLease>(client, StoreCalls::Writes, CallTimeout, [this, lifetime] {
-            return StoreLease{this->grantLease(lifetime), 0};
+            return StoreLease{this->grantLease(lifetime), this->generation};
         });
     };
     store.renewLease = [this, callForLease](std::uint64_t lease) {
         return callForLease([this, lease]() -> StoreResult<std::uint64_t> {
             if (!this->renewLease(lease)) {
-                return StoreFailure{StoreFailure::Kind::LeaseExpired, ""};
+                return this->failure(StoreFailure::Kind::LeaseExpired);
             }
-            return std::uint64_t(0);
+            return this->generation;
         });
     };
     store.endLease = [this, callForLease](std::uint64_t lease) {
         return callForLease([this, lease]() -> StoreResult<std::uint64_t> {
             this->endLease(lease);
-            return std::uint64_t(0);
+            return this->generation;
         });
     };
     store.write = [this, callForRevision](std::string key, std::string value, std::uint64_t lease) {
         return callForRevision([this, key, value, lease]() -> StoreResult<StoreRevision> {
-            if (lease != 0 && !this->leases.contains(lease)) {
-                return StoreFailure{StoreFailure::Kind::LeaseExpired, ""};
+            if (lease != 0 && !this->content.leases.contains(lease)) {
+                return this->failure(StoreFailure::Kind::LeaseExpired);
             }
             return this->put(key, value, lease);
         });
