Fix: an entry that is written again as it was stays marked for removal at peers

A list that lacks an entry after an outage or a return marks it for removal 2 s later. If the entry is then written again as it was, the router that reads the list cancels the mark, but takes the entry for unchanged and does not tell its peers, which believe to know everything up to the revision of the list. They remove the entry at the end of the 2 s and leave the backend server out until its next change.

RegistrationCache::put() reports a change if the entry was marked.

--- a/src/gateway/exploration_test.cpp
+++ b/src/gateway/exploration_test.cpp
@@ -140,6 +140,17 @@
     replay(text);
 }
 
+TEST_CASE("Peers hear that an entry marked for removal has been written again as it was")
+{
+    // Guards against an entry that the reader of a list takes for unchanged and that its peers remove for good.
+    const SilentLog silence;
+    const char *text =
+        GENERATE("seed=2317 routers=5 return-silent,all,19884,355,2440 remove-backend,leader,17028,1051,21",
+                 "seed=1388 routers=3 return-silent,all,18465,464,3446 remove-backend,leader,14492,2602,10",
+                 "seed=3067 routers=12 return-silent,all,18121,706,6877 stop-backend,leader,7692,9163,0");
+    replay(text);
+}
+
 TEST_CASE("Schedules by hand", "[.explore]")
 {
     // EXPLORE_FIRST, EXPLORE_COUNT: the schedules to run. EXPLORE_SCHEDULE: one schedule as text, to replay it.
--- a/src/include/cyclamencross/route/registrationcache.h
+++ b/src/include/cyclamencross/route/registrationcache.h
@@ -20,14 +20,15 @@
 public:
     /// Adds or replaces an entry.
     /// @param revision store revision of the write; ignored if older than the known revision of the entry.
-    /// @return whether the entry changed.
+    /// @return whether the entry changed, or was marked for removal before. Peers that have marked it as well have to
+    /// hear of it.
     bool put(const std::string &key, Entry entry, StoreRevision revision)
     {
         Record &record = this->records[key];
         if (revision < record.revision) {
             return false;
         }
-        const bool changed = record.revision == 0 || !(record.entry == entry);
+        const bool changed = record.revision == 0 || record.keptUntil || !(record.entry == entry);
         record = Record{std::move(entry), revision, std::nullopt, StoreRevision()};
         return changed;
     }
