Fix: some removals of backend servers are not remembered over a return

A return keeps an old entry of a removed server apart if the removal is remembered. It was only if a watch or a read of changes told of it while no entries were kept: not if a list lacked the entry, and not if the entry was kept for a while first and then expired, as after an outage or another return. The copy's entry was then used at once.

Whatever takes an entry out of the cache is remembered.

Four schedules as a case: each breaks left-before-return on the parent commit and none now.

--- a/src/gateway/exploration_test.cpp
+++ b/src/gateway/exploration_test.cpp
@@ -151,6 +151,22 @@
     replay(text);
 }
 
+TEST_CASE("A backend server that has left stays out over a return, however its removal was learned")
+{
+    // Guards against a removal that is remembered only if it was read as a change while no entries were kept.
+    const SilentLog silence;
+    const char *text =
+        GENERATE("seed=1030 routers=3 return-silent,all,19272,725,6258 refuse,all-but-one,16652,526,34 "
+                 "remove-backend,leader,17109,5065,13",
+                 "seed=3364 routers=7 return-silent,all,17133,708,2513 silent-watch,primary-watcher,14960,5027,27 "
+                 "remove-backend,leader,15476,9035,26",
+                 "seed=701 routers=4 return-refuse,all,11909,473,5121 return-refuse,all,15503,0,5576 "
+                 "remove-backend,leader,12572,5076,40",
+                 "seed=2430 routers=7 return-reset,all,12633,0,2007 return-reset,all,14917,307,5336 "
+                 "remove-backend,leader,12640,9110,56");
+    replay(text);
+}
+
 TEST_CASE("Schedules by hand", "[.explore]")
 {
     // EXPLORE_FIRST, EXPLORE_COUNT: the schedules to run. EXPLORE_SCHEDULE: one schedule as text, to replay it.
--- a/src/gateway/fleetsyncitems.cpp
+++ b/src/gateway/fleetsyncitems.cpp
@@ -343,13 +343,13 @@
         const std::string id = key.substr(this->codec.backendPrefix.size());
         const BackendServer *server = this->state.backends.find(id);
         const bool known = server != nullptr;
-        if (known && !until && !isAbsence) {
-            this->storeReturn.recordRemoval(*server, this->state.environment.now());
-        }
         if (known) {
             LogLine("backend-removed").add("backend", id).add("held", until.has_value()).write();
+            const BackendServer removed = *server;
+            if (this->state.backends.remove(id, revision, until)) {
+                this->storeReturn.recordRemoval(removed, this->state.environment.now());
+            }
         }
-        this->state.backends.remove(id, revision, until);
         return known || wasHeld;
     }
     if (!key.starts_with(memberPrefix())) {
--- a/src/gateway/fleetsyncreturn.cpp
+++ b/src/gateway/fleetsyncreturn.cpp
@@ -130,7 +130,8 @@
 
 void FleetSync::expire(TimePoint now)
 {
-    const std::size_t gone = this->state.backends.expire(now);
+    const std::size_t gone = this->state.backends.expire(
+        now, [this, now](const BackendServer &server) { this->storeReturn.recordRemoval(server, now); });
     if (gone > 0) {
         LogLine("held-backends-removed").add("count", std::uint64_t(gone)).write();
     }
--- a/src/include/cyclamencross/route/registrationcache.h
+++ b/src/include/cyclamencross/route/registrationcache.h
@@ -3,6 +3,7 @@
 #include "cyclamencross/base/timing.h"
 #include "cyclamencross/route/storerevision.h"
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -56,11 +57,17 @@
     }
 
     /// Removes the entries whose grace period has passed.
+    /// @param removing called for each of them.
     /// @return the number of removed entries.
-    std::size_t expire(TimePoint now)
+    std::size_t expire(TimePoint now, const std::function<void(const Entry &entry)> &removing = nullptr)
     {
-        return std::erase_if(
-            this->records, [now](const auto &item) { return item.second.keptUntil && *item.second.keptUntil <= now; });
+        return std::erase_if(this->records, [now, &removing](const auto &item) {
+            const bool isDue = item.second.keptUntil && *item.second.keptUntil <= now;
+            if (isDue && removing) {
+                removing(item.second.entry);
+            }
+            return isDue;
+        });
     }
 
     /// Returns the revision of each entry by its key.
