Soak: the store returns from an older copy (store_return)

Backend servers repeat their entry until they leave, also the draining one, which a return may take back to ready. They repeat a heartbeat that failed after 0.1 to 1.2 s instead of 0.6 s. The first acknowledgement of draining counts; before, two loops could both report one and the later counted, up to 0.6 s in favour of the routers.

--- a/testsuite/soak/backend.py
+++ b/testsuite/soak/backend.py
@@ -6,9 +6,10 @@
 With TELLS_LOAD 1, answers carry Server-Load with a time of work in percent of the usual one that changes at random.
 
 STAGE is prefill, decode or none. Prints a JSON line for each request that begins or ends here. On SIGTERM it registers
-as draining, serves requests for another DRAIN_SECONDS, removes its registration and ends. From SIGUSR1 to SIGUSR2 its
-answers name a limit of LIMIT requests per second. A decode engine crashes when it begins to answer a request with a
-prompt part whose id begins with BAD_PART.
+as draining, serves requests for another DRAIN_SECONDS, removes its registration and ends. It repeats its registration
+until then, since the store may lose it; a heartbeat that failed is sent again after RETRY_SECONDS. From SIGUSR1 to
+SIGUSR2 its answers name a limit of LIMIT requests per second. A decode engine crashes when it begins to answer a
+request with a prompt part whose id begins with BAD_PART.
 """
 import asyncio
 import json
@@ -23,6 +24,7 @@
 
 DRAIN_SECONDS = 2.6  # slightly longer than the time after which routers must not send new requests
 SILENT_SHARE, SILENT_SECONDS = 0.1, (1.0, 5.0)  # streams of varied length with a pause, and its length
+RETRY_SECONDS = (0.1, 1.2)  # time after a heartbeat that failed until the next
 LIMIT = 2.0
 BAD_PART = "bad"
 ID, SERVICE, STAGE, PORT, ADDRESS, STORE, SEED = sys.argv[1:8]
@@ -36,6 +38,8 @@
     def __init__(self):
         self.random = random.Random(SEED)
         self.draining = self.left = False
+        self.drain_acknowledged = asyncio.Event()
+        self.heartbeats = None
         self.used_tokens = self.running = 0
         self.load_random = random.Random(SEED + ID)  # apart, so that the figures do not change the work of a seed
         self.percent, self.percent_until = 100, 0.0
@@ -56,7 +60,7 @@
         return sum(tokens for tokens, _ in self.holds.values())
 
     async def send_heartbeats(self):
-        """Renews the registration periodically until it has been registered as draining."""
+        """Renews the registration periodically."""
         while True:
             entry = {"Service": SERVICE, "Address": ADDRESS, "Zone": "z1", "Version": "v1", "Slots": SLOTS,
                      "State": "draining" if self.draining else "ready", "ColdLeftMs": 0, "Sequence": 1}
@@ -65,18 +69,21 @@
             try:
                 body = json.dumps({"key": f"servers/{ID}", "value": json.dumps(entry)}).encode()
                 await wirehttp.exchange(STORE, "POST", "/standin/beat", body=body, timeout=1)
-                if self.draining:
+                if entry["State"] == "draining" and not self.drain_acknowledged.is_set():
+                    self.drain_acknowledged.set()
                     self.log_event("drain-acknowledged")
-                    return
+                await asyncio.sleep(0.6)
             except wirehttp.ConnectionBroken:
-                pass
-            await asyncio.sleep(0.6)
+                await asyncio.sleep(random.uniform(*RETRY_SECONDS))
 
     async def leave(self):
         """Drains, removes the registration and ends the process."""
         self.draining = True
-        await self.send_heartbeats()
+        self.heartbeats.cancel()
+        self.heartbeats = asyncio.ensure_future(self.send_heartbeats())
+        await self.drain_acknowledged.wait()
         await asyncio.sleep(DRAIN_SECONDS)
+        self.heartbeats.cancel()
         try:
             body = json.dumps({"key": f"servers/{ID}", "value": None}).encode()
             await wirehttp.exchange(STORE, "POST", "/standin/beat", body=body, timeout=1)
@@ -217,10 +224,9 @@
     loop.add_signal_handler(signal.SIGTERM, lambda: loop.create_task(backend.leave()))
     loop.add_signal_handler(signal.SIGUSR1, lambda: backend.set_limit(LIMIT))
     loop.add_signal_handler(signal.SIGUSR2, lambda: backend.set_limit(None))
-    heartbeats = loop.create_task(backend.send_heartbeats())
+    backend.heartbeats = loop.create_task(backend.send_heartbeats())
     Backend.log_event("listening")
     loop.run_forever()
-    del heartbeats
 
 
 main()
--- a/testsuite/soak/faults.py
+++ b/testsuite/soak/faults.py
@@ -7,6 +7,7 @@
 
 from requestkinds import KINDS
 from stops import PlannedStops
+from storereturns import StoreReturns
 import wirehttp
 from workspaces import FIXED_KEY, IN_FORCE_SECONDS, headers_of
 
@@ -46,6 +47,7 @@
         self.random = random.Random(options.seed)
         self.fleet, self.guarantees, self.options = fleet, guarantees, options
         self.stops = PlannedStops(self)
+        self.returns = StoreReturns(self)
         self.fleet.on_backend_event = self.on_backend_event
         self.restarts = set()
         self.faults = []  # (begin, end, what)
@@ -78,8 +80,9 @@
         weights = [2, 2, 3, 3, 2, 3, 0.5, 2, 3, 0.5, 2, 1]
         names = self.options.faults.split(",") if self.options.faults else [kind.__name__ for kind in kinds]
         # Not among the defaults, so that the seeds of earlier runs still give the same faults.
-        kinds += [stops.stop_young, stops.stop_with_signals, stops.roll_repeatedly, self.move_route]
-        weights += [2, 2, 0.3, 2]
+        kinds += [stops.stop_young, stops.stop_with_signals, stops.roll_repeatedly, self.move_route,
+                  self.returns.store_return]
+        weights += [2, 2, 0.3, 2, 6]
         if self.guarantees.workspaces:
             kinds, weights = [*kinds, self.replace_key], [*weights, 3]
             names = names if self.options.faults else [*names, "replace_key"]
--- a/testsuite/soak/fleet.py
+++ b/testsuite/soak/fleet.py
@@ -183,12 +183,12 @@
         except ValueError:
             pass  # Not an event but a traceback of the backend server, which is in the log.
 
-    async def call_store(self, target, content, tries=1):
+    async def call_store(self, target, content, tries=1, timeout=2.0):
         """Calls the control interface of the store, which faults do not affect."""
         for attempt in range(tries):
             try:
                 return await wirehttp.exchange(f"127.0.0.1:{self.store_port}", "POST", target,
-                                               body=json.dumps(content).encode())
+                                               body=json.dumps(content).encode(), timeout=timeout)
             except wirehttp.ConnectionBroken:
                 if attempt + 1 == tries:
                     raise
--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -5,7 +5,7 @@
 the requests that planned stops have cut: LOST ones, excused ones, and others, which a stop does not answer for.
 
 Further options: --routers N, --callers N, --faults NAMES (besides those of a run without the option: stop_young,
-stop_with_signals, roll_repeatedly, move_route), --cpu-share S, --links, --varied-streams,
+stop_with_signals, roll_repeatedly, move_route, store_return), --cpu-share S, --links, --varied-streams,
 --full-engines, --workspaces on|off|odd, --keep-logs. Odd seeds run with workspaces, slow readers and backend servers
 that tell their load; the faults of earlier odd seeds come with --workspaces off.
 """
--- a/testsuite/soak/store.py
+++ b/testsuite/soak/store.py
@@ -211,4 +211,5 @@
                 store.expire()
 
 
-asyncio.run(main())
+if __name__ == "__main__":
+    asyncio.run(main())
