--- a/src/gateway/exploration_test.cpp
+++ b/src/gateway/exploration_test.cpp
@@ -190,6 +190,9 @@
     const char *text =
         GENERATE("seed=1030 routers=3 return-silent,all,19272,725,6258 refuse,all-but-one,16652,526,34 "
                  "remove-backend,leader,17109,5065,13",
+                 "seed=13745 routers=7 return-silent,all,19164,0,5519 refuse-writes,all-watchers,16039,9187,18 "
+                 "drain-backend,leader,13845,1504,25 remove-backend,leader,14376,9160,60 "
+                 "drain-backend,leader,16164,1512,2",
                  "seed=3364 routers=7 return-silent,all,17133,708,2513 silent-watch,primary-watcher,14960,5027,27 "
                  "remove-backend,leader,15476,9035,26",
                  "seed=701 routers=4 return-refuse,all,11909,473,5121 return-refuse,all,15503,0,5576 "
--- a/src/gateway/fleetsyncreturn.cpp
+++ b/src/gateway/fleetsyncreturn.cpp
@@ -136,7 +136,9 @@
         LogLine("held-backends-removed").add("count", std::uint64_t(gone)).write();
     }
     bool changed = this->state.members.expire(now) + gone > 0;
-    if (!this->heldItems.empty() && !this->storeReturn.settledAt(now)) {
+    // A removal that came before the end of the return may not be known yet.
+    const auto certain = this->state.freshness.confirmedAt();
+    if (!this->heldItems.empty() && certain && !this->storeReturn.settledAt(*certain)) {
         for (const auto &[key, item] : std::exchange(this->heldItems, {})) {
             changed = this->apply(item) || changed;
         }
