--- a/src/gateway/exploration_test.cpp
+++ b/src/gateway/exploration_test.cpp
@@ -215,6 +215,17 @@
     replay(text);
 }
 
+TEST_CASE("A router that learns of a return after its peers keeps missing entries no longer than they do")
+{
+    // Guards against requests at a removed server by a router whose calls to the store hung when it returned (DRAIN).
+    const SilentLog silence;
+    const char *text = GENERATE("seed=561 routers=4 return-silent,all,15968,676,6740 stop-backend,leader,13322,1153,58 "
+                                "remove-backend,leader,17163,3641,61",
+                                "seed=2561 routers=7 return-silent,all,17358,583,3035 suspend,newest,15389,1560,20 "
+                                "remove-backend,leader,18509,2660,41");
+    replay(text);
+}
+
 TEST_CASE("Schedules by hand", "[.explore]")
 {
     // EXPLORE_FIRST, EXPLORE_COUNT: the schedules to run. EXPLORE_SCHEDULE: one schedule as text, to replay it.
--- a/src/gateway/fleetsync.cpp
+++ b/src/gateway/fleetsync.cpp
@@ -158,6 +158,7 @@
         const std::uint64_t named = this->state.newestPeerRevision.generation();
         if (named > std::max(this->state.storeGeneration, this->askedGeneration)) {
             this->askedGeneration = named;
+            this->askedAt = this->state.environment.now();
             this->renewSoon = true; // Only an answer of the store shows which generation it has.
         }
         const bool behind = this->state.newestPeerRevision > this->state.storeRevision;
--- a/src/gateway/fleetsync.h
+++ b/src/gateway/fleetsync.h
@@ -223,6 +223,7 @@
     std::optional<StoreRevision> watchRevision;
     StoreContact contact;
     std::uint64_t askedGeneration = 0; ///< Newest one that a peer has named and that a renewal was to show.
+    TimePoint askedAt; ///< When a peer named it.
     bool renewSoon = false; ///< The next renewal of the lease is due.
     StoreReturn storeReturn;
     std::optional<TimePoint> returnedAt; ///< When this router learned of the last return.
--- a/src/gateway/fleetsyncreturn.cpp
+++ b/src/gateway/fleetsyncreturn.cpp
@@ -44,7 +44,10 @@
     this->state.metrics.count("cyclamencross_store_returns_total");
     this->hasReturnedTwice = this->returnedAt && now - *this->returnedAt <= StoreReturn::MaxCopyAge;
     this->returnedAt = now;
-    this->storeReturn.begin(now + LapseGracePeriod);
+    // The writers write again from the return on, which peers may have noticed long before this router.
+    const bool wasNamed = this->askedGeneration == this->state.storeGeneration;
+    const TimePoint noticed = wasNamed ? std::min(now, this->askedAt) : now;
+    this->storeReturn.begin(noticed + LapseGracePeriod);
     this->heldItems.clear();
     this->copiedUpTo = StoreRevision();
     // Ids of leases are given out again: a renewal could keep the lease of somebody else, and a record that names this
@@ -56,7 +59,7 @@
     this->state.leadership = Leadership{"", 0, 0, this->state.leadership.revision};
     const Millis spread = this->registrationSpread();
     this->registerAfter = now + Millis(std::int64_t(this->state.random() * double(spread.count())));
-    this->membersSettled = now + LapseGracePeriod + spread;
+    this->membersSettled = noticed + LapseGracePeriod + spread;
 }
 
 Millis FleetSync::registrationSpread() const
