--- a/src/gateway/fleetsync_test.cpp
+++ b/src/gateway/fleetsync_test.cpp
@@ -1,4 +1,5 @@
 #include "asioutil.h"
+#include "fleetcodecfixture_test.h"
 #include "fleetsync.h"
 #include "peerreport.h"
 #include "routerstate.h"
@@ -15,18 +16,6 @@
 namespace
 {
 
-FleetCodec makeTestCodec()
-{
-    FleetCodec codec;
-    codec.configKey = "op/config";
-    codec.backendPrefix = "servers/";
-    codec.decodeConfig = [](std::string_view /*value*/) { return InvalidSetting{}; };
-    codec.decodeBackend = [](const std::string &id, std::string_view /*value*/) {
-        return BackendServer{id, "s", "10.0.0.1:1", "z", false, EngineStage::None, 1, 0};
-    };
-    return codec;
-}
-
 StoreAwaitable<StorePage> blockingWatch(std::string /*prefix*/, StoreRevision /*after*/, Millis /*wait*/)
 {
     co_await sleepFor(Millis(100000));
@@ -47,7 +36,7 @@
 
     void follow(Millis duration, bool catchUp = false)
     {
-        this->sync = std::make_unique<FleetSync>(this->state, this->store, makeTestCodec());
+        this->sync = std::make_unique<FleetSync>(this->state, this->store, makeFixtureCodec());
         boost::asio::co_spawn(this->context, this->sync->follow(""), boost::asio::detached);
         if (catchUp) {
             boost::asio::co_spawn(this->context, this->sync->catchUp(""), boost::asio::detached);
@@ -650,7 +639,7 @@
     router.state.settings.name = "r0";
     router.state.settings.callerAddress = "10.0.0.1:1";
     router.state.settings.peerAddress = "10.0.0.1:2";
-    router.sync = std::make_unique<FleetSync>(router.state, router.store, makeTestCodec());
+    router.sync = std::make_unique<FleetSync>(router.state, router.store, makeFixtureCodec());
     boost::asio::co_spawn(router.context, router.sync->keepRegistered(), boost::asio::detached);
     boost::asio::co_spawn(router.context, router.sync->follow(""), boost::asio::detached);
     boost::asio::co_spawn(router.context, router.sync->keepFresh(""), boost::asio::detached);
--- a/src/gateway/fleetsyncreturn_test.cpp
+++ b/src/gateway/fleetsyncreturn_test.cpp
@@ -1,4 +1,5 @@
 #include "asioutil.h"
+#include "fleetcodecfixture_test.h"
 #include "fleetsync.h"
 #include "peerreport.h"
 #include "routerstate.h"
@@ -19,18 +20,6 @@
 constexpr std::uint64_t After = 2;
 const StoreRevision Known(Before, 10);
 
-FleetCodec makeTestCodec()
-{
-    FleetCodec codec;
-    codec.configKey = "op/config";
-    codec.backendPrefix = "servers/";
-    codec.decodeConfig = [](std::string_view /*value*/) { return InvalidSetting{}; };
-    codec.decodeBackend = [](const std::string &id, std::string_view /*value*/) {
-        return BackendServer{id, "s", "10.0.0.1:1", "z", false, EngineStage::None, 1, 0};
-    };
-    return codec;
-}
-
 // A router that has read the given items from the store at revision Known.
 struct InformedRouter
 {
@@ -48,7 +37,7 @@
             co_return *this->page;
         };
         store.cancelWatch = [] {};
-        this->sync = std::make_unique<FleetSync>(this->state, store, makeTestCodec());
+        this->sync = std::make_unique<FleetSync>(this->state, store, makeFixtureCodec());
         boost::asio::co_spawn(this->context, this->sync->follow(""), boost::asio::detached);
         this->context.run_for(Millis(50));
     }
--- a/src/gateway/packedchanges.cpp
+++ b/src/gateway/packedchanges.cpp
@@ -1,6 +1,7 @@
 #include "packedchanges.h"
 
 #include "boundedinputarchive.h"
+#include "revisionarchive.h"
 #include "storechanges.h"
 
 #include <cstdint>
@@ -22,17 +23,6 @@
 
 }
 
-// The generations are not packed: a report names them once for all revisions.
-template<typename Archive>
-void serialize(Archive &archive, StoreRevision &revision)
-{
-    std::uint64_t number = revision.number();
-    archive(number);
-    if constexpr (Archive::is_loading::value) {
-        revision = StoreRevision(number);
-    }
-}
-
 template<typename Archive>
 void serialize(Archive &archive, StoreItem &item)
 {
--- a/src/gateway/peerreport.cpp
+++ b/src/gateway/peerreport.cpp
@@ -2,6 +2,7 @@
 
 #include "boundedinputarchive.h"
 #include "packedchanges.h"
+#include "revisionarchive.h"
 
 #include <algorithm>
 #include <array>
@@ -34,17 +35,6 @@
     archive(sample.route, sample.service, sample.expectedTokens, sample.events, sample.millisPerEvent);
 }
 
-// Archives the number of a revision; its generation is part of the appendix.
-template<typename Archive>
-void archiveNumber(Archive &archive, StoreRevision &revision)
-{
-    std::uint64_t number = revision.number();
-    archive(number);
-    if constexpr (Archive::is_loading::value) {
-        revision = StoreRevision(number);
-    }
-}
-
 template<typename Archive>
 void archiveMillis(Archive &archive, Millis &duration)
 {
@@ -158,10 +148,9 @@
     archiveMillis(archive, report.sentAt);
     archive(report.isCrashNews, report.isGroupReport, report.groupWork, report.stageLoads, report.knowsOtherGroups,
             report.otherGroupsWork);
-    archive(report.router, report.incarnation, report.sequence);
-    archiveNumber(archive, report.storeRevision);
-    archive(report.work, report.waiting, report.reportedCalls, report.slowdowns, report.namedLimits, report.statements,
-            report.outcomes, report.streams, report.crashes, report.servedSuspects);
+    archive(report.router, report.incarnation, report.sequence, report.storeRevision, report.work, report.waiting,
+            report.reportedCalls, report.slowdowns, report.namedLimits, report.statements, report.outcomes,
+            report.streams, report.crashes, report.servedSuspects);
     archive(report.quota, report.otherGroupsQuota, report.streamOrigins, report.cutOff);
 }
 
--- a/src/gateway/storereturnreview_test.cpp
+++ b/src/gateway/storereturnfaults_test.cpp
@@ -1,4 +1,5 @@
 #include "asioutil.h"
+#include "fleetcodecfixture_test.h"
 #include "fleetsync.h"
 #include "peerreport.h"
 #include "routerstate.h"
@@ -35,25 +36,18 @@
         this->store.readChanges = [](std::string /*prefix*/, StoreRevision after) -> StoreAwaitable<StorePage> {
             co_return StorePage{{}, after};
         };
-        this->codec.configKey = "op/config";
-        this->codec.backendPrefix = "servers/";
-        this->codec.decodeConfig = [](std::string_view /*value*/) { return InvalidSetting{}; };
-        this->codec.decodeBackend = [](const std::string &id, std::string_view /*value*/) {
-            return BackendServer{id, "s", "10.0.0.1:1", "z", false, EngineStage::None, 1, 0};
-        };
     }
 
     void start()
     {
         this->state.settings.name = "own";
-        this->sync = std::make_unique<FleetSync>(this->state, this->store, this->codec);
+        this->sync = std::make_unique<FleetSync>(this->state, this->store, makeFixtureCodec());
         boost::asio::co_spawn(this->context, this->sync->follow(""), boost::asio::detached);
     }
 
     std::vector<StorePage> pages;
     std::size_t lists = 0;
     std::size_t watches = 0;
-    FleetCodec codec;
     std::unique_ptr<FleetSync> sync;
     boost::asio::io_context context;
     RouterState state{context.get_executor(), RouterSettings(), 1};
