--- a/src/gateway/fleetsync.h
+++ b/src/gateway/fleetsync.h
@@ -138,7 +138,7 @@
     bool keepFreshReads() const;
     /// Logs why this router reads the store although it watches it or is told of its changes.
     void logCatchUp(const std::string &reason) const;
-    /// Records the generation of the store that answered a call or that a peer has heard of.
+    /// Records the generation of the store that answered a call, or of changes that a peer has read.
     void noteGeneration(std::uint64_t newest);
     /// Gives up what holds in one generation of the store only: the leases of this router and its leadership.
     void beginReturn();
@@ -218,8 +218,8 @@
     RouterState &state;
     StateStore store;
     FleetCodec codec;
-    /// Revision up to which changes were read; unset before the first complete read.
     bool readsForFreshness = false; ///< keepFresh() reads the changes.
+    /// Revision up to which changes were read; unset before the first complete read.
     std::optional<StoreRevision> watchRevision;
     StoreContact contact;
     std::uint64_t askedGeneration = 0; ///< Newest one that a peer has named and that a renewal was to show.
@@ -230,7 +230,8 @@
     bool hasReturnedTwice = false; ///< The return before was within StoreReturn::MaxCopyAge.
     StoreRevision copiedUpTo; ///< See StoreChanges.
     std::map<std::string, StoreItem> heldItems; ///< See holdIfOlder(); by key.
-    /// No leader can have given orders in the new generation before this router learned of it.
+    /// This router knew all changes so shortly before it learned of the last return that no leader can have written a
+    /// stage plan in between.
     bool noticedReturnInTime = false;
     TimePoint registerAfter; ///< Time of the next registration after a return of the store.
     TimePoint membersSettled; ///< When all routers have registered again after a return.
