--- a/src/include/cyclamencross/route/storerevision.h
+++ b/src/include/cyclamencross/route/storerevision.h
@@ -35,7 +35,8 @@
     }
 
     /// Orders by generation, then by number.
-    constexpr auto operator<=>(const StoreRevision &) const = default;
+    // The check takes the zero of the generated comparison for a null pointer.
+    constexpr auto operator<=>(const StoreRevision &) const = default; // NOLINT(modernize-use-nullptr)
 
 private:
     std::uint64_t storeGeneration = 0;
