BackendReach: a router that has just reached a server is not cut off

Cause: three different servers in a row without an accepted connection count as a partition. Attempts run side by side, so that a success is followed at once by the failures of the same check; two refusals of the next request then complete the row.

Change: the server that was reached last has to fail as well, or be gone. Each check tries it, and checks go on while it is in doubt.

--- a/src/gateway/reachmonitor.cpp
+++ b/src/gateway/reachmonitor.cpp
@@ -3,6 +3,8 @@
 #include "asioutil.h"
 #include "routerstate.h"
 
+#include <algorithm>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -23,7 +25,7 @@
     while (true) {
         co_await sleepFor(CheckPeriod);
         for (const std::string &service : this->state.reach.services(Clock::now())) {
-            if (this->state.isCutOff(service)) {
+            if (this->state.reach.mayBeCutOff(service, this->state.serversOf(service).size(), Clock::now())) {
                 this->check(service);
             }
         }
@@ -39,8 +41,13 @@
     }
     last = now;
     std::vector<BackendServer> servers = this->state.serversOf(service);
+    const std::string lastReached = this->state.reach.lastReached(service);
     for (std::size_t i = 0; i < ServersAtOnce && !servers.empty(); ++i) {
-        std::swap(servers[std::size_t(this->state.random() * double(servers.size())) % servers.size()], servers.back());
+        const auto last = std::find_if(servers.begin(), servers.end(), [&lastReached](const BackendServer &server) {
+            return server.id == lastReached;
+        });
+        const std::size_t random = std::size_t(this->state.random() * double(servers.size())) % servers.size();
+        std::swap(last != servers.end() ? *last : servers[random], servers.back());
         boost::asio::co_spawn(this->state.executor, this->connect(std::move(servers.back())), boost::asio::detached);
         servers.pop_back();
     }
--- a/src/gateway/reachmonitor.h
+++ b/src/gateway/reachmonitor.h
@@ -29,11 +29,12 @@
     /// @param state whose onUnreachable hook this object sets.
     explicit ReachMonitor(RouterState &state);
 
-    /// Checks the services with backend servers out of reach until the process ends.
+    /// Checks the services that may be cut off until the process ends.
     boost::asio::awaitable<void> run();
 
 private:
-    /// Begins to check a service, unless that was done within CheckPeriod.
+    /// Begins to check a service, unless that was done within CheckPeriod. The backend server that was reached last is
+    /// among those that are tried.
     void check(const std::string &service);
     boost::asio::awaitable<void> connect(BackendServer server);
 
--- a/src/gateway/routerstatereach.cpp
+++ b/src/gateway/routerstatereach.cpp
@@ -24,15 +24,14 @@
 {
     const TimePoint now = this->environment.now();
     // Most of the time no server is out of reach, and the servers need not be counted.
-    return this->reach.unreachable(service, now) > 0
-        && this->reach.isCutOff(service, this->serversOf(service).size(), now);
+    return this->reach.unreachable(service, now) > 0 && this->reach.isCutOff(service, this->serversOf(service), now);
 }
 
 void RouterState::recordReach(const BackendServer &server, bool reached)
 {
     const bool before = this->isCutOff(server.service);
     if (reached) {
-        this->reach.recordReached(server.service);
+        this->reach.recordReached(server.service, server.id);
     } else {
         this->reach.recordUnreachable(server.service, server.id, this->environment.now());
     }
--- a/src/route/backendreach.cpp
+++ b/src/route/backendreach.cpp
@@ -1,13 +1,16 @@
 #include "cyclamencross/route/backendreach.h"
 
+#include "cyclamencross/route/backendserver.h"
+
 #include <algorithm>
 
 namespace Cyclamen
 {
 
-void BackendReach::recordReached(const std::string &service)
+void BackendReach::recordReached(const std::string &service, const std::string &backend)
 {
     this->failures.erase(service);
+    this->reached[service] = backend;
 }
 
 void BackendReach::recordUnreachable(const std::string &service, const std::string &backend, TimePoint now)
@@ -20,11 +23,29 @@
     known.last = now;
 }
 
-bool BackendReach::isCutOff(const std::string &service, std::size_t servers, TimePoint now) const
+bool BackendReach::isCutOff(const std::string &service, const std::vector<BackendServer> &servers, TimePoint now) const
+{
+    if (!this->mayBeCutOff(service, servers.size(), now)) {
+        return false;
+    }
+    const std::string last = this->lastReached(service);
+    // A server that has gone since is not tried any more and says nothing.
+    return this->failures.at(service).backends.contains(last)
+        || std::none_of(servers.begin(), servers.end(),
+                        [&last](const BackendServer &server) { return server.id == last; });
+}
+
+bool BackendReach::mayBeCutOff(const std::string &service, std::size_t servers, TimePoint now) const
 {
     return servers >= MinServers && this->unreachable(service, now) >= std::min(MinUnreachable, servers);
 }
 
+std::string BackendReach::lastReached(const std::string &service) const
+{
+    const auto it = this->reached.find(service);
+    return it == this->reached.end() ? "" : it->second;
+}
+
 std::size_t BackendReach::unreachable(const std::string &service, TimePoint now) const
 {
     const auto it = this->failures.find(service);
