Requests are handed to a peer as soon as the router may be cut off

Cause: whether the router is cut off decides on the directory, the idle connections and the reports to peers; whether a request is handed on is a question of time. Both used one figure. Change: requests are handed on after three failures in a row, as before; the rest follows the stricter rule.

--- a/src/gateway/reachmonitor.cpp
+++ b/src/gateway/reachmonitor.cpp
@@ -25,7 +25,7 @@
     while (true) {
         co_await sleepFor(CheckPeriod);
         for (const std::string &service : this->state.reach.services(Clock::now())) {
-            if (this->state.reach.mayBeCutOff(service, this->state.serversOf(service).size(), Clock::now())) {
+            if (this->state.mayBeCutOff(service)) {
                 this->check(service);
             }
         }
--- a/src/gateway/requesthandler.cpp
+++ b/src/gateway/requesthandler.cpp
@@ -413,8 +413,9 @@
 
 bool RequestHandler::shouldHandOn()
 {
+    // A router that has lost only a part of its links would take long to find a server that it reaches.
     return !this->request.fromPeer && (!this->mayHaveExecuted || this->route.mayRepeat())
-        && this->state.isCutOff(this->service) && this->state.choosePeer(this->service, {});
+        && this->state.mayBeCutOff(this->service) && this->state.choosePeer(this->service, {});
 }
 
 boost::asio::awaitable<bool> RequestHandler::serveByPeer()
--- a/src/gateway/requesthandler.h
+++ b/src/gateway/requesthandler.h
@@ -111,8 +111,8 @@
     /// Ends the request without a backend server's response: refuses it with 503, or fails it with 502 or 504 if it may
     /// have been executed. Closes the connection of a caller that has received part of a response.
     boost::asio::awaitable<void> finishWithFailure(std::string reason);
-    /// Returns whether the request should be handed to a peer: this router is cut off from the backend servers of the
-    /// service, and a peer may not be.
+    /// Returns whether the request should be handed to a peer: this router may be cut off from the backend servers of
+    /// the service, and a peer may not be.
     bool shouldHandOn();
     /// Hands the request to a peer that serves it in place of this router, with the caller's id and what is left of its
     /// time. A request that may run once is handed to one peer only.
--- a/src/gateway/routerstate.h
+++ b/src/gateway/routerstate.h
@@ -151,6 +151,9 @@
     std::vector<BackendServer> serversOf(const std::string &service) const;
     /// Returns whether no backend server of @p service accepts connections from this router.
     bool isCutOff(const std::string &service) const;
+    /// Returns whether so many backend servers of @p service in a row have accepted no connection that this router may
+    /// be cut off from all of them.
+    bool mayBeCutOff(const std::string &service) const;
     /// Records whether a backend server has accepted a connection of this router.
     void recordReach(const BackendServer &server, bool reached);
     /// Returns the services that this router is cut off from.
--- a/src/gateway/routerstatereach.cpp
+++ b/src/gateway/routerstatereach.cpp
@@ -23,10 +23,17 @@
 bool RouterState::isCutOff(const std::string &service) const
 {
     const TimePoint now = this->environment.now();
-    // Most of the time no server is out of reach, and the servers need not be counted.
+    // Most of the time no server is out of reach, and the servers need not be listed.
     return this->reach.unreachable(service, now) > 0 && this->reach.isCutOff(service, this->serversOf(service), now);
 }
 
+bool RouterState::mayBeCutOff(const std::string &service) const
+{
+    const TimePoint now = this->environment.now();
+    return this->reach.unreachable(service, now) > 0
+        && this->reach.mayBeCutOff(service, this->serversOf(service).size(), now);
+}
+
 void RouterState::recordReach(const BackendServer &server, bool reached)
 {
     const bool before = this->isCutOff(server.service);
