--- a/src/gateway/reachmonitor.cpp
+++ b/src/gateway/reachmonitor.cpp
@@ -43,11 +43,11 @@
     std::vector<BackendServer> servers = this->state.serversOf(service);
     const std::string lastReached = this->state.reach.lastReached(service);
     for (std::size_t i = 0; i < ServersAtOnce && !servers.empty(); ++i) {
-        const auto last = std::find_if(servers.begin(), servers.end(), [&lastReached](const BackendServer &server) {
-            return server.id == lastReached;
-        });
+        const auto preferred =
+            std::find_if(servers.begin(), servers.end(),
+                         [&lastReached](const BackendServer &server) { return server.id == lastReached; });
         const std::size_t random = std::size_t(this->state.random() * double(servers.size())) % servers.size();
-        std::swap(last != servers.end() ? *last : servers[random], servers.back());
+        std::swap(preferred != servers.end() ? *preferred : servers[random], servers.back());
         boost::asio::co_spawn(this->state.executor, this->connect(std::move(servers.back())), boost::asio::detached);
         servers.pop_back();
     }
--- a/src/gateway/reachmonitor.h
+++ b/src/gateway/reachmonitor.h
@@ -19,7 +19,8 @@
 class ReachMonitor
 {
 public:
-    /// Interval between the checks of a service that is cut off, and shortest time between two checks of any service.
+    /// Interval between the checks of a service that may be cut off, and shortest time between two checks of any
+    /// service.
     static constexpr Millis CheckPeriod{250};
     /// Backend servers that are tried at the same time.
     static constexpr std::size_t ServersAtOnce = 3;
--- a/src/include/cyclamencross/route/backendreach.h
+++ b/src/include/cyclamencross/route/backendreach.h
@@ -21,7 +21,7 @@
 class BackendReach
 {
 public:
-    /// Number of different backend servers in a row that accept no connection from which on a router counts as cut off;
+    /// Number of different backend servers in a row that accept no connection from which on a router may be cut off;
     /// all, if a service has fewer. A few servers may be gone at the same time.
     static constexpr std::size_t MinUnreachable = 3;
     /// Services with fewer backend servers are never taken for cut off: the server itself may be gone.
