--- a/src/cyclamencross/routercommand.cpp
+++ b/src/cyclamencross/routercommand.cpp
@@ -33,7 +33,9 @@
 int routerCommand(int argc, const char *const *argv)
 {
     CommandOptions options("router", "Run the router process on the platform until SIGTERM, which drains it.");
-    options.option("settings", "FILE", "settings file; default: the file named by CYCLAMENCROSS_SETTINGS");
+    options.option("settings", "FILE", "settings file; default: the file named by CYCLAMENCROSS_SETTINGS")
+        .option("config-ms", "MS", "time after which a confirmed configuration must be in force; before the file's")
+        .option("drain-ms", "MS", "time after which a leaving backend server must get no requests; before the file's");
     if (const auto code = options.parse(argc, argv)) {
         return *code;
     }
@@ -42,6 +44,8 @@
         const std::string fromOption = options.value("settings");
         const std::string path = fromOption.empty() && fromEnvironment != nullptr ? fromEnvironment : fromOption;
         BOOST_LEAF_AUTO(settings, loadRouterSettings(path));
+        BOOST_LEAF_CHECK(overrideSetting(settings, "bounds.config_ms", options.value("config-ms")));
+        BOOST_LEAF_CHECK(overrideSetting(settings, "bounds.drain_ms", options.value("drain-ms")));
         setUpLogging(settings.name);
         logToStandardOutput();
         return runRouter(settings, path, makeHooks());
--- a/src/gateway/router.cpp
+++ b/src/gateway/router.cpp
@@ -383,7 +383,7 @@
 
 void Router::reload()
 {
-    const auto settings = boost::leaf::try_handle_all(
+    auto settings = boost::leaf::try_handle_all(
         [this]() -> boost::leaf::result<std::optional<RouterSettings>> {
             BOOST_LEAF_AUTO(loaded, loadRouterSettings(this->settingsPath));
             return std::optional<RouterSettings>(std::move(loaded));
@@ -402,6 +402,9 @@
     current.maxAddressTtlSeconds = settings->maxAddressTtlSeconds;
     current.revokeTime = settings->revokeTime;
     current.strictRevoke = settings->strictRevoke;
+    // The command line may have set these.
+    settings->configBound = current.configBound;
+    settings->drainBound = current.drainBound;
     LogLine("reloaded").add("changed", !(current == *settings)).write();
 }
 
--- a/src/gateway/routersettings_test.cpp
+++ b/src/gateway/routersettings_test.cpp
@@ -96,3 +96,22 @@
         CHECK(invalidKey(std::string("stop_grace_s = 8\n[groups]\nby_zone = ") + word) == "groups.by_zone");
     }
 }
+
+TEST_CASE("The command line replaces a setting of the file, and an empty value leaves it")
+{
+    RouterSettings settings;
+    const auto invalid = [&settings](const std::string &key, const std::string &value) {
+        return boost::leaf::try_handle_all(
+            [&]() -> boost::leaf::result<std::string> {
+                BOOST_LEAF_CHECK(overrideSetting(settings, key, value));
+                return std::string();
+            },
+            [](const InvalidSetting &fault) { return fault.key; }, [] { return std::string("unknown failure"); });
+    };
+    CHECK(invalid("bounds.config_ms", "3000").empty());
+    CHECK(settings.configBound == Millis(3000));
+    CHECK(invalid("bounds.config_ms", "").empty());
+    CHECK(settings.configBound == Millis(3000));
+    CHECK(invalid("bounds.drain_ms", "soon") == "bounds.drain_ms");
+    CHECK(invalid("bounds.config", "3000") == "bounds.config");
+}
