Bounds of configuration and leaving come from the environment

The platform now passes both values in CYCLAMENCROSS_CONFIG_MS and CYCLAMENCROSS_DRAIN_MS, beside the variable that names the settings file; the options are gone.

--- a/src/cyclamencross/routercommand.cpp
+++ b/src/cyclamencross/routercommand.cpp
@@ -9,6 +9,7 @@
 #include "storeclient.h"
 
 #include <cstdlib>
+#include <string>
 
 namespace Cyclamen
 {
@@ -16,6 +17,13 @@
 namespace
 {
 
+// Returns the value of an environment variable; empty if it is not set.
+std::string environmentValue(const char *name)
+{
+    const char *value = std::getenv(name);
+    return value == nullptr ? "" : value;
+}
+
 PlatformAdapter makeHooks()
 {
     PlatformAdapter platform;
@@ -33,19 +41,16 @@
 int routerCommand(int argc, const char *const *argv)
 {
     CommandOptions options("router", "Run the router process on the platform until SIGTERM, which drains it.");
-    options.option("settings", "FILE", "settings file; default: the file named by CYCLAMENCROSS_SETTINGS")
-        .option("config-ms", "MS", "time after which a confirmed configuration must be in force; before the file's")
-        .option("drain-ms", "MS", "time after which a leaving backend server must get no requests; before the file's");
+    options.option("settings", "FILE", "settings file; default: the file named by CYCLAMENCROSS_SETTINGS");
     if (const auto code = options.parse(argc, argv)) {
         return *code;
     }
     return runServerProcess([&]() -> boost::leaf::result<int> {
-        const char *fromEnvironment = std::getenv("CYCLAMENCROSS_SETTINGS");
         const std::string fromOption = options.value("settings");
-        const std::string path = fromOption.empty() && fromEnvironment != nullptr ? fromEnvironment : fromOption;
+        const std::string path = fromOption.empty() ? environmentValue("CYCLAMENCROSS_SETTINGS") : fromOption;
         BOOST_LEAF_AUTO(settings, loadRouterSettings(path));
-        BOOST_LEAF_CHECK(overrideSetting(settings, "bounds.config_ms", options.value("config-ms")));
-        BOOST_LEAF_CHECK(overrideSetting(settings, "bounds.drain_ms", options.value("drain-ms")));
+        BOOST_LEAF_CHECK(overrideSetting(settings, "bounds.config_ms", environmentValue("CYCLAMENCROSS_CONFIG_MS")));
+        BOOST_LEAF_CHECK(overrideSetting(settings, "bounds.drain_ms", environmentValue("CYCLAMENCROSS_DRAIN_MS")));
         setUpLogging(settings.name);
         logToStandardOutput();
         return runRouter(settings, path, makeHooks());
--- a/src/gateway/router.cpp
+++ b/src/gateway/router.cpp
@@ -402,7 +402,7 @@
     current.maxAddressTtlSeconds = settings->maxAddressTtlSeconds;
     current.revokeTime = settings->revokeTime;
     current.strictRevoke = settings->strictRevoke;
-    // The command line may have set these.
+    // The environment may have set these.
     settings->configBound = current.configBound;
     settings->drainBound = current.drainBound;
     LogLine("reloaded").add("changed", !(current == *settings)).write();
--- a/src/gateway/routersettings.cpp
+++ b/src/gateway/routersettings.cpp
@@ -176,7 +176,7 @@
     const auto rule = rules().find(key);
     if (rule == rules().end() || !rule->second.assign(settings, value)) {
         const std::string expected = rule == rules().end() ? "a known setting" : rule->second.expected;
-        return boost::leaf::new_error(InvalidSetting{"command line", 0, key, expected});
+        return boost::leaf::new_error(InvalidSetting{"environment", 0, key, expected});
     }
     return {};
 }
--- a/src/gateway/routersettings_test.cpp
+++ b/src/gateway/routersettings_test.cpp
@@ -97,7 +97,7 @@
     }
 }
 
-TEST_CASE("The command line replaces a setting of the file, and an empty value leaves it")
+TEST_CASE("The environment replaces a setting of the file and an empty value leaves it")
 {
     RouterSettings settings;
     const auto invalid = [&settings](const std::string &key, const std::string &value) {
--- a/src/include/cyclamencross/gateway/routersettings.h
+++ b/src/include/cyclamencross/gateway/routersettings.h
@@ -68,7 +68,7 @@
 /// @return the settings, or InvalidSetting for the first invalid or missing key.
 boost::leaf::result<RouterSettings> loadRouterSettings(const std::string &path);
 
-/// Replaces one setting by a value of the command line.
+/// Replaces one setting by a value of the environment, unless that is empty and the setting is optional.
 /// @param key "SECTION.KEY" as in the INI file.
 /// @return InvalidSetting if @p value is not valid or there is no such key.
 boost::leaf::result<void> overrideSetting(RouterSettings &settings, const std::string &key, const std::string &value);
