--- a/src/cyclamencross/routercommand.cpp
+++ b/src/cyclamencross/routercommand.cpp
@@ -48,9 +48,11 @@
     return runServerProcess([&]() -> boost::leaf::result<int> {
         const std::string fromOption = options.value("settings");
         const std::string path = fromOption.empty() ? environmentValue("CYCLAMENCROSS_SETTINGS") : fromOption;
-        BOOST_LEAF_AUTO(settings, loadRouterSettings(path));
-        BOOST_LEAF_CHECK(overrideSetting(settings, "bounds.config_ms", environmentValue("CYCLAMENCROSS_CONFIG_MS")));
-        BOOST_LEAF_CHECK(overrideSetting(settings, "bounds.drain_ms", environmentValue("CYCLAMENCROSS_DRAIN_MS")));
+        BOOST_LEAF_AUTO(fromFile, loadRouterSettings(path));
+        BOOST_LEAF_AUTO(withConfigBound,
+                        withSetting(fromFile, "bounds.config_ms", environmentValue("CYCLAMENCROSS_CONFIG_MS")));
+        BOOST_LEAF_AUTO(settings,
+                        withSetting(withConfigBound, "bounds.drain_ms", environmentValue("CYCLAMENCROSS_DRAIN_MS")));
         setUpLogging(settings.name);
         logToStandardOutput();
         return runRouter(settings, path, makeHooks());
--- a/src/gateway/routersettings.cpp
+++ b/src/gateway/routersettings.cpp
@@ -171,14 +171,15 @@
     return settings;
 }
 
-boost::leaf::result<void> overrideSetting(RouterSettings &settings, const std::string &key, const std::string &value)
+boost::leaf::result<RouterSettings> withSetting(RouterSettings settings, const std::string &key,
+                                                const std::string &value)
 {
     const auto rule = rules().find(key);
     if (rule == rules().end() || !rule->second.assign(settings, value)) {
         const std::string expected = rule == rules().end() ? "a known setting" : rule->second.expected;
         return boost::leaf::new_error(InvalidSetting{"environment", 0, key, expected});
     }
-    return {};
+    return settings;
 }
 
 }
--- a/src/gateway/routersettings_test.cpp
+++ b/src/gateway/routersettings_test.cpp
@@ -103,7 +103,8 @@
     const auto invalid = [&settings](const std::string &key, const std::string &value) {
         return boost::leaf::try_handle_all(
             [&]() -> boost::leaf::result<std::string> {
-                BOOST_LEAF_CHECK(overrideSetting(settings, key, value));
+                BOOST_LEAF_AUTO(changed, withSetting(settings, key, value));
+                settings = changed;
                 return std::string();
             },
             [](const InvalidSetting &fault) { return fault.key; }, [] { return std::string("unknown failure"); });
--- a/src/include/cyclamencross/gateway/routersettings.h
+++ b/src/include/cyclamencross/gateway/routersettings.h
@@ -68,9 +68,11 @@
 /// @return the settings, or InvalidSetting for the first invalid or missing key.
 boost::leaf::result<RouterSettings> loadRouterSettings(const std::string &path);
 
-/// Replaces one setting by a value of the environment, unless that is empty and the setting is optional.
+/// Returns @p settings with one of them replaced by a value of the environment, unless that is empty and the setting is
+/// optional.
 /// @param key "SECTION.KEY" as in the INI file.
-/// @return InvalidSetting if @p value is not valid or there is no such key.
-boost::leaf::result<void> overrideSetting(RouterSettings &settings, const std::string &key, const std::string &value);
+/// @return the settings, or InvalidSetting if @p value is not valid or there is no such key.
+boost::leaf::result<RouterSettings> withSetting(RouterSettings settings, const std::string &key,
+                                                const std::string &value);
 
 }
