--- a/src/cyclamencross/configapplycommand.cpp
+++ b/src/cyclamencross/configapplycommand.cpp
@@ -3,6 +3,7 @@
 #include "commandoptions.h"
 #include "commands.h"
 #include "configchange.h"
+#include "environment.h"
 #include "exitcode.h"
 #include "runcommand.h"
 
@@ -11,7 +12,6 @@
 #include "cyclamencross/base/number.h"
 #include "cyclamencross/fleet/configtext.h"
 
-#include <cstdlib>
 #include <iostream>
 
 #include <boost/leaf/handle_errors.hpp>
@@ -22,12 +22,6 @@
 namespace
 {
 
-std::string defaultAuthor()
-{
-    const char *user = std::getenv("USER");
-    return user == nullptr ? "" : user;
-}
-
 std::string fetchHistory(const AdminClient &client)
 {
     return boost::leaf::try_handle_all(
@@ -77,7 +71,7 @@
         }
         change.baseRevision = *base;
         change.changeId = toHex(randomNumber());
-        change.author = options.has("author") ? options.value("author") : defaultAuthor();
+        change.author = options.has("author") ? options.value("author") : environmentValue("USER");
         if (change.author.empty()) {
             return boost::leaf::new_error(UsageError{"--author NAME is required"});
         }
--- a/src/cyclamencross/routercommand.cpp
+++ b/src/cyclamencross/routercommand.cpp
@@ -1,5 +1,6 @@
 #include "commandoptions.h"
 #include "commands.h"
+#include "environment.h"
 #include "serverprocess.h"
 
 #include "cyclamencross/base/logline.h"
@@ -8,7 +9,6 @@
 #include "codecs.h"
 #include "storeclient.h"
 
-#include <cstdlib>
 #include <string>
 
 namespace Cyclamen
@@ -17,13 +17,6 @@
 namespace
 {
 
-// Returns the value of an environment variable; empty if it is not set.
-std::string environmentValue(const char *name)
-{
-    const char *value = std::getenv(name);
-    return value == nullptr ? "" : value;
-}
-
 PlatformAdapter makeHooks()
 {
     PlatformAdapter platform;
