PeerSocket: a report is encoded once for each format

A report with changes of the store was encoded and packed for the peers of the group, again for peers whose registration has lapsed, and once more for the size in the log line. EncodedReport keeps the bodies. What is sent and logged is as before.

--- a/src/gateway/peersocket.cpp
+++ b/src/gateway/peersocket.cpp
@@ -1,12 +1,12 @@
 #include "peersocket.h"
 
 #include "asioutil.h"
+#include "encodedreport.h"
 #include "routerstate.h"
 
 #include "cyclamencross/base/logline.h"
 
 #include <algorithm>
-#include <map>
 
 namespace Cyclamen
 {
@@ -67,44 +67,42 @@
         this->state.work->expire(Clock::now());
         this->state.waiting->expire(Clock::now());
         if (const auto groupReport = this->state.takeGroupReport(Clock::now())) {
-            this->sendTo(this->state.otherDelegates(), *groupReport);
+            EncodedReport encoded(*groupReport);
+            this->sendTo(this->state.otherDelegates(), encoded);
         }
         const auto report = this->state.takeReport(Clock::now());
         if (!report) {
             continue;
         }
         const std::vector<RouterMember> lapsed = this->state.lapsedPeers(Clock::now());
-        this->sendTo(this->state.groupPeers(), *report);
-        this->sendTo(lapsed, *report);
+        EncodedReport encoded(*report);
+        this->sendTo(this->state.groupPeers(), encoded);
+        this->sendTo(lapsed, encoded);
         if (report->changes.upTo != StoreRevision()) {
             LogLine("changes-sent")
                 .add("after", report->changes.after.number())
                 .add("up_to", report->changes.upTo.number())
                 .add("generation", report->changes.upTo.generation())
                 .add("items", std::uint64_t(report->changes.items.size()))
-                .add("datagram_bytes", std::uint64_t(encodePeerReportBody(*report).size()))
+                .add("datagram_bytes", std::uint64_t(encoded.body(PeerReport::Format).size()))
                 .add("peers", std::uint64_t(this->state.groupPeers().size() + lapsed.size()))
                 .write();
         }
         if (const auto news = RouterState::crashNews(*report)) {
-            this->sendTo(this->state.otherGroupsRouters(), *news);
+            EncodedReport encodedNews(*news);
+            this->sendTo(this->state.otherGroupsRouters(), encodedNews);
         }
     }
 }
 
-void PeerSocket::sendTo(const std::vector<RouterMember> &routers, const PeerReport &report)
+void PeerSocket::sendTo(const std::vector<RouterMember> &routers, EncodedReport &report)
 {
-    std::map<std::uint32_t, std::string> bodies; // By format.
     for (const RouterMember &member : routers) {
         const auto endpoint = toUdpEndpoint(member.peerAddress);
         if (member.name == this->state.settings.name || !endpoint) {
             continue;
         }
-        const std::uint32_t format = std::min(member.reportFormat, PeerReport::Format);
-        std::string &body = bodies[format];
-        if (body.empty()) {
-            body = encodePeerReportBody(report, format);
-        }
+        const std::string &body = report.body(std::min(member.reportFormat, PeerReport::Format));
         const std::string bytes = withClockOffset(body, this->state.clockOffset(member));
         boost::system::error_code error;
         this->socket.send_to(boost::asio::buffer(bytes), *endpoint, 0, error);
--- a/src/gateway/peersocket.h
+++ b/src/gateway/peersocket.h
@@ -10,8 +10,8 @@
 namespace Cyclamen
 {
 
+class EncodedReport;
 class RouterState;
-struct PeerReport;
 struct RouterMember;
 
 /// UDP socket that exchanges reports with the other routers.
@@ -33,7 +33,7 @@
 
 private:
     /// Sends a report to each of @p routers except this one, in the newest format that the router reads.
-    void sendTo(const std::vector<RouterMember> &routers, const PeerReport &report);
+    void sendTo(const std::vector<RouterMember> &routers, EncodedReport &report);
 
     static constexpr std::size_t MaxDatagramBytes = 65000;
 
