--- a/src/gateway/fleetsync.h
+++ b/src/gateway/fleetsync.h
@@ -146,7 +146,9 @@
     Millis registrationSpread() const;
     bool isOfCurrentGeneration(std::uint64_t generation) const;
     /// Returns whether an item that a list lacks was perhaps lost with a return of the store, instead of removed.
-    bool mayBeLost(const StoreItem &item) const;
+    /// @param known revision of the item that this router knows.
+    /// @param removal revision of the list.
+    bool mayBeLost(StoreRevision known, StoreRevision removal) const;
     /// Returns the revision up to which the copy of a returned store holds all changes, see StoreChanges.
     /// @param page list of all items of the store.
     StoreRevision findCopiedUpTo(const StorePage &page) const;
@@ -226,8 +228,6 @@
     TimePoint askedAt; ///< When a peer named it.
     bool renewSoon = false; ///< The next renewal of the lease is due.
     StoreReturn storeReturn;
-    std::optional<TimePoint> returnedAt; ///< When this router learned of the last return.
-    bool hasReturnedTwice = false; ///< The return before was within StoreReturn::MaxCopyAge.
     StoreRevision copiedUpTo; ///< See StoreChanges.
     std::map<std::string, StoreItem> heldItems; ///< See holdIfOlder(); by key.
     /// This router knew all changes so shortly before it learned of the last return that no leader can have written a
--- a/src/gateway/fleetsyncitems.cpp
+++ b/src/gateway/fleetsyncitems.cpp
@@ -80,7 +80,8 @@
 
 bool FleetSync::apply(const StoreItem &item, bool isDifference)
 {
-    if (const StoreRevision known = this->knownRevision(item.key); item.revision < known) {
+    const StoreRevision known = this->knownRevision(item.key);
+    if (item.revision < known) {
         // The answer was overtaken by another one.
         LogLine("change-ignored")
             .add("key", item.key)
@@ -90,7 +91,7 @@
             .write();
     }
     if (item.removed) {
-        return this->remove(item.key, item.revision, isDifference && this->mayBeLost(item));
+        return this->remove(item.key, item.revision, isDifference && this->mayBeLost(known, item.revision));
     }
     if (item.key == this->codec.configKey) {
         return this->putConfig(item);
--- a/src/gateway/fleetsyncreturn.cpp
+++ b/src/gateway/fleetsyncreturn.cpp
@@ -42,12 +42,10 @@
     const auto unknown = this->state.certaintyAge();
     this->noticedReturnInTime = unknown && *unknown <= LeaseTrust + this->state.settings.orderPause;
     this->state.metrics.count("cyclamencross_store_returns_total");
-    this->hasReturnedTwice = this->returnedAt && now - *this->returnedAt <= StoreReturn::MaxCopyAge;
-    this->returnedAt = now;
     // The writers write again from the return on, which peers may have noticed long before this router.
     const bool wasNamed = this->askedGeneration == this->state.storeGeneration;
     const TimePoint noticed = wasNamed ? std::min(now, this->askedAt) : now;
-    this->storeReturn.begin(noticed + LapseGracePeriod);
+    this->storeReturn.begin(now, noticed + LapseGracePeriod);
     this->heldItems.clear();
     this->copiedUpTo = StoreRevision();
     // Ids of leases are given out again: a renewal could keep the lease of somebody else, and a record that names this
@@ -93,17 +91,16 @@
     return until && now < *until ? until : std::nullopt;
 }
 
-bool FleetSync::mayBeLost(const StoreItem &item) const
+bool FleetSync::mayBeLost(StoreRevision known, StoreRevision removal) const
 {
-    const StoreRevision known = this->knownRevision(item.key);
     const bool isCopied =
         known.generation() == this->copiedUpTo.generation() && known.number() <= this->copiedUpTo.number();
-    return known.generation() < item.revision.generation() && !isCopied;
+    return known.generation() < removal.generation() && !isCopied;
 }
 
 StoreRevision FleetSync::findCopiedUpTo(const StorePage &page) const
 {
-    if (this->hasReturnedTwice) {
+    if (this->storeReturn.followsAnother()) {
         return {}; // The copy may be older than the return before, and have other changes under the same numbers.
     }
     StoreRevision result(this->state.storeRevision.generation(), 0);
--- a/src/include/cyclamencross/route/storereturn.h
+++ b/src/include/cyclamencross/route/storereturn.h
@@ -24,8 +24,11 @@
     static constexpr std::size_t MaxRemovals = 10000;
 
     /// Records that the store has returned.
+    /// @param now when this router learned of it.
     /// @param settled when all writers have written again what was lost.
-    void begin(TimePoint settled);
+    void begin(TimePoint now, TimePoint settled);
+    /// Returns whether the return before the last one was so recent that the copy may be older than that one.
+    bool followsAnother() const;
     /// Returns until when entries count that the store lacks; std::nullopt if it has not returned lately.
     std::optional<TimePoint> settledAt(TimePoint now) const;
     /// Records that the entry of a backend server was removed.
@@ -41,6 +44,8 @@
         std::int64_t startUnixMillis = 0;
         TimePoint time;
     };
+    std::optional<TimePoint> beganAt; ///< Of the last return.
+    bool hasReturnedTwice = false; ///< The return before it was within MaxCopyAge.
     TimePoint settled;
     std::map<std::string, Removal> removals; ///< By id of the backend server.
 };
--- a/src/route/storereturn.cpp
+++ b/src/route/storereturn.cpp
@@ -5,9 +5,16 @@
 namespace Cyclamen
 {
 
-void StoreReturn::begin(TimePoint at)
+void StoreReturn::begin(TimePoint now, TimePoint settledTime)
 {
-    this->settled = at;
+    this->hasReturnedTwice = this->beganAt && now - *this->beganAt <= MaxCopyAge;
+    this->beganAt = now;
+    this->settled = settledTime;
+}
+
+bool StoreReturn::followsAnother() const
+{
+    return this->hasReturnedTwice;
 }
 
 std::optional<TimePoint> StoreReturn::settledAt(TimePoint now) const
