--- a/testsuite/outdated-routers/run.py
+++ b/testsuite/outdated-routers/run.py
@@ -15,6 +15,7 @@
 
 SUITE = pathlib.Path(__file__).resolve().parent.parent
 sys.path[:0] = [str(SUITE), str(SUITE / "soak")]
+from backendserver import start_backend  # noqa: E402
 from fleet import Fleet  # noqa: E402
 from harness import build_argument  # noqa: E402
 import wirehttp  # noqa: E402
@@ -58,22 +59,8 @@
 
     async def add_backend(self, name, service):
         """Starts and registers a backend server that answers each request with its name."""
-        async def serve(reader, writer):
-            try:
-                while head := await wirehttp.read_head(reader):
-                    await wirehttp.read_body(reader, head[1])
-                    request = head[1].get("request-id", "")
-                    headers = {"Request-Id": request, "Server-Stamp": f"{name}.{request}"}
-                    writer.write(wirehttp.message("HTTP/1.1 200 OK", headers, name.encode()))
-                    await writer.drain()
-            except (wirehttp.ConnectionBroken, OSError):
-                pass
-            writer.close()
-        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        server, entry = await start_backend(name, service, "z1", lambda name, *_: (200, name.encode()))
         self.servers.append(server)
-        port = server.sockets[0].getsockname()[1]
-        entry = {"Service": service, "Address": f"127.0.0.1:{port}", "Zone": "z1", "Version": "v1", "Slots": 8,
-                 "State": "ready", "ColdLeftMs": 0, "Sequence": 1}
         await self.put(f"servers/{name}", entry)
         return entry
 
--- a/testsuite/storesession.py
+++ b/testsuite/storesession.py
@@ -9,7 +9,8 @@
 import types
 
 SUITE = pathlib.Path(__file__).resolve().parent
-sys.path.append(str(SUITE / "soak"))
+sys.path[:0] = [str(SUITE), str(SUITE / "soak")]
+from backendserver import start_backend  # noqa: E402
 from fleet import Fleet  # noqa: E402
 import wirehttp  # noqa: E402
 
@@ -47,22 +48,9 @@
 
     async def add_backend(self, name, zone, answer, **more):
         """Starts and registers a backend server. answer(name, head, body) returns the status and body of an answer."""
-        async def serve(reader, writer):
-            try:
-                while head := await wirehttp.read_head(reader):
-                    status, body = answer(name, head, await wirehttp.read_body(reader, head[1]))
-                    request = head[1].get("request-id", "")
-                    headers = {"Request-Id": request, "Server-Stamp": f"{name}.{request}"}
-                    writer.write(wirehttp.message(f"HTTP/1.1 {status} X", headers, body))
-                    await writer.drain()
-            except (wirehttp.ConnectionBroken, OSError):
-                pass
-            writer.close()
-        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        server, entry = await start_backend(name, "app", zone, answer)
         self.servers.append(server)
-        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
-        self.entries[name] = {"Service": "app", "Address": address, "Zone": zone, "Version": "v1", "Slots": 8,
-                              "State": "ready", "ColdLeftMs": 0, "Sequence": 1, **more}
+        self.entries[name] = {**entry, **more}
         await self.put(f"servers/{name}", self.entries[name])
 
     async def put_entries(self):
