A request goes on to another engine if the owner has no report of one

Cause: an engine that crashed a moment ago has no queue and ranks before those that work. Its owner refuses a slot request after 100 ms (no-fresh-report), "so that the requester has time to try another", but ModelRun refused the request instead of trying another. reserveDecode() probed two engines and queued at the first, which fails the same way with two crashed decode engines.

Change: NoCapacity tells whether the owner has a report of the engine. Both reservations pass over engines without one.

The messages between entries are unchanged.

--- a/src/decide/enginescheduler.cpp
+++ b/src/decide/enginescheduler.cpp
@@ -88,6 +88,7 @@
         return;
     }
     this->hasFullReport = true;
+    this->isUnreachable = false;
     const std::set<std::string> listed(heldIds.begin(), heldIds.end());
     for (auto it = this->activeGrants.begin(); it != this->activeGrants.end();) {
         const bool isListed = listed.contains(it->first);
@@ -146,6 +147,7 @@
 void EngineScheduler::setUnreachable()
 {
     this->hasFullReport = false;
+    this->isUnreachable = true;
 }
 
 void EngineScheduler::addGrant(const SlotGrant &grant, TimePoint now, bool confirmed)
@@ -277,7 +279,10 @@
 
 Millis EngineScheduler::waitLimit(const SlotRequest &request, TimePoint now) const
 {
-    return this->canGrant(now) ? request.maxWait : std::min(request.maxWait, MaxReportWait);
+    if (this->canGrant(now)) {
+        return request.maxWait;
+    }
+    return std::min(request.maxWait, this->isUnreachable ? MaxUnreachableWait : MaxReportWait);
 }
 
 EngineScheduler::Decision EngineScheduler::refuse(const SlotRequest &request, Clock::duration expected,
@@ -296,7 +301,7 @@
     for (const FairQueue::Entry &entry : overdue) {
         std::string_view reason = this->closeReason;
         if (reason.empty()) {
-            reason = this->canGrant(now) ? "wait-over" : "no-fresh-report";
+            reason = this->canGrant(now) ? "wait-over" : NoFreshReportReason;
         }
         decisions.push_back(this->refuse(entry.request, now - entry.queuedAt, reason));
     }
--- a/src/decide/enginescheduler_test.cpp
+++ b/src/decide/enginescheduler_test.cpp
@@ -71,6 +71,18 @@
     CHECK(grantedIds(scheduler, Start + Millis(30)) == "a.1.1 ");
 }
 
+// Guards against requests whose time is used up by waits at several dead engines, so that none reaches a live one.
+TEST_CASE("a slot request at an engine that refuses connections is refused soon")
+{
+    EngineScheduler scheduler("engine");
+    scheduler.applyReport(makeLoad(2, Start), {}, Start);
+    scheduler.setUnreachable();
+    scheduler.submit(makeRequest("a.1.1"), Start + Millis(10));
+    const auto refused = scheduler.decide(Start + Millis(10) + EngineScheduler::MaxUnreachableWait + Millis(1));
+    REQUIRE(refused.size() == 1);
+    CHECK(refused[0].reason == EngineScheduler::NoFreshReportReason);
+}
+
 // Guards against a late duplicate of a slot request that takes a slot which is never released, and against a late
 // release of an earlier slot request that frees the slot of a later one.
 TEST_CASE("slot requests and releases are matched by sequence number")
--- a/src/grant/slotclient.cpp
+++ b/src/grant/slotclient.cpp
@@ -5,6 +5,7 @@
 #include "cyclamencross/base/logline.h"
 #include "cyclamencross/base/metrics.h"
 #include "cyclamencross/decide/engineowner.h"
+#include "cyclamencross/decide/enginescheduler.h"
 
 #include <algorithm>
 #include <utility>
@@ -129,7 +130,8 @@
                              reply->tokens,     reply->expectedWait, request.sequenceNumber};
         }
         if (reply && reply->status == SlotStatus::Refused) {
-            return boost::leaf::new_error(NoCapacity{request.engine, reply->expectedWait.count()});
+            return boost::leaf::new_error(NoCapacity{request.engine, reply->expectedWait.count(),
+                                                     reply->reason != EngineScheduler::NoFreshReportReason});
         }
         this->metrics.count("cyclamencross_owner_unanswered_total", {{"answer", reply ? "not-owner" : "none"}});
         if (Clock::now() - start > originalRequest.maxWait + OwnerTimeout * static_cast<int>(MaxOwnersTried)) {
--- a/src/include/cyclamencross/base/errors.h
+++ b/src/include/cyclamencross/base/errors.h
@@ -54,6 +54,7 @@
 {
     std::string pool;
     std::int64_t expectedWaitMs = 0;
+    bool isEngineReported = true; ///< False if the owner has no recent report of the engine: others may have room.
 };
 
 /// The deadline of the request passed.
--- a/src/include/cyclamencross/decide/enginescheduler.h
+++ b/src/include/cyclamencross/decide/enginescheduler.h
@@ -24,7 +24,7 @@
 /// Nothing is granted before applyReport() has received a full report that was read after construction, or while the
 /// newest report is older than MaxReportAge. After such a gap only another full report resumes granting, because
 /// another owner may have granted slots on the engine in the meantime. In both cases a slot request waits at most
-/// MaxReportWait for the report.
+/// MaxReportWait for the report, and at most MaxUnreachableWait if the engine refuses connections.
 class EngineScheduler
 {
 public:
@@ -39,12 +39,17 @@
 
     /// A grant that no report of the engine has confirmed within this time is revoked.
     static constexpr Millis UnconfirmedGrantLifetime{5000};
+    /// Reason of a refusal for lack of a report; owners send it to the entries that requested a slot.
+    static constexpr std::string_view NoFreshReportReason = "no-fresh-report";
     /// Age above which a report no longer permits grants.
     static constexpr Millis MaxReportAge{2000};
     /// How long a slot request waits for a report. An owner that is new or resumes after a pause reads the engine
     /// within a few milliseconds. An engine that takes longer is probably dead, and the requester needs time to try
     /// another.
     static constexpr Millis MaxReportWait{100};
+    /// How long a slot request waits for a report of an engine that refuses connections. Requesters try one engine after
+    /// the other, so that longer waits at several dead ones would use up the time of a request.
+    static constexpr Millis MaxUnreachableWait{20};
     /// Prefill work that may be granted in advance. Further requests wait in the queue here, where priority and
     /// fairness still apply.
     static constexpr Millis MaxPrefillAhead{100};
@@ -132,6 +137,7 @@
     std::string_view closeReason; // empty unless closed
     EngineLoad reported;
     bool hasFullReport = false; // since construction or the last gap
+    bool isUnreachable = false; // since the newest full report
     std::uint64_t untrackedSlots = 0; // in use according to the load report, but by no known request
     std::uint64_t untrackedTokens = 0;
     std::uint64_t trackedSlots = 0;
--- a/src/proxy/enginereservation.cpp
+++ b/src/proxy/enginereservation.cpp
@@ -60,6 +60,7 @@
         },
         [this](const NoCapacity &refusal) -> std::optional<SlotGrant> {
             this->expectedWait = Millis(refusal.expectedWaitMs);
+            this->engineReported = refusal.isEngineReported;
             return std::nullopt;
         },
         []() -> std::optional<SlotGrant> { return std::nullopt; });
@@ -81,6 +82,11 @@
     return this->expectedWait;
 }
 
+bool EngineReservation::isEngineReported() const
+{
+    return this->engineReported;
+}
+
 void EngineReservation::markSent()
 {
     this->mayBeAtEngine = true;
--- a/src/proxy/modelrun.cpp
+++ b/src/proxy/modelrun.cpp
@@ -7,6 +7,7 @@
 #include "cyclamencross/decide/crashhistory.h"
 
 #include <algorithm>
+#include <iterator>
 
 #include <nlohmann/json.hpp>
 
@@ -151,30 +152,39 @@
     }
     const Millis maxWait =
         std::clamp(this->timeLeftForFirstOutput() - this->expectedTimeToOutput, Millis(0), MaxQueueWait);
-    // Tries the two best engines without queueing, then queues at the best one.
-    std::vector<std::pair<std::string, Millis>> slotRequests;
-    for (std::size_t i = 0; i < std::min<std::size_t>(decodes.size(), 2); ++i) {
-        slotRequests.emplace_back(decodes[i].engine.address, std::min(ProbeWait, maxWait));
-    }
-    slotRequests.emplace_back(decodes.front().engine.address, maxWait);
-    Millis expectedWait{0};
-    for (const auto &[engine, wait] : slotRequests) {
-        auto reservation = std::make_unique<EngineReservation>(this->core, this->attemptId, this->suspect);
-        SlotRequest slotRequest = this->makeSlotRequest(engine, wait);
+    std::unique_ptr<EngineReservation> reservation;
+    const auto acquire = [&](const RankedEngine &ranked, Millis wait) {
+        reservation = std::make_unique<EngineReservation>(this->core, this->attemptId, this->suspect);
+        SlotRequest slotRequest = this->makeSlotRequest(ranked.engine.address, wait);
         slotRequest.slots = 1;
-        const bool granted = reservation->acquire(slotRequest, this->exchange.cancelSignal());
+        return reservation->acquire(slotRequest, this->exchange.cancelSignal());
+    };
+    // Tries the two best engines without queueing, then queues at the best one. Engines without a report, which rank as
+    // idle, are passed over.
+    bool granted = false;
+    std::vector<const RankedEngine *> full;
+    for (auto ranked = decodes.begin(); ranked != decodes.end() && !granted && full.size() < 2; ++ranked) {
+        granted = acquire(*ranked, std::min(ProbeWait, maxWait));
         if (StepResult failure = this->cancelFailure()) {
             return failure;
         }
-        if (granted) {
-            this->logRouting("decode", decodes, engine, "free-slot", {});
-            this->decodeReservation = std::move(reservation);
-            return std::nullopt;
+        if (!granted && reservation->isEngineReported()) {
+            full.push_back(&*ranked);
         }
-        expectedWait = reservation->ownerExpectedWait();
     }
-    this->logRouting("decode", decodes, "", "no-free-slot", {});
-    return this->makeRefusal("no-capacity", "no decode engine has room in time", expectedWait);
+    if (!granted) {
+        granted = acquire(full.empty() ? decodes.front() : *full.front(), maxWait);
+        if (StepResult failure = this->cancelFailure()) {
+            return failure;
+        }
+    }
+    if (!granted) {
+        this->logRouting("decode", decodes, "", "no-free-slot", {});
+        return this->makeRefusal("no-capacity", "no decode engine has room in time", reservation->ownerExpectedWait());
+    }
+    this->logRouting("decode", decodes, reservation->engine(), "free-slot", {});
+    this->decodeReservation = std::move(reservation);
+    return std::nullopt;
 }
 
 ModelRun::StepResult ModelRun::reservePrefill()
@@ -183,29 +193,40 @@
     if (ranked.empty()) {
         return this->makeRefusal("no-capacity", "no live prefill engine", NoEngineRetryAfter);
     }
-    RankedEngine best = ranked.front();
-    const Millis maxWait =
-        this->timeLeftForFirstOutput() - this->core.transferEstimate() - Millis(static_cast<std::int64_t>(best.costMs));
-    auto reservation = std::make_unique<EngineReservation>(this->core, this->attemptId, this->suspect);
-    SlotRequest slotRequest = this->makeSlotRequest(best.engine.address, std::clamp(maxWait, Millis(0), MaxQueueWait));
-    slotRequest.tokens = this->request.promptTokens();
-    const bool granted = reservation->acquire(slotRequest, this->exchange.cancelSignal());
-    if (StepResult failure = this->cancelFailure()) {
-        return failure;
-    }
-    if (!granted) {
-        this->logRouting("prefill", ranked, "", "no-room", {});
-        return this->makeRefusal("no-capacity", "no prefill engine has room in time", reservation->ownerExpectedWait());
+    auto best = ranked.begin();
+    std::unique_ptr<EngineReservation> reservation;
+    while (true) {
+        const Millis maxWait = this->timeLeftForFirstOutput() - this->core.transferEstimate()
+            - Millis(static_cast<std::int64_t>(best->costMs));
+        reservation = std::make_unique<EngineReservation>(this->core, this->attemptId, this->suspect);
+        SlotRequest slotRequest =
+            this->makeSlotRequest(best->engine.address, std::clamp(maxWait, Millis(0), MaxQueueWait));
+        slotRequest.tokens = this->request.promptTokens();
+        const bool granted = reservation->acquire(slotRequest, this->exchange.cancelSignal());
+        if (StepResult failure = this->cancelFailure()) {
+            return failure;
+        }
+        if (granted) {
+            break;
+        }
+        // The refusal of an engine without a report, which ranks as idle, says nothing about the other engines.
+        if (reservation->isEngineReported() || maxWait <= Millis(0) || std::next(best) == ranked.end()) {
+            this->logRouting("prefill", ranked, "", "no-room", {});
+            return this->makeRefusal("no-capacity", "no prefill engine has room in time",
+                                     reservation->ownerExpectedWait());
+        }
+        this->selection.exclude(best->engine.address);
+        ++best;
     }
     // The owner's expected wait is newer than the load on which checkAdmission() was based.
-    best.expectedWaitMs = static_cast<double>(reservation->grant().expectedWait.count());
-    const AdmissionDecision admission = admit(best, this->core.transferEstimate(), Millis(0),
+    best->expectedWaitMs = static_cast<double>(reservation->grant().expectedWait.count());
+    const AdmissionDecision admission = admit(*best, this->core.transferEstimate(), Millis(0),
                                               this->timeLeftForFirstOutput(), this->targets.wastedPrefillWeight);
     if (!admission.admitted) {
         this->logRouting("prefill", ranked, "", "target-unreachable", admission);
         return this->makeRefusal("overloaded", "the first output cannot come in time", admission.timeToFirstOutput);
     }
-    this->logRouting("prefill", ranked, best.engine.address, best.prefixHit ? "prefix-hit" : "least-expected-time",
+    this->logRouting("prefill", ranked, best->engine.address, best->prefixHit ? "prefix-hit" : "least-expected-time",
                      admission);
     this->prefillReservation = std::move(reservation);
     return std::nullopt;
--- a/src/proxy/proxyserver_test.cpp
+++ b/src/proxy/proxyserver_test.cpp
@@ -165,6 +165,25 @@
     CHECK(fixture.prefill.requests("/v1/prefill").empty());
 }
 
+// Guards against a request that is refused because of engines that crashed a moment ago, although others are free. A
+// crashed engine has no queue, so that it ranks before those that work.
+TEST_CASE("a request is served although the owner has no report of most engines")
+{
+    ProxyFixture fixture;
+    for (const EngineRole role : {EngineRole::Prefill, EngineRole::Decode}) {
+        for (int number = 1; number <= 4; ++number) {
+            const std::string address =
+                "127.0.0." + std::to_string(number) + (role == EngineRole::Prefill ? ":1" : ":2");
+            fixture.unreportedEngines.insert(address);
+            fixture.view.backends.push_back({address, BackendKind::Engine, "pool", "m1", role, "z1", {}, true});
+        }
+    }
+    fixture.start();
+    for (int request = 0; request < 10; ++request) {
+        CHECK(fixture.complete(false)->status == 200);
+    }
+}
+
 // Guards against dispatching work to a backend server that is leaving.
 TEST_CASE("an engine that is leaving gets no new work")
 {
