--- a/src/include/cyclamencross/decide/enginescheduler.h
+++ b/src/include/cyclamencross/decide/enginescheduler.h
@@ -47,8 +47,8 @@
     /// within a few milliseconds. An engine that takes longer is probably dead, and the requester needs time to try
     /// another.
     static constexpr Millis MaxReportWait{100};
-    /// How long a slot request waits for a report of an engine that refuses connections. Requesters try one engine after
-    /// the other, so that longer waits at several dead ones would use up the time of a request.
+    /// How long a slot request waits for a report of an engine that refuses connections. Requesters try one engine
+    /// after the other, so that longer waits at several dead ones would use up the time of a request.
     static constexpr Millis MaxUnreachableWait{20};
     /// Prefill work that may be granted in advance. Further requests wait in the queue here, where priority and
     /// fairness still apply.
