A stopping router refuses plain requests whose answers its callers can't read in time

Streams were asked whether they fit, plain requests were not.

Change: StreamDurations becomes RouteDurations and also remembers how long plain requests took until their callers had taken the answer. While other routers are registered, a stopping router accepts a plain request only if one and a half times the longest of the latest 64 fits (64 KB may still be in the kernel's buffer), or the route's timeout if it knows fewer than 20, as for streams.

--- a/src/gateway/plainrequesthandler.cpp
+++ b/src/gateway/plainrequesthandler.cpp
@@ -29,6 +29,9 @@
 constexpr double MaxWaitShare = 0.4;
 // Expected work of a call, for the shares of workspaces: nothing in a call tells more.
 constexpr std::int64_t CallWork = 1;
+// The kernel holds up to 64 KB of an answer when the request has ended for the router: a third of an answer that takes
+// slow callers seconds.
+constexpr double SendBufferMargin = 1.5;
 
 }
 
@@ -41,6 +44,10 @@
             this->failure = this->noCapacityReason();
             break;
         }
+        if (!this->mayHaveExecuted && this->isCutByStop()) {
+            this->failure = "stopping";
+            break;
+        }
         const auto choice = Placement::choosePlain(*candidates, std::numeric_limits<double>::infinity(),
                                                    [this] { return this->state.random(); });
         if (!choice) {
@@ -142,6 +149,7 @@
     }
     this->excluded.insert(server.id);
     ++this->attempts;
+    const TimePoint sentAt = Clock::now();
     this->send(server, BackendCall(), permit);
     const bool anotherFollows = this->route.mayRepeat() && this->hasAttemptsLeft();
     const auto attemptTimeout =
@@ -178,9 +186,22 @@
     }
     reservation = nullptr; // The backend server has done its work, however slowly the caller reads.
     co_await this->forwardResponse(server);
+    if (!this->session.isCallerDisconnected()) {
+        this->state.routeDurations.record(this->route.name,
+                                          std::chrono::duration_cast<Millis>(Clock::now() - sentAt));
+    }
     co_return AttemptResult::Done;
 }
 
+bool PlainRequestHandler::isCutByStop() const
+{
+    if (!this->state.stopSchedule || !this->state.hasOtherRouters()) {
+        return false;
+    }
+    const auto duration = std::chrono::duration_cast<Millis>(this->longestDuration() * SendBufferMargin);
+    return !this->state.stopSchedule->canFinish(Clock::now(), duration);
+}
+
 PlainRequestHandler::AttemptResult PlainRequestHandler::resultAfterFailure() const
 {
     return this->route.mayRepeat() && this->hasAttemptsLeft() ? AttemptResult::Retry : AttemptResult::Fail;
--- a/src/gateway/plainrequesthandler.h
+++ b/src/gateway/plainrequesthandler.h
@@ -33,6 +33,9 @@
     boost::asio::awaitable<std::optional<std::vector<PlacementCandidate>>> waitForCapacity();
     /// Sends the request to @p server and forwards a successful response.
     boost::asio::awaitable<AttemptResult> attempt(BackendServer server);
+    /// Returns whether this router is stopping and may exit before the caller has read the answer, while other routers
+    /// can serve the request.
+    bool isCutByStop() const;
     /// Returns Retry if the request is repeatable and has attempts left, otherwise Fail.
     AttemptResult resultAfterFailure() const;
 };
--- a/src/gateway/requesthandler.cpp
+++ b/src/gateway/requesthandler.cpp
@@ -578,6 +578,11 @@
         .write();
 }
 
+Millis RequestHandler::longestDuration() const
+{
+    return this->state.routeDurations.longest(this->route.name).value_or(this->route.timeout);
+}
+
 bool RequestHandler::hasAttemptsLeft() const
 {
     return this->attempts < this->route.maxAttempts;
--- a/src/gateway/requesthandler.h
+++ b/src/gateway/requesthandler.h
@@ -132,6 +132,9 @@
     bool shouldStop();
     /// Returns why no backend server with capacity was found, and sets `overloaded`.
     std::string noCapacityReason();
+    /// Returns the longest time that the latest requests of the route took, or the route's timeout if too few of them
+    /// are known.
+    Millis longestDuration() const;
     /// Returns whether the route allows another attempt.
     bool hasAttemptsLeft() const;
     /// Returns the place of the request in the order of urgency of its service; nullptr if the service has none.
--- a/src/gateway/routerstate.cpp
+++ b/src/gateway/routerstate.cpp
@@ -298,7 +298,7 @@
 void RouterState::recordStream(const StreamSample &sample)
 {
     this->outputEstimator.record(sample);
-    this->streamDurations.record(sample);
+    this->routeDurations.record(sample);
     if (this->pendingStreams.size() < MaxReportedStreams) {
         this->pendingStreams.push_back(sample);
     }
--- a/src/gateway/routerstate.h
+++ b/src/gateway/routerstate.h
@@ -27,6 +27,7 @@
 #include "cyclamencross/route/placementcandidate.h"
 #include "cyclamencross/route/registrationcache.h"
 #include "cyclamencross/route/roomestimator.h"
+#include "cyclamencross/route/routedurations.h"
 #include "cyclamencross/route/routermember.h"
 #include "cyclamencross/route/routetable.h"
 #include "cyclamencross/route/serviceversions.h"
@@ -35,7 +36,6 @@
 #include "cyclamencross/route/stageplan.h"
 #include "cyclamencross/route/stopschedule.h"
 #include "cyclamencross/route/storefreshness.h"
-#include "cyclamencross/route/streamdurations.h"
 #include "cyclamencross/route/streamorigins.h"
 #include "cyclamencross/route/urgencyqueue.h"
 #include "cyclamencross/route/versionplanner.h"
@@ -280,7 +280,7 @@
     FleetRetryBudget retryBudget;
     CallerWaitEstimator callerWaitEstimator;
     OutputEstimator outputEstimator;
-    StreamDurations streamDurations;
+    RouteDurations routeDurations;
     CrashAttribution crashes;
     ConnectionPool connections;
     Metrics metrics;
--- a/src/gateway/routerstatereports.cpp
+++ b/src/gateway/routerstatereports.cpp
@@ -424,7 +424,7 @@
     }
     for (const StreamSample &sample : report.streams) {
         this->outputEstimator.record(sample);
-        this->streamDurations.record(sample);
+        this->routeDurations.record(sample);
     }
     this->applyCrashNews(report, now);
 }
--- a/src/gateway/streamrequestplacement.cpp
+++ b/src/gateway/streamrequestplacement.cpp
@@ -151,8 +151,7 @@
     }
     Millis generation(std::int64_t(double(this->estimate.tokens) * this->estimate.millisPerToken * OutputMargin));
     if (this->state.hasOtherRouters()) {
-        generation =
-            std::max(generation, this->state.streamDurations.longest(this->route.name).value_or(this->route.timeout));
+        generation = std::max(generation, this->longestDuration());
     }
     return !this->state.stopSchedule->canFinish(Clock::now(), this->route.targetLatency + generation);
 }
--- a/src/route/streamdurations.cpp
+++ b/src/route/routedurations.cpp
@@ -1,4 +1,4 @@
-#include "cyclamencross/route/streamdurations.h"
+#include "cyclamencross/route/routedurations.h"
 
 #include "cyclamencross/route/streamsample.h"
 
@@ -7,17 +7,22 @@
 namespace Cyclamen
 {
 
-void StreamDurations::record(const StreamSample &sample)
+void RouteDurations::record(const StreamSample &sample)
 {
     if (sample.events <= 0 || !(sample.millisPerEvent >= 0)) {
         return;
     }
-    Record &route = this->routes[sample.route];
-    route.durations[route.recorded % Count] = Millis(std::int64_t(double(sample.events) * sample.millisPerEvent));
-    ++route.recorded;
+    this->record(sample.route, Millis(std::int64_t(double(sample.events) * sample.millisPerEvent)));
 }
 
-std::optional<Millis> StreamDurations::longest(const std::string &route) const
+void RouteDurations::record(const std::string &route, Millis duration)
+{
+    Record &record = this->routes[route];
+    record.durations[record.recorded % Count] = duration;
+    ++record.recorded;
+}
+
+std::optional<Millis> RouteDurations::longest(const std::string &route) const
 {
     const auto record = this->routes.find(route);
     if (record == this->routes.end() || record->second.recorded < MinCount) {
