A limit outlasts a gap in the registration of its server

Cause: Router::runHousekeeping() dropped the limit of each server that was not registered at the moment. When the registration returned, each router took the server for one without a limit, and since it was the emptiest of its service, all of them sent to it at once.

Change: BackendStatements, which decides which instance a statement belongs to and how long it outlives its registration, also has whether the instance named a limit. While it is gone no router takes slots, since without it the groups that share the server are not known and each would take the whole rate. Reports and stored values are unchanged.

--- a/src/gateway/fleetsyncitems.cpp
+++ b/src/gateway/fleetsyncitems.cpp
@@ -163,13 +163,11 @@
         return true;
     }
     const BackendServer *known = this->state.backends.find(id);
-    if (known != nullptr && known->startUnixMillis != server.startUnixMillis) {
-        this->state.namedLimits->forget(id);
-    }
     const bool wasRegistered = known != nullptr;
     const bool changed = this->state.backends.put(id, server, item.revision);
     const bool isNewest = *this->state.backends.find(id) == server; // An older write read late changes nothing.
     if (isNewest && this->state.statements.applyRegistration(server, wasRegistered)) {
+        this->state.namedLimits->forget(id);
         LogLine("backend-restarted").add("backend", id).add("born", server.startUnixMillis).write();
     }
     if (changed) {
--- a/src/gateway/router.cpp
+++ b/src/gateway/router.cpp
@@ -344,7 +344,6 @@
         this->state.connections.expire(now);
         const auto isRegistered = [this](const std::string &id) { return this->state.backends.find(id) != nullptr; };
         this->state.health.retain(isRegistered);
-        this->state.namedLimits->retain(isRegistered);
         this->state.namedLimits->advance(now, unixMillis());
         this->state.expireStatements(now);
         this->quotaMetrics.publish(this->state.quotas, this->state.metrics, now);
--- a/src/gateway/routerstate.cpp
+++ b/src/gateway/routerstate.cpp
@@ -246,7 +246,7 @@
 
 void RouterState::recordNamedLimit(const std::string &backend, double requestsPerSecond, TimePoint now)
 {
-    this->namedLimits->record(backend, requestsPerSecond, now);
+    this->applyNamedLimit(backend, requestsPerSecond, now);
     if (this->namedLimits->isKnown(backend)) {
         this->pendingLimits[backend] = {NamedLimit{requestsPerSecond, Millis(0)}, now};
     }
@@ -255,7 +255,8 @@
 const std::vector<std::uint64_t> &RouterState::routersOf(const std::string &backend) const
 {
     static const std::vector<std::uint64_t> None;
-    if (this->foreignBackends.contains(backend)) {
+    // Which routers use a server is known from its registration. In a gap of it, each group would take the whole rate.
+    if (this->backends.find(backend) == nullptr || this->foreignBackends.contains(backend)) {
         return None;
     }
     const auto shared = this->sharedBackends.find(backend);
--- a/src/gateway/routerstate.h
+++ b/src/gateway/routerstate.h
@@ -145,7 +145,7 @@
     /// Records what an answer of @p server says about the server itself.
     /// @param isStray whether it answers another request, so that it may be late: a pause may have passed.
     void recordStatements(const BackendServer &server, const BackendResponseHead &head, bool isStray, TimePoint now);
-    /// Drops statements that have ended and updates their metrics.
+    /// Drops statements that have ended, with their limits, and updates their metrics.
     void expireStatements(TimePoint now);
     /// Returns the backend servers of @p service that are not draining, those of other groups too.
     std::vector<BackendServer> serversOf(const std::string &service) const;
@@ -504,6 +504,9 @@
     std::map<std::string, ToldSlowdown> takeSlowdowns(TimePoint now);
     /// Applies the figures of a report.
     void applySlowdowns(const std::map<std::string, ToldSlowdown> &told, TimePoint now);
+    /// Records the limit on requests that a backend server named in an answer to this router or a peer.
+    /// @param requestsPerSecond infinity if it named none.
+    void applyNamedLimit(const std::string &backend, double requestsPerSecond, TimePoint answeredAt);
     /// Applies what a backend server has said to a peer.
     void applyStatementNews(const std::string &id, const StatementNews &news, TimePoint now);
     PlacementCandidate makeCandidate(const BackendServer &server, const std::string &zone, TimePoint now) const;
--- a/src/gateway/routerstatereports.cpp
+++ b/src/gateway/routerstatereports.cpp
@@ -398,7 +398,7 @@
         const bool isPlausible =
             limit.requestsPerSecond >= 0 && limit.age >= Millis(0) && limit.age < NamedRateLimits::EndLifetime;
         if (isPlausible) {
-            this->namedLimits->record(backend, limit.requestsPerSecond, now - limit.age);
+            this->applyNamedLimit(backend, limit.requestsPerSecond, now - limit.age);
         }
     }
     for (const auto &[backend, news] : report.statements) {
--- a/src/gateway/routerstatestatements.cpp
+++ b/src/gateway/routerstatestatements.cpp
@@ -180,11 +180,20 @@
     }
 }
 
+void RouterState::applyNamedLimit(const std::string &backend, double requestsPerSecond, TimePoint answeredAt)
+{
+    this->namedLimits->record(backend, requestsPerSecond, answeredAt);
+    if (const BackendServer *server = this->backends.find(backend)) {
+        this->statements.recordLimit(*server, this->namedLimits->isKnown(backend));
+    }
+}
+
 void RouterState::expireStatements(TimePoint now)
 {
     this->slowdowns.expire(now);
     this->metrics.set("cyclamencross_told_slow_backends", double(this->slowdowns.slowCount(now)));
     this->statements.expire([this](const std::string &id) { return this->backends.find(id) != nullptr; }, now);
+    this->namedLimits->retain([this](const std::string &id) { return this->statements.hasLimit(id); });
     this->metrics.set("cyclamencross_leaving_backends", double(this->statements.leavingCount()));
     this->metrics.set("cyclamencross_paused_backends", double(this->statements.pausedCount(now)));
 }
--- a/src/gateway/routerstatestatements_test.cpp
+++ b/src/gateway/routerstatestatements_test.cpp
@@ -191,3 +191,39 @@
     router.state.recordStatements(makeServer("c"), leavingHead(), false, now);
     CHECK(silentUntil({}, now) == std::optional<TimePoint>(TimePoint::max()));
 }
+
+TEST_CASE("While a registration is gone, its limit is kept, and no router takes the right to a request")
+{
+    // Guards against a server that gets what all routers have gathered in the gap, and, if several groups share it,
+    // what each of them has taken for its own.
+    const TimePoint start = Clock::now();
+    TestState router("r0", {makeServer("a")});
+    router.state.members.put("r0", RouterMember{"r0", 1, "z", "10.0.0.1:1", "10.0.0.1:2"}, 1);
+    router.state.regroup();
+    router.state.recordNamedLimit("a", 100, start);
+    auto runUntil = [&router, start, now = start](Millis end) mutable {
+        for (; now <= start + end; now += Millis(100)) {
+            router.state.expireStatements(now);
+            router.state.namedLimits->advance(now, Born + std::chrono::duration_cast<Millis>(now - start).count());
+        }
+    };
+    runUntil(Millis(1000));
+    CHECK(router.state.namedLimits->mayRequest("a"));
+    router.state.backends.remove("a", 2, std::nullopt);
+    runUntil(Millis(8000));
+    CHECK(router.state.namedLimits->count() == 1);
+    CHECK_FALSE(router.state.namedLimits->mayRequest("a"));
+    SECTION("It returns")
+    {
+        router.state.backends.put("a", makeServer("a"), 3);
+        CHECK_FALSE(router.state.namedLimits->mayRequest("a"));
+        runUntil(Millis(9000));
+        CHECK(router.state.namedLimits->mayRequest("a"));
+        CHECK(router.state.namedLimits->count() == 1);
+    }
+    SECTION("It does not return")
+    {
+        router.state.expireStatements(start + Millis(8000) + BackendStatements::GoneLifetime);
+        CHECK(router.state.namedLimits->count() == 0);
+    }
+}
--- a/src/include/cyclamencross/route/backendstatement.h
+++ b/src/include/cyclamencross/route/backendstatement.h
@@ -10,7 +10,8 @@
 namespace Cyclamen
 {
 
-/// What one instance of a backend server has said of itself. Its limit on requests is kept by NamedRateLimits.
+/// What one instance of a backend server has said of itself. The rate of its limit on requests is kept by
+/// NamedRateLimits.
 struct BackendStatement
 {
     std::string address; ///< At which the instance is registered.
@@ -20,6 +21,7 @@
     std::optional<TimePoint> pausedAt; ///< When it last told this router to pause.
     TimePoint pausedUntil; ///< End of the pause.
     std::optional<TimePoint> pausedForPeerUntil; ///< End of the pause of another router.
+    bool hasLimit = false; ///< Whether NamedRateLimits holds a limit that it has named.
     std::optional<TimePoint> removedAt; ///< When its registration was found to be gone.
 
     bool operator==(const BackendStatement &) const = default;
--- a/src/include/cyclamencross/route/backendstatements.h
+++ b/src/include/cyclamencross/route/backendstatements.h
@@ -16,8 +16,9 @@
 
 struct BackendServer;
 
-/// Holds what backend servers say of themselves in their answers: that they leave, and that they want no requests of
-/// this router for a time. NamedRateLimits, which divides a server's limit among routers, holds the limits.
+/// Holds what backend servers say of themselves in their answers: that they leave, that they want no requests of this
+/// router for a time, and that they have a limit. NamedRateLimits, which divides a server's limit among routers, holds
+/// the limits as long as this class has the statement.
 ///
 /// A statement belongs to one instance of a server. Another registration of the same instance does not end it, whatever
 /// state the registration names: the answer is what the server itself knows, and the store may be late or away. Not
@@ -45,6 +46,8 @@
     /// @param at time of the answer.
     /// @return whether the server was not paused or its pause has become longer by PauseNewsStep.
     bool recordPause(const BackendServer &server, Millis length, StatementSource source, TimePoint at);
+    /// Records whether NamedRateLimits holds a limit that @p server has named.
+    void recordLimit(const BackendServer &server, bool hasLimit);
     /// Records that an answer of a server had a malformed statement.
     /// @return whether it is the first one of this server.
     bool recordMalformed(const std::string &id);
@@ -57,6 +60,8 @@
     bool isPausedForPeer(const std::string &id, TimePoint now) const;
     /// Returns whether this router must send no new requests to a server: it leaves or is paused.
     bool isSilent(const std::string &id, TimePoint now) const;
+    /// Returns whether a server has named a limit that counts until it names another one or none.
+    bool hasLimit(const std::string &id) const;
     /// Returns the statement of a server, or nullptr. The pointer is valid until the next change.
     const BackendStatement *find(const std::string &id) const;
     /// Returns the number of registered servers that leave.
--- a/src/include/cyclamencross/route/namedratelimits.h
+++ b/src/include/cyclamencross/route/namedratelimits.h
@@ -60,8 +60,9 @@
     TimePoint take(const std::string &backend);
     /// Returns the right to send a request that was not sent.
     void giveBack(const std::string &backend, TimePoint expiry);
-    /// Drops the limits of all backend servers whose id @p isRegistered returns false for.
-    void retain(const std::function<bool(const std::string &backend)> &isRegistered);
+    /// Drops the limits of all backend servers whose id @p isStated returns false for: the instance that named the
+    /// limit has been replaced or gone for long.
+    void retain(const std::function<bool(const std::string &backend)> &isStated);
     /// Drops the limit of @p backend, which has been restarted.
     void forget(const std::string &backend);
 
--- a/src/route/backendstatements.cpp
+++ b/src/route/backendstatements.cpp
@@ -56,6 +56,16 @@
     return isNews;
 }
 
+void BackendStatements::recordLimit(const BackendServer &server, bool hasLimit)
+{
+    if (!hasLimit && !this->hasLimit(server.id)) {
+        return;
+    }
+    if (BackendStatement *statement = this->prepare(server)) {
+        statement->hasLimit = hasLimit;
+    }
+}
+
 bool BackendStatements::recordMalformed(const std::string &id)
 {
     return this->malformed.insert(id).second;
@@ -85,6 +95,12 @@
     return this->isLeaving(id) || this->pausedUntil(id, now);
 }
 
+bool BackendStatements::hasLimit(const std::string &id) const
+{
+    const BackendStatement *statement = this->find(id);
+    return statement != nullptr && statement->hasLimit;
+}
+
 const BackendStatement *BackendStatements::find(const std::string &id) const
 {
     const auto known = this->statements.find(id);
@@ -140,7 +156,7 @@
         const bool isPaused = statement.pausedAt && now < statement.pausedUntil;
         const bool isPausedForPeer = statement.pausedForPeerUntil && now < *statement.pausedForPeerUntil;
         const bool isGone = statement.removedAt && now - *statement.removedAt > GoneLifetime;
-        return isGone || (!statement.leavingSince && !isPaused && !isPausedForPeer);
+        return isGone || (!statement.leavingSince && !isPaused && !isPausedForPeer && !statement.hasLimit);
     });
 }
 
--- a/src/route/backendstatements_test.cpp
+++ b/src/route/backendstatements_test.cpp
@@ -73,10 +73,12 @@
     CAPTURE(example.said, example.written, example.wasRegistered, example.address);
     BackendStatements statements = leavingSince(example.said);
     statements.recordPause(server(example.said), Millis(5000), Own, Start);
+    statements.recordLimit(server(example.said), true);
     CHECK(statements.applyRegistration(server(example.written, example.address), example.wasRegistered)
           == example.isForgotten);
     CHECK(statements.isLeaving("e") == !example.isForgotten);
     CHECK(statements.pausedUntil("e", Start).has_value() == !example.isForgotten);
+    CHECK(statements.hasLimit("e") == !example.isForgotten);
 }
 
 TEST_CASE("A start time that is registered later identifies the instance from then on")
@@ -169,3 +171,36 @@
     statements.expire([](const std::string & /*id*/) { return false; }, Start);
     CHECK(statements.recordMalformed("e"));
 }
+
+TEST_CASE("A limit is kept for a while after the registration is gone, and until the server names none")
+{
+    // Guards against a server in need that counts as unlimited when its registration returns, and against limits of
+    // servers that never return.
+    const auto isRegistered = [](const std::string & /*id*/) { return true; };
+    const auto isGone = [](const std::string & /*id*/) { return false; };
+    BackendStatements statements;
+    statements.recordLimit(server(7), false);
+    CHECK(statements.find("e") == nullptr);
+    statements.recordLimit(server(7), true);
+    SECTION("It ends")
+    {
+        statements.expire(isRegistered, Start + std::chrono::hours(1));
+        CHECK(statements.hasLimit("e"));
+        statements.recordLimit(server(7), false);
+        statements.expire(isRegistered, Start + std::chrono::hours(1));
+        CHECK(statements.find("e") == nullptr);
+    }
+    SECTION("Its server is gone")
+    {
+        statements.expire(isGone, Start);
+        statements.expire(isGone, Start + BackendStatements::GoneLifetime);
+        CHECK(statements.hasLimit("e"));
+        statements.expire(isGone, Start + BackendStatements::GoneLifetime + Millis(1));
+        CHECK_FALSE(statements.hasLimit("e"));
+    }
+    SECTION("An earlier instance named it")
+    {
+        statements.recordLimit(server(6), false);
+        CHECK(statements.hasLimit("e"));
+    }
+}
--- a/src/route/namedratelimits.cpp
+++ b/src/route/namedratelimits.cpp
@@ -124,9 +124,9 @@
     }
 }
 
-void NamedRateLimits::retain(const std::function<bool(const std::string &backend)> &isRegistered)
+void NamedRateLimits::retain(const std::function<bool(const std::string &backend)> &isStated)
 {
-    std::erase_if(this->limits, [&isRegistered](const auto &item) { return !isRegistered(item.first); });
+    std::erase_if(this->limits, [&isStated](const auto &item) { return !isStated(item.first); });
 }
 
 void NamedRateLimits::forget(const std::string &backend)
