Failing tests: a lowered limit ends what was given under the earlier one

NamedRateLimits::record() takes a lower rate over and leaves the rights to requests that were given under the earlier one.

--- a/src/route/namedratelimits_test.cpp
+++ b/src/route/namedratelimits_test.cpp
@@ -185,3 +185,58 @@
         CHECK(limits.mayRequest("e"));
     }
 }
+
+TEST_CASE("A lowered limit counts at once: no router uses what it has gathered under the earlier one")
+{
+    // Guards against a server whose need grows and that still gets what its earlier limit allowed.
+    for (unsigned seed = 1; seed <= 10; ++seed) {
+        CAPTURE(seed);
+        Fleet fleet(20, 100, seed);
+        fleet.play(Millis(6000), 20);
+        for (NamedRateLimits &router : fleet.routers) {
+            router.record("e", 1, fleet.now);
+        }
+        fleet.sent.clear();
+        fleet.play(Window, 400);
+        // One request a second, and one for the clocks, which differ by up to 0.1 s.
+        CHECK(fleet.sent.size() <= 5);
+        CHECK(fleet.sent.size() >= 2);
+    }
+}
+
+TEST_CASE("The right to a request that was taken before a limit was lowered does not come back")
+{
+    // Guards against requests that are chosen for a server, not sent, and counted for its next, lower limit.
+    NamedRateLimits limits = makeLimits();
+    limits.record("e", 100, Start);
+    limits.advance(Start, UnixStart);
+    REQUIRE(limits.mayRequest("e"));
+    const auto right = limits.take("e");
+    SECTION("Lowered")
+    {
+        limits.record("e", 99, Start + Millis(10));
+        CHECK_FALSE(limits.mayRequest("e"));
+        limits.giveBack("e", right);
+        CHECK_FALSE(limits.mayRequest("e"));
+        limits.advance(Start + Millis(100), UnixStart + 100);
+        CHECK(limits.mayRequest("e"));
+    }
+    SECTION("Lowered and raised again")
+    {
+        limits.record("e", 1, Start + Millis(10));
+        limits.record("e", 100, Start + Millis(20));
+        limits.giveBack("e", right);
+        CHECK_FALSE(limits.mayRequest("e"));
+    }
+    SECTION("Raised, or the same")
+    {
+        limits.record("e", 101, Start + Millis(10));
+        limits.record("e", 101, Start + Millis(20));
+        CHECK(limits.mayRequest("e"));
+        while (limits.mayRequest("e")) {
+            limits.take("e");
+        }
+        limits.giveBack("e", right);
+        CHECK(limits.mayRequest("e"));
+    }
+}
