A lowered limit ends what was given under the earlier one

Cause: NamedRateLimits::record() took a lower rate over and left the rights to requests that a router had gathered, up to 1.5 s and more of the earlier rate. Rights that requests held while they waited for a connection or a prefill were used, or came back, as well.

Change: a lower rate drops the gathered rights, and each lowering has a number that the rights taken carry. One of an earlier number is not taken back. RequestPermit::renew(), called right before a request is sent, takes another right in its place or says that there is none; the request then looks for another server. The first limit of a server counts as a lowering too. Slots that were considered are not considered again. Reports and stored values are unchanged.

--- a/src/gateway/plainrequesthandler.cpp
+++ b/src/gateway/plainrequesthandler.cpp
@@ -147,6 +147,11 @@
         this->excluded.insert(server.id);
         co_return AttemptResult::Retry;
     }
+    if (!permit.renew()) {
+        this->failure = "at-limit";
+        this->releaseConnection(server);
+        co_return AttemptResult::Retry;
+    }
     this->excluded.insert(server.id);
     ++this->attempts;
     const TimePoint sentAt = Clock::now();
--- a/src/gateway/requestpermit.cpp
+++ b/src/gateway/requestpermit.cpp
@@ -8,17 +8,29 @@
 RequestPermit::RequestPermit(std::shared_ptr<NamedRateLimits> limits, std::string backend)
     : limits(std::move(limits))
     , backend(std::move(backend))
-    , expiry(this->limits->take(this->backend))
+    , right(this->limits->take(this->backend))
 {
 }
 
 RequestPermit::~RequestPermit()
 {
     if (!this->used) {
-        this->limits->giveBack(this->backend, this->expiry);
+        this->limits->giveBack(this->backend, this->right);
     }
 }
 
+bool RequestPermit::renew()
+{
+    if (this->limits->isValid(this->backend, this->right)) {
+        return true;
+    }
+    if (!this->limits->mayRequest(this->backend)) {
+        return false;
+    }
+    this->right = this->limits->take(this->backend);
+    return true;
+}
+
 void RequestPermit::use()
 {
     this->used = true;
--- a/src/gateway/requestpermit.h
+++ b/src/gateway/requestpermit.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "cyclamencross/base/timing.h"
+#include "cyclamencross/route/requestright.h"
 
 #include <memory>
 #include <string>
@@ -21,6 +21,10 @@
     RequestPermit(const RequestPermit &) = delete;
     RequestPermit &operator=(const RequestPermit &) = delete;
 
+    /// Takes another right if the limit has been lowered since the last one was taken. To be called before the request
+    /// is sent.
+    /// @return whether the request may be sent.
+    bool renew();
     /// Records that the request was sent.
     void use();
     /// Returns whether the request was sent.
@@ -29,7 +33,7 @@
 private:
     std::shared_ptr<NamedRateLimits> limits;
     std::string backend;
-    TimePoint expiry;
+    RequestRight right;
     bool used = false;
 };
 
--- a/src/gateway/streamrequesthandler.cpp
+++ b/src/gateway/streamrequesthandler.cpp
@@ -255,7 +255,7 @@
                                              BackendWork{1, this->request.promptTokens, {}});
     RequestPermit prefillPermit(this->state.namedLimits, server.id);
     const bool open = co_await this->openConnection(server, false);
-    if (!open || this->shouldStop() || !this->state.isUsable(server, Clock::now())) {
+    if (!open || this->shouldStop() || !this->state.isUsable(server, Clock::now()) || !prefillPermit.renew()) {
         co_return;
     }
     BackendCall call;
@@ -321,6 +321,11 @@
         this->excluded.insert(server.id);
         co_return AttemptResult::Unreachable;
     }
+    if (!this->permit->renew()) {
+        this->failure = "at-limit";
+        this->releaseConnection(server);
+        co_return AttemptResult::Unreachable;
+    }
     BackendCall call;
     call.stage = EngineStage::Decode;
     call.resumeAfter = this->lastEventId;
--- a/src/include/cyclamencross/route/namedratelimits.h
+++ b/src/include/cyclamencross/route/namedratelimits.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cyclamencross/base/timing.h"
+#include "cyclamencross/route/requestright.h"
 
 #include <cstdint>
 #include <deque>
@@ -42,7 +43,8 @@
     /// @param ownHash hash of the name of this router.
     NamedRateLimits(std::uint64_t ownHash, RoutersHook routers, ChangeHook onChange);
 
-    /// Records the rate that @p backend named.
+    /// Records the rate that @p backend named. A lower one ends all rights that were given under the earlier one; slots
+    /// that were considered then are not considered again.
     /// @param requestsPerSecond infinity if it named none.
     /// @param answeredAt time of the answer; ignored if a later answer is known.
     void record(const std::string &backend, double requestsPerSecond, TimePoint answeredAt);
@@ -56,10 +58,11 @@
     /// Returns whether this router may send a request to @p backend now.
     bool mayRequest(const std::string &backend) const;
     /// Takes the right to send a request; mayRequest() must be true.
-    /// @return when the right expires, for giveBack().
-    TimePoint take(const std::string &backend);
-    /// Returns the right to send a request that was not sent.
-    void giveBack(const std::string &backend, TimePoint expiry);
+    RequestRight take(const std::string &backend);
+    /// Returns whether a right that was taken may still be used: the limit has not been lowered since.
+    bool isValid(const std::string &backend, const RequestRight &right) const;
+    /// Returns the right to send a request that was not sent. Of no effect if it is not valid any more.
+    void giveBack(const std::string &backend, const RequestRight &right);
     /// Drops the limits of all backend servers whose id @p isStated returns false for: the instance that named the
     /// limit has been replaced or gone for long.
     void retain(const std::function<bool(const std::string &backend)> &isStated);
@@ -71,6 +74,7 @@
     {
         double requestsPerSecond = 0; ///< Infinity if there is none any more.
         TimePoint answeredAt;
+        std::uint64_t lowering = 0; ///< Number of the last time at which it was lowered.
         std::int64_t lastSlot = -1; ///< Last slot that was considered; -1 if none was.
         std::deque<TimePoint> requests; ///< When the right to each request expires, in ascending order.
     };
@@ -81,6 +85,7 @@
     std::uint64_t ownHash;
     RoutersHook routers;
     ChangeHook onChange;
+    std::uint64_t loweringCount = 0; ///< Of all limits, so that a limit that was dropped does not get a number again.
     std::map<std::string, Limit> limits; ///< By id of the backend server.
 };
 
--- a/src/route/namedratelimits.cpp
+++ b/src/route/namedratelimits.cpp
@@ -49,6 +49,9 @@
     if (requestsPerSecond == NoLimit) {
         limit.requests.clear();
         limit.lastSlot = -1;
+    } else if (requestsPerSecond < before) {
+        limit.requests.clear();
+        limit.lowering = ++this->loweringCount;
     }
     if (requestsPerSecond != before) {
         this->onChange(backend, requestsPerSecond, before);
@@ -104,23 +107,31 @@
     return known == this->limits.end() || known->second.requestsPerSecond == NoLimit || !known->second.requests.empty();
 }
 
-TimePoint NamedRateLimits::take(const std::string &backend)
+RequestRight NamedRateLimits::take(const std::string &backend)
 {
     const auto known = this->limits.find(backend);
     if (known == this->limits.end() || known->second.requests.empty()) {
-        return TimePoint();
+        return RequestRight();
     }
-    const TimePoint expiry = known->second.requests.front();
+    const RequestRight right{known->second.requests.front(), known->second.lowering};
     known->second.requests.pop_front();
-    return expiry;
+    return right;
+}
+
+bool NamedRateLimits::isValid(const std::string &backend, const RequestRight &right) const
+{
+    const auto known = this->limits.find(backend);
+    return known == this->limits.end() || known->second.requestsPerSecond == NoLimit
+        || known->second.lowering == right.lowering;
 }
 
-void NamedRateLimits::giveBack(const std::string &backend, TimePoint expiry)
+void NamedRateLimits::giveBack(const std::string &backend, const RequestRight &right)
 {
     const auto known = this->limits.find(backend);
-    if (known != this->limits.end() && known->second.requestsPerSecond != NoLimit && expiry != TimePoint()) {
+    const bool isLimited = known != this->limits.end() && known->second.requestsPerSecond != NoLimit;
+    if (isLimited && right.expiry != TimePoint() && this->isValid(backend, right)) {
         auto &requests = known->second.requests;
-        requests.insert(std::upper_bound(requests.begin(), requests.end(), expiry), expiry);
+        requests.insert(std::upper_bound(requests.begin(), requests.end(), right.expiry), right.expiry);
     }
 }
 
--- a/src/route/namedratelimits_test.cpp
+++ b/src/route/namedratelimits_test.cpp
@@ -165,13 +165,13 @@
         now += Step;
         limits.advance(now, UnixStart + std::chrono::duration_cast<Millis>(now - Start).count());
     }
-    const TimePoint expiry = limits.take("e");
+    const RequestRight right = limits.take("e");
     CHECK_FALSE(limits.mayRequest("e"));
-    limits.giveBack("e", expiry);
+    limits.giveBack("e", right);
     CHECK(limits.mayRequest("e"));
     SECTION("It expires")
     {
-        limits.advance(expiry, UnixStart);
+        limits.advance(right.expiry, UnixStart);
         CHECK_FALSE(limits.mayRequest("e"));
     }
     SECTION("Restarted")
