Numbers that the platform states may have a fraction

The router ended at its start with invalid-setting if the platform stated 2.5 s for the time that callers may keep an address: bounds.answer_ttl_max_s was the only bound read as a whole number. It is a duration now as its neighbours are, from 0 to 1000000 s. A directory answer keeps its format and states whole seconds, rounded down. The other two numbers that were read in the same way, limits.memory_mib and limits.descriptors, accept fractions, rounded down to keep within the limit; their ranges are as before.

--- a/src/gateway/router.cpp
+++ b/src/gateway/router.cpp
@@ -267,10 +267,12 @@
     if (path == this->platform.directoryCodec.readyPath) {
         co_await session.reply(this->state.isReady() ? 200 : 503, "", headers, "");
     } else if (path == this->platform.directoryCodec.resolvePath) {
-        const int ttl = std::min(AddressTtlSeconds, this->state.settings.maxAddressTtlSeconds);
+        // Whole seconds, rounded down: 0 if callers may cache an address for less than a second only.
+        const auto ttl =
+            std::chrono::floor<std::chrono::seconds>(std::min(AddressTtl, this->state.settings.maxAddressTtl));
         headers.add("Content-Type", "application/json");
-        co_await session.reply(200, "", headers,
-                               this->platform.directoryCodec.encodeAddresses(this->callerAddresses(), ttl));
+        co_await session.reply(
+            200, "", headers, this->platform.directoryCodec.encodeAddresses(this->callerAddresses(), int(ttl.count())));
     } else {
         co_await session.reply(404, "", headers, "");
     }
@@ -398,7 +400,7 @@
     // These bounds take effect at once; all other settings apply at the next start.
     RouterSettings &current = this->state.settings;
     current.stopGrace = settings->stopGrace;
-    current.maxAddressTtlSeconds = settings->maxAddressTtlSeconds;
+    current.maxAddressTtl = settings->maxAddressTtl;
     current.revokeTime = settings->revokeTime;
     current.strictRevoke = settings->strictRevoke;
     // The environment may have set these.
--- a/src/gateway/router.h
+++ b/src/gateway/router.h
@@ -32,9 +32,9 @@
 class Router
 {
 public:
-    /// How long callers may cache an address, in seconds. Short, since some callers keep it three times as long and a
-    /// stopping router still serves them.
-    static constexpr int AddressTtlSeconds = 1;
+    /// How long callers may cache an address. Short, since some callers keep it three times as long and a stopping
+    /// router still serves them.
+    static constexpr Millis AddressTtl{1000};
     /// Maximum number of addresses in one directory response.
     static constexpr std::size_t MaxAddresses = 64;
 
--- a/src/gateway/routersettings.cpp
+++ b/src/gateway/routersettings.cpp
@@ -3,11 +3,11 @@
 #include "cyclamencross/base/errors.h"
 #include "cyclamencross/base/inifile.h"
 #include "cyclamencross/base/ipport.h"
-#include "cyclamencross/base/number.h"
 
 #include <charconv>
 #include <functional>
 #include <map>
+#include <optional>
 
 #include <boost/leaf/error.hpp>
 
@@ -42,29 +42,35 @@
                        }};
 }
 
-template<typename Number>
-SettingRule numberRule(Number RouterSettings::*member, std::uint64_t minimum, std::uint64_t maximum)
+// Accepts fractions, since the platform may use them for any number that it states.
+std::optional<double> parseFraction(const std::string &value, double minimum, double maximum)
 {
-    return SettingRule{true, "a whole number from " + std::to_string(minimum) + " to " + std::to_string(maximum),
+    double number = -1;
+    const auto end = std::from_chars(value.data(), value.data() + value.size(), number).ptr;
+    const bool valid = end == value.data() + value.size() && number >= minimum && number <= maximum;
+    return valid ? std::optional(number) : std::nullopt;
+}
+
+// Rounds a fraction down, so that the router keeps within a limit.
+SettingRule sizeRule(std::size_t RouterSettings::*member, std::uint32_t minimum, std::uint32_t maximum)
+{
+    return SettingRule{true, "a number from " + std::to_string(minimum) + " to " + std::to_string(maximum),
                        [member, minimum, maximum](RouterSettings &settings, const std::string &value) {
-                           const auto number = parseNumber(value);
-                           settings.*member = Number(number.value_or(0));
-                           return number && *number >= minimum && *number <= maximum;
+                           const auto number = parseFraction(value, minimum, maximum);
+                           settings.*member = std::size_t(number.value_or(0));
+                           return number.has_value();
                        }};
 }
 
-// Accepts fractions, since the platform may use them for any bound.
 SettingRule fractionRule(std::function<void(RouterSettings &settings, double number)> assign)
 {
     return SettingRule{true, "a number from 0 to 1000000",
                        [assign = std::move(assign)](RouterSettings &settings, const std::string &value) {
-                           double number = -1;
-                           const auto end = std::from_chars(value.data(), value.data() + value.size(), number).ptr;
-                           const bool valid = end == value.data() + value.size() && number >= 0 && number <= 1000000;
-                           if (valid) {
-                               assign(settings, number);
+                           const auto number = parseFraction(value, 0, 1000000);
+                           if (number) {
+                               assign(settings, *number);
                            }
-                           return valid;
+                           return number.has_value();
                        }};
 }
 
@@ -120,8 +126,8 @@
         {"store.address", addressRule(&RouterSettings::storeAddress, true)},
         {"store.min_lease_ms", durationRule(&RouterSettings::minLeaseLifetime, 1)},
         {"groups.by_zone", choiceRule(&RouterSettings::groupsByZone, "auto", "never")},
-        {"limits.memory_mib", numberRule(&RouterSettings::memoryMiB, 32, 1U << 20U)},
-        {"limits.descriptors", numberRule(&RouterSettings::descriptors, 64, 1U << 24U)},
+        {"limits.memory_mib", sizeRule(&RouterSettings::memoryMiB, 32, 1U << 20U)},
+        {"limits.descriptors", sizeRule(&RouterSettings::descriptors, 64, 1U << 24U)},
         {"limits.link_mbps", optionalRule(ratioRule(&RouterSettings::linkMegabits))},
         {"bounds.config_ms", optionalRule(durationRule(&RouterSettings::configBound, 1))},
         {"bounds.drain_ms", optionalRule(durationRule(&RouterSettings::drainBound, 1))},
@@ -134,7 +140,7 @@
         {"bounds.order_pause_ms", durationRule(&RouterSettings::orderPause, 1)},
         {"bounds.revoke_ms", optionalRule(durationRule(&RouterSettings::revokeTime, 1))},
         {"bounds.strict_revoke", optionalRule(flagRule(&RouterSettings::strictRevoke))},
-        {"bounds.answer_ttl_max_s", numberRule(&RouterSettings::maxAddressTtlSeconds, 1, 3600)},
+        {"bounds.answer_ttl_max_s", durationRule(&RouterSettings::maxAddressTtl, 1000)},
     };
     return Rules;
 }
--- a/src/gateway/routersettings_test.cpp
+++ b/src/gateway/routersettings_test.cpp
@@ -50,6 +50,38 @@
     }
 }
 
+TEST_CASE("Numbers that the platform states may have a fraction")
+{
+    // Guards against a router that does not start because the platform states 2.5 s for the time that callers may cache
+    // an address, or 128.5 MiB of memory.
+    RouterSettings settings;
+    const auto isValid = [&settings](const std::string &key, const std::string &value) {
+        return boost::leaf::try_handle_all(
+            [&]() -> boost::leaf::result<bool> {
+                BOOST_LEAF_ASSIGN(settings, withSetting(settings, key, value));
+                return true;
+            },
+            [](const InvalidSetting & /*invalid*/) { return false; }, [] { return false; });
+    };
+    for (const char *value : {"0.5", "1", "2.5", "5", "3600"}) {
+        CHECK(isValid("bounds.answer_ttl_max_s", value));
+        CHECK(settings.maxAddressTtl == Millis(std::int64_t(std::stod(value) * 1000)));
+    }
+    CHECK(isValid("limits.memory_mib", "128.5"));
+    CHECK(settings.memoryMiB == 128);
+    CHECK(isValid("limits.descriptors", "2870.0"));
+    CHECK(settings.descriptors == 2870);
+    for (const char *value : {"1e300", "-1", "nan", "inf", "1000001", "8x", ""}) {
+        CHECK_FALSE(isValid("bounds.answer_ttl_max_s", value));
+    }
+    for (const char *value : {"1e300", "-96.5", "nan", "inf", "31.9", "1048576.5", "96x", ""}) {
+        CHECK_FALSE(isValid("limits.memory_mib", value));
+    }
+    for (const char *value : {"63.9", "16777216.5", "1e300", "nan"}) {
+        CHECK_FALSE(isValid("limits.descriptors", value));
+    }
+}
+
 TEST_CASE("The bounds on removed API keys may be missing or empty")
 {
     // Guards against settings files of earlier versions, or platforms without these bounds, that keep a router from
--- a/src/include/cyclamencross/gateway/routersettings.h
+++ b/src/include/cyclamencross/gateway/routersettings.h
@@ -55,7 +55,7 @@
     bool bootstrap = false;
     /// How far the use of a workspace in some seconds may exceed its quota beyond a tenth, in requests or tokens.
     double quotaSlack = 0;
-    int maxAddressTtlSeconds = 5; ///< Longest time for which callers may cache an address.
+    Millis maxAddressTtl{5000}; ///< Longest time for which callers may cache an address.
 
     /// Returns the memory that the bodies of all requests and responses together may take, in bytes.
     std::size_t bodyMemoryBytes() const;
