EventSplitter continues its search where it stopped

Each part of a stream that arrived had the whole unfinished event searched twice, and each event the whole rest of the buffer for the end with a carriage return: an event in many small parts, and many events in one part, cost the square of their length. The search goes on behind the bytes that are known not to begin an end of an event; an end that is split between two parts is found wherever it is split.

--- a/src/gateway/eventsplitter.cpp
+++ b/src/gateway/eventsplitter.cpp
@@ -2,6 +2,9 @@
 
 #include "cyclamencross/base/number.h"
 
+#include <algorithm>
+#include <array>
+
 namespace Cyclamen
 {
 
@@ -31,16 +34,9 @@
     return id;
 }
 
-// Returns the length of the first complete event including the empty line that ends it, or 0.
-std::size_t firstEventLength(std::string_view bytes)
-{
-    const auto lineFeedOnly = bytes.find("\n\n");
-    const auto withCarriageReturn = bytes.find("\n\r\n");
-    if (lineFeedOnly == std::string_view::npos && withCarriageReturn == std::string_view::npos) {
-        return 0;
-    }
-    return lineFeedOnly < withCarriageReturn ? lineFeedOnly + 2 : withCarriageReturn + 3;
-}
+// Bytes that end an event: the end of its last line and an empty line.
+constexpr std::array<std::string_view, 2> EventEnds{"\n\n", "\n\r\n"};
+constexpr std::size_t LongestEventEnd = 3;
 
 }
 
@@ -48,16 +44,37 @@
 {
     this->buffer += bytes;
     std::vector<Event> events;
-    std::string_view remaining = this->buffer;
-    while (const std::size_t length = firstEventLength(remaining)) {
-        const std::string_view text = remaining.substr(0, length);
+    std::size_t begin = 0;
+    while (const std::size_t end = this->findEventEnd()) {
+        const std::string_view text = std::string_view(this->buffer).substr(begin, end - begin);
         events.push_back(Event{std::string(text), parseId(text)});
-        remaining.remove_prefix(length);
+        begin = end;
     }
-    this->buffer.erase(0, this->buffer.size() - remaining.size());
+    this->buffer.erase(0, begin);
+    this->searched -= begin;
     return events;
 }
 
+std::size_t EventSplitter::findEventEnd()
+{
+    while (true) {
+        const std::size_t lineEnd = std::min(this->buffer.find('\n', this->searched), this->buffer.size());
+        const std::string_view rest = std::string_view(this->buffer).substr(lineEnd);
+        this->examined += lineEnd - this->searched + std::min(rest.size(), LongestEventEnd);
+        this->searched = lineEnd;
+        for (const std::string_view eventEnd : EventEnds) {
+            if (rest.starts_with(eventEnd)) {
+                this->searched += eventEnd.size();
+                return this->searched;
+            }
+            if (eventEnd.starts_with(rest)) {
+                return 0; // The rest of an end may follow.
+            }
+        }
+        ++this->searched;
+    }
+}
+
 bool EventSplitter::hasPartialEvent() const
 {
     return !this->buffer.empty();
@@ -68,4 +85,9 @@
     return this->buffer.size() > MaxEventBytes;
 }
 
+std::uint64_t EventSplitter::examinedBytes() const
+{
+    return this->examined;
+}
+
 }
--- a/src/gateway/eventsplitter.h
+++ b/src/gateway/eventsplitter.h
@@ -31,9 +31,18 @@
     bool hasPartialEvent() const;
     /// Returns whether the incomplete event exceeds MaxEventBytes.
     bool isOverlong() const;
+    /// Returns how many bytes the search for ends of events has examined so far; the measure of its cost.
+    std::uint64_t examinedBytes() const;
 
 private:
+    /// Continues the search for the end of an event where it stopped, so that its cost does not depend on how the bytes
+    /// arrive.
+    /// @return the position behind the end in `buffer`; 0 if there is none.
+    std::size_t findEventEnd();
+
     std::string buffer;
+    std::size_t searched = 0; ///< Position in `buffer` before which no end of an event begins.
+    std::uint64_t examined = 0;
 };
 
 }
--- a/src/gateway/pieces_test.cpp
+++ b/src/gateway/pieces_test.cpp
@@ -33,6 +33,59 @@
     }
 }
 
+TEST_CASE("The event splitter examines each byte a bounded number of times, however the bytes are split")
+{
+    // Guards against a router that is busy with one stream: the cost of an event that came in many small parts, and of
+    // many events that came at once, was quadratic.
+    const std::string end = GENERATE("\n\n", "\n\r\n", "\r\n\r\n");
+    std::string longEvent = "id: 1\n";
+    while (longEvent.size() < 20'000) {
+        longEvent += "data: x\r\n\rdata: y\n"; // Looks like the end of an event at first.
+    }
+    std::string stream = longEvent + "data: z" + end;
+    for (int id = 2; id < 1'000; ++id) {
+        stream += "id: " + std::to_string(id) + end;
+    }
+    for (const std::size_t step : {std::size_t(1), std::size_t(2), std::size_t(3), std::size_t(1000), stream.size()}) {
+        EventSplitter splitter;
+        std::size_t events = 0;
+        std::size_t bytes = 0;
+        for (std::size_t at = 0; at < stream.size(); at += step) {
+            for (const EventSplitter::Event &event : splitter.feed(stream.substr(at, step))) {
+                ++events;
+                bytes += event.text.size();
+            }
+        }
+        CHECK(events == 999);
+        CHECK(bytes == stream.size());
+        CHECK(splitter.examinedBytes() >= stream.size());
+        CHECK(splitter.examinedBytes() <= 3 * stream.size());
+    }
+}
+
+TEST_CASE("An end of an event is found wherever it is split between two parts")
+{
+    // Guards against a search that goes on behind the first bytes of an end, and against a part that is taken for one.
+    for (const std::string end : {"\n\n", "\n\r\n"}) {
+        for (const std::string start : {"data: a", "data: a\r", "data: a\n\r\r", "data: a\n\rb", "data: a\nb\r"}) {
+            const std::string stream = start + end + "x";
+            for (std::size_t first = 0; first <= stream.size(); ++first) {
+                for (std::size_t second = first; second <= stream.size(); ++second) {
+                    EventSplitter splitter;
+                    auto events = splitter.feed(stream.substr(0, first));
+                    for (const std::string &part : {stream.substr(first, second - first), stream.substr(second)}) {
+                        const auto more = splitter.feed(part);
+                        events.insert(events.end(), more.begin(), more.end());
+                    }
+                    REQUIRE(events.size() == 1);
+                    CHECK(events[0].text == start + end);
+                    CHECK(splitter.hasPartialEvent());
+                }
+            }
+        }
+    }
+}
+
 TEST_CASE("Hop-by-hop headers are removed")
 {
     // Guards against forwarding headers that concern only one connection, among them those that Connection lists.
