Unfinished events count towards the memory for bodies

EventSplitter kept up to 1 MiB of an event that is not complete for each stream, which MemoryBudget did not know of: many such streams at once could take a router beyond its memory limit. The splitter has a MemoryLease now that follows its buffer. If the memory is refused, the event is dropped, further bytes are not kept, and the call ends with ConnectionStatus::NoMemory as that of a plain answer does: the stream breaks off with reason "memory", or goes on at another engine if it may be resumed. The buffer is freed when its event is complete; before, it kept its largest size until the call ended.

MemoryLease::shrinkTo() returns a part, so that a stream that needs less memory does not have to be admitted again. Complete events of one read need none.

--- a/src/gateway/eventsplitter.cpp
+++ b/src/gateway/eventsplitter.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 namespace Cyclamen
 {
@@ -40,21 +41,43 @@
 
 }
 
+EventSplitter::EventSplitter(MemoryLease memory)
+    : memory(std::move(memory))
+{
+}
+
 std::vector<EventSplitter::Event> EventSplitter::feed(std::string_view bytes)
 {
-    this->buffer += bytes;
     std::vector<Event> events;
+    if (this->refused) {
+        return events;
+    }
+    this->buffer += bytes;
     std::size_t begin = 0;
     while (const std::size_t end = this->findEventEnd()) {
         const std::string_view text = std::string_view(this->buffer).substr(begin, end - begin);
         events.push_back(Event{std::string(text), parseId(text)});
         begin = end;
     }
-    this->buffer.erase(0, begin);
-    this->searched -= begin;
+    if (begin > 0) {
+        std::string(this->buffer, begin).swap(this->buffer); // Frees the memory, unlike erase().
+        this->searched -= begin;
+    }
+    this->countMemory();
     return events;
 }
 
+void EventSplitter::countMemory()
+{
+    const std::size_t bytes = this->buffer.empty() ? 0 : this->buffer.capacity();
+    this->memory.shrinkTo(bytes);
+    this->refused = !this->memory.growTo(bytes);
+    if (this->refused) {
+        std::string().swap(this->buffer);
+        this->memory.release();
+    }
+}
+
 std::size_t EventSplitter::findEventEnd()
 {
     while (true) {
@@ -77,7 +100,7 @@
 
 bool EventSplitter::hasPartialEvent() const
 {
-    return !this->buffer.empty();
+    return this->refused || !this->buffer.empty();
 }
 
 bool EventSplitter::isOverlong() const
@@ -85,6 +108,11 @@
     return this->buffer.size() > MaxEventBytes;
 }
 
+bool EventSplitter::isRefused() const
+{
+    return this->refused;
+}
+
 std::uint64_t EventSplitter::examinedBytes() const
 {
     return this->examined;
--- a/src/gateway/pieces_test.cpp
+++ b/src/gateway/pieces_test.cpp
@@ -86,6 +86,60 @@
     }
 }
 
+TEST_CASE("An incomplete event takes memory of the budget until it is complete")
+{
+    // Guards against streams whose unfinished events together take a router beyond its memory limit.
+    const auto budget = std::make_shared<MemoryBudget>(1U << 20U);
+    EventSplitter splitter(MemoryLease(budget, MemoryBudget::Use::ResponseBody));
+    CHECK(splitter.feed("data: " + std::string(100'000, 'x')).empty());
+    CHECK(budget->heldBytes() >= 100'006);
+    CHECK(budget->heldBytes() <= 2 * 100'006);
+    CHECK(splitter.feed("\n\nda").size() == 1);
+    CHECK(budget->heldBytes() >= 2);
+    CHECK(budget->heldBytes() <= 100);
+    CHECK(splitter.feed("ta: b\n\n").size() == 1);
+    CHECK(budget->heldBytes() == 0);
+    CHECK(splitter.feed("data: " + std::string(50'000, 'x')).empty());
+    CHECK(budget->heldBytes() >= 50'006);
+    splitter = EventSplitter();
+    CHECK(budget->heldBytes() == 0);
+}
+
+TEST_CASE("An incomplete event beyond the budget is dropped and takes no more memory")
+{
+    // Guards against an event that grows although its memory was refused, and against a stream that counts as whole
+    // after a part of it was dropped.
+    const auto budget = std::make_shared<MemoryBudget>(1U << 19U);
+    MemoryLease other(budget, MemoryBudget::Use::ResponseBody);
+    REQUIRE(other.growTo(100'000));
+    EventSplitter splitter(MemoryLease(budget, MemoryBudget::Use::ResponseBody));
+    std::size_t fed = 0;
+    const auto ceiling = std::size_t(double(budget->limit()) * MemoryBudget::LargeResponseShare);
+    while (!splitter.isRefused() && fed < EventSplitter::MaxEventBytes) {
+        CHECK(splitter.feed(std::string(10'000, 'x')).empty());
+        fed += 10'000;
+        CHECK(budget->heldBytes() <= ceiling);
+    }
+    CHECK(splitter.isRefused());
+    CHECK(fed >= 100'000);
+    CHECK(fed <= ceiling);
+    CHECK(budget->heldBytes() == 100'000);
+    CHECK(splitter.hasPartialEvent());
+    CHECK(splitter.feed(std::string(10'000, 'x') + "\n\ndata: a\n\n").empty());
+    CHECK(budget->heldBytes() == 100'000);
+}
+
+TEST_CASE("Complete events need no memory of the budget, also in a part that ends with one that is refused")
+{
+    // Guards against sound streams that break off because other answers fill the budget.
+    const auto budget = std::make_shared<MemoryBudget>(100);
+    EventSplitter splitter(MemoryLease(budget, MemoryBudget::Use::ResponseBody));
+    CHECK(splitter.feed("data: " + std::string(1000, 'x') + "\n\n").size() == 1);
+    CHECK_FALSE(splitter.isRefused());
+    CHECK(splitter.feed("data: a\n\ndata: b\n\n" + std::string(1000, 'x')).size() == 2);
+    CHECK(splitter.isRefused());
+}
+
 TEST_CASE("Hop-by-hop headers are removed")
 {
     // Guards against forwarding headers that concern only one connection, among them those that Connection lists.
--- a/src/gateway/streamrequesthandler.cpp
+++ b/src/gateway/streamrequesthandler.cpp
@@ -139,11 +139,14 @@
 
 boost::asio::awaitable<ConnectionStatus> StreamRequestHandler::forwardBody()
 {
-    this->splitter = EventSplitter();
+    this->splitter = EventSplitter(MemoryLease(this->state.bodyMemory, MemoryBudget::Use::ResponseBody));
     this->inOrder = true;
     ConnectionStatus status = ConnectionStatus::Ok;
     while (status == ConnectionStatus::Ok && this->inOrder && !this->session.isCallerDisconnected()) {
         this->inOrder = co_await this->forwardEvents(this->connection->takeBody());
+        if (this->splitter.isRefused()) {
+            co_return ConnectionStatus::NoMemory;
+        }
         if (this->connection->isComplete()) {
             break;
         }
--- a/src/gateway/streamrequesthandler.h
+++ b/src/gateway/streamrequesthandler.h
@@ -106,6 +106,7 @@
     boost::asio::awaitable<AttemptResult> relayEvents();
     /// Forwards the events of the response on the current connection until it ends, an event is out of order (see
     /// `inOrder`) or the caller is gone.
+    /// @return ConnectionStatus::NoMemory if an incomplete event exceeds the memory that the router may use for bodies.
     boost::asio::awaitable<ConnectionStatus> forwardBody();
     /// Forwards the events that @p bytes complete.
     /// @return false if an event id does not increase or an event is too long.
--- a/src/include/cyclamencross/route/memorylease.h
+++ b/src/include/cyclamencross/route/memorylease.h
@@ -25,6 +25,8 @@
     /// Increases the size of the lease to @p bytes; does nothing if it is at least as large.
     /// @return whether the budget admits it; if not, the lease keeps its size.
     bool growTo(std::size_t bytes);
+    /// Decreases the size of the lease to @p bytes; does nothing if it is at most as large.
+    void shrinkTo(std::size_t bytes);
     /// Returns all bytes to the budget.
     void release();
     std::size_t bytes() const;
--- a/src/route/memorybudget_test.cpp
+++ b/src/route/memorybudget_test.cpp
@@ -90,6 +90,26 @@
     CHECK(budget->heldBytes() == 0);
 }
 
+TEST_CASE("A lease that shrinks returns what it gives up, also while the budget is full")
+{
+    // Guards against a stream that breaks off for lack of memory at the moment when it needs less.
+    const auto budget = std::make_shared<MemoryBudget>(MiB);
+    MemoryLease lease = requestLease(budget);
+    REQUIRE(lease.growTo(MiB / 2));
+    std::vector<MemoryLease> small;
+    while (budget->heldBytes() < MiB) {
+        small.push_back(requestLease(budget));
+        REQUIRE(small.back().growTo(Small));
+    }
+    lease.shrinkTo(MiB / 2 + 1);
+    CHECK(budget->heldBytes() == MiB);
+    lease.shrinkTo(2 * Small);
+    CHECK(lease.bytes() == 2 * Small);
+    CHECK(budget->heldBytes() == MiB / 2 + 2 * Small);
+    lease.release();
+    CHECK(budget->heldBytes() == MiB / 2);
+}
+
 TEST_CASE("Responses are admitted while large requests are refused")
 {
     // Guards against requests that were executed but whose response cannot be held.
--- a/src/route/memorylease.cpp
+++ b/src/route/memorylease.cpp
@@ -46,14 +46,22 @@
     return true;
 }
 
-void MemoryLease::release()
+void MemoryLease::shrinkTo(std::size_t bytes)
 {
-    const std::size_t bytes = std::exchange(this->held, 0);
+    if (bytes >= this->held) {
+        return;
+    }
+    const std::size_t surplus = std::exchange(this->held, bytes) - bytes;
     if (this->budget) {
-        this->budget->release(bytes);
+        this->budget->release(surplus);
     }
 }
 
+void MemoryLease::release()
+{
+    this->shrinkTo(0);
+}
+
 std::size_t MemoryLease::bytes() const
 {
     return this->held;
