--- a/src/gateway/requestpermit.h
+++ b/src/gateway/requestpermit.h
@@ -21,8 +21,7 @@
     RequestPermit(const RequestPermit &) = delete;
     RequestPermit &operator=(const RequestPermit &) = delete;
 
-    /// Takes another right if the limit has been lowered since the last one was taken. To be called before the request
-    /// is sent.
+    /// Takes another right if a lower limit has ended the last one. To be called before the request is sent.
     /// @return whether the request may be sent.
     bool renew();
     /// Records that the request was sent.
--- a/src/include/cyclamencross/route/namedratelimits.h
+++ b/src/include/cyclamencross/route/namedratelimits.h
@@ -31,6 +31,9 @@
     static constexpr Millis MaxSlotLifetime{6000};
     /// Rate used if a server names a lower one, in requests per second. Only an answer can lift a limit.
     static constexpr double MinRequestsPerSecond = 0.2;
+    /// Share of the highest rate under which rights were given, from which on they stay valid. Otherwise a server whose
+    /// limit varies by a few percent would get less than half of what it allows.
+    static constexpr double KeptRateShare = 0.8;
     /// How long the end of a limit is remembered: older news about it, from other routers, is ignored.
     static constexpr Millis EndLifetime{10000};
 
@@ -43,7 +46,7 @@
     /// @param ownHash hash of the name of this router.
     NamedRateLimits(std::uint64_t ownHash, RoutersHook routers, ChangeHook onChange);
 
-    /// Records the rate that @p backend named. A lower one ends all rights that were given under the earlier one; slots
+    /// Records the rate that @p backend named. A rate below KeptRateShare ends all rights that were given before; slots
     /// that were considered then are not considered again.
     /// @param requestsPerSecond infinity if it named none.
     /// @param answeredAt time of the answer; ignored if a later answer is known.
@@ -59,7 +62,7 @@
     bool mayRequest(const std::string &backend) const;
     /// Takes the right to send a request; mayRequest() must be true.
     RequestRight take(const std::string &backend);
-    /// Returns whether a right that was taken may still be used: the limit has not been lowered since.
+    /// Returns whether a right that was taken may still be used: a lower limit has not ended it since.
     bool isValid(const std::string &backend, const RequestRight &right) const;
     /// Returns the right to send a request that was not sent. Of no effect if it is not valid any more.
     void giveBack(const std::string &backend, const RequestRight &right);
@@ -74,7 +77,8 @@
     {
         double requestsPerSecond = 0; ///< Infinity if there is none any more.
         TimePoint answeredAt;
-        std::uint64_t lowering = 0; ///< Number of the last time at which it was lowered.
+        double rightsRate = 0; ///< Highest rate since the last time at which all rights ended.
+        std::uint64_t lowering = 0; ///< Number of that time.
         std::int64_t lastSlot = -1; ///< Last slot that was considered; -1 if none was.
         std::deque<TimePoint> requests; ///< When the right to each request expires, in ascending order.
     };
--- a/src/include/cyclamencross/route/requestright.h
+++ b/src/include/cyclamencross/route/requestright.h
@@ -11,7 +11,7 @@
 struct RequestRight
 {
     TimePoint expiry; ///< TimePoint() if the server had no limit.
-    std::uint64_t lowering = 0; ///< Number of the last lowering of the limit before; 0 if the server had none.
+    std::uint64_t lowering = 0; ///< Number of the last lowering that ended rights; 0 if the server had no limit.
 
     bool operator==(const RequestRight &) const = default;
 };
--- a/src/route/namedratelimits.cpp
+++ b/src/route/namedratelimits.cpp
@@ -49,9 +49,12 @@
     if (requestsPerSecond == NoLimit) {
         limit.requests.clear();
         limit.lastSlot = -1;
-    } else if (requestsPerSecond < before) {
+    } else if (before == NoLimit || requestsPerSecond < KeptRateShare * limit.rightsRate) {
         limit.requests.clear();
         limit.lowering = ++this->loweringCount;
+        limit.rightsRate = requestsPerSecond;
+    } else {
+        limit.rightsRate = std::max(limit.rightsRate, requestsPerSecond);
     }
     if (requestsPerSecond != before) {
         this->onChange(backend, requestsPerSecond, before);
