--- a/src/gateway/plainrequesthandler.cpp
+++ b/src/gateway/plainrequesthandler.cpp
@@ -192,8 +192,7 @@
     reservation = nullptr; // The backend server has done its work, however slowly the caller reads.
     co_await this->forwardResponse(server);
     if (!this->session.isCallerDisconnected()) {
-        this->state.routeDurations.record(this->route.name,
-                                          std::chrono::duration_cast<Millis>(Clock::now() - sentAt));
+        this->state.routeDurations.record(this->route.name, std::chrono::duration_cast<Millis>(Clock::now() - sentAt));
     }
     co_return AttemptResult::Done;
 }
