Engines that leave are passed over like those without a report, while there is time

The search for a decode engine had no bound in time and did not exclude the engines that it passed over.

--- a/src/grant/slotclient.cpp
+++ b/src/grant/slotclient.cpp
@@ -114,7 +114,7 @@
             .add("engine", originalRequest.engine)
             .add("reason", "not-live")
             .write();
-        return boost::leaf::new_error(NoCapacity{originalRequest.engine, 0});
+        return boost::leaf::new_error(NoCapacity{originalRequest.engine, 0, true});
     }
     SlotRequest request = originalRequest;
     if (request.workspace.size() > MaxWorkspaceBytes) {
@@ -130,8 +130,9 @@
                              reply->tokens,     reply->expectedWait, request.sequenceNumber};
         }
         if (reply && reply->status == SlotStatus::Refused) {
-            return boost::leaf::new_error(NoCapacity{request.engine, reply->expectedWait.count(),
-                                                     reply->reason != EngineScheduler::NoFreshReportReason});
+            const bool isEngineOut = reply->reason == EngineScheduler::NoFreshReportReason
+                || reply->reason == EngineScheduler::LeavingReason;
+            return boost::leaf::new_error(NoCapacity{request.engine, reply->expectedWait.count(), isEngineOut});
         }
         this->metrics.count("cyclamencross_owner_unanswered_total", {{"answer", reply ? "not-owner" : "none"}});
         if (Clock::now() - start > originalRequest.maxWait + OwnerTimeout * static_cast<int>(MaxOwnersTried)) {
--- a/src/grant/slotserver.cpp
+++ b/src/grant/slotserver.cpp
@@ -73,7 +73,7 @@
         } else {
             record.engine.state = BackendState::Leaving;
             record.owned = record.owned && backend != known.end();
-            record.scheduler.close("leaving");
+            record.scheduler.close(EngineScheduler::LeavingReason);
         }
     }
 }
--- a/src/include/cyclamencross/base/errors.h
+++ b/src/include/cyclamencross/base/errors.h
@@ -54,7 +54,9 @@
 {
     std::string pool;
     std::int64_t expectedWaitMs = 0;
-    bool isEngineReported = true; ///< False if the owner has no recent report of the engine: others may have room.
+    /// Whether the engine is out of use, so that the refusal says nothing about others: it is leaving, or its owner has
+    /// no recent report of it.
+    bool isEngineOut = false;
 };
 
 /// The deadline of the request passed.
--- a/src/include/cyclamencross/decide/enginescheduler.h
+++ b/src/include/cyclamencross/decide/enginescheduler.h
@@ -39,8 +39,9 @@
 
     /// A grant that no report of the engine has confirmed within this time is revoked.
     static constexpr Millis UnconfirmedGrantLifetime{5000};
-    /// Reason of a refusal for lack of a report; owners send it to the entries that requested a slot.
+    /// Reasons of refusals by engines that are out of use; owners send them to the entries that requested a slot.
     static constexpr std::string_view NoFreshReportReason = "no-fresh-report";
+    static constexpr std::string_view LeavingReason = "leaving";
     /// Age above which a report no longer permits grants.
     static constexpr Millis MaxReportAge{2000};
     /// How long a slot request waits for a report. An owner that is new or resumes after a pause reads the engine
--- a/src/proxy/enginereservation.cpp
+++ b/src/proxy/enginereservation.cpp
@@ -60,7 +60,7 @@
         },
         [this](const NoCapacity &refusal) -> std::optional<SlotGrant> {
             this->expectedWait = Millis(refusal.expectedWaitMs);
-            this->engineReported = refusal.isEngineReported;
+            this->engineOut = refusal.isEngineOut;
             return std::nullopt;
         },
         []() -> std::optional<SlotGrant> { return std::nullopt; });
@@ -82,9 +82,9 @@
     return this->expectedWait;
 }
 
-bool EngineReservation::isEngineReported() const
+bool EngineReservation::isEngineOut() const
 {
-    return this->engineReported;
+    return this->engineOut;
 }
 
 void EngineReservation::markSent()
--- a/src/proxy/enginereservation.h
+++ b/src/proxy/enginereservation.h
@@ -33,9 +33,9 @@
     const SlotGrant &grant() const;
     /// Returns the wait that the owner expects, if it refused the request; otherwise 0.
     Millis ownerExpectedWait() const;
-    /// Returns false if the owner refused the request because it has no recent report of the engine, which has probably
-    /// crashed; the refusal then says nothing about the load of the pool.
-    bool isEngineReported() const;
+    /// Returns whether the request was refused because the engine is out of use; the refusal then says nothing about
+    /// the load of the pool.
+    bool isEngineOut() const;
 
     /// Must be called right before a request is sent to the engine; from then on the destructor cancels it.
     void markSent();
@@ -53,7 +53,7 @@
     std::optional<SlotGrant> granted;
     std::string engineAddress;
     Millis expectedWait{0};
-    bool engineReported = true;
+    bool engineOut = false;
 };
 
 }
--- a/src/proxy/modelrun.cpp
+++ b/src/proxy/modelrun.cpp
@@ -150,8 +150,9 @@
     if (decodes.empty()) {
         return this->makeRefusal("no-capacity", "no live decode engine", NoEngineRetryAfter);
     }
-    const Millis maxWait =
-        std::clamp(this->timeLeftForFirstOutput() - this->expectedTimeToOutput, Millis(0), MaxQueueWait);
+    const auto maxWait = [this] {
+        return std::clamp(this->timeLeftForFirstOutput() - this->expectedTimeToOutput, Millis(0), MaxQueueWait);
+    };
     std::unique_ptr<EngineReservation> reservation;
     const auto acquire = [&](const RankedEngine &ranked, Millis wait) {
         reservation = std::make_unique<EngineReservation>(this->core, this->attemptId, this->suspect);
@@ -159,21 +160,26 @@
         slotRequest.slots = 1;
         return reservation->acquire(slotRequest, this->exchange.cancelSignal());
     };
-    // Tries the two best engines without queueing, then queues at the best one. Engines without a report, which rank as
-    // idle, are passed over.
+    // Tries the two best engines without queueing, then queues at the best one. Engines that are out of use, which rank
+    // as idle, are passed over while there is time.
     bool granted = false;
     std::vector<const RankedEngine *> full;
-    for (auto ranked = decodes.begin(); ranked != decodes.end() && !granted && full.size() < 2; ++ranked) {
-        granted = acquire(*ranked, std::min(ProbeWait, maxWait));
+    for (const RankedEngine &ranked : decodes) {
+        granted = acquire(ranked, std::min(ProbeWait, maxWait()));
         if (StepResult failure = this->cancelFailure()) {
             return failure;
         }
-        if (!granted && reservation->isEngineReported()) {
-            full.push_back(&*ranked);
+        if (!granted && reservation->isEngineOut()) {
+            this->selection.exclude(ranked.engine.address);
+        } else if (!granted) {
+            full.push_back(&ranked);
+        }
+        if (granted || full.size() == 2 || maxWait() == Millis(0)) {
+            break;
         }
     }
     if (!granted) {
-        granted = acquire(full.empty() ? decodes.front() : *full.front(), maxWait);
+        granted = acquire(full.empty() ? decodes.front() : *full.front(), maxWait());
         if (StepResult failure = this->cancelFailure()) {
             return failure;
         }
@@ -209,8 +215,8 @@
         if (granted) {
             break;
         }
-        // The refusal of an engine without a report, which ranks as idle, says nothing about the other engines.
-        if (reservation->isEngineReported() || maxWait <= Millis(0) || std::next(best) == ranked.end()) {
+        // An engine that is out of use ranks as idle. Its refusal says nothing about the other engines.
+        if (!reservation->isEngineOut() || maxWait <= Millis(0) || std::next(best) == ranked.end()) {
             this->logRouting("prefill", ranked, "", "no-room", {});
             return this->makeRefusal("no-capacity", "no prefill engine has room in time",
                                      reservation->ownerExpectedWait());
--- a/src/proxy/proxyfixture_test.h
+++ b/src/proxy/proxyfixture_test.h
@@ -154,7 +154,7 @@
     FakeBackend service;
     std::atomic<int> grantsHeld{0}; ///< Grants that are not released yet.
     std::atomic<bool> refuseRequests{false}; ///< Every SlotRequest is refused.
-    std::set<std::string> unreportedEngines; ///< Their owner has no report of them: every SlotRequest is refused.
+    std::set<std::string> enginesOutOfUse; ///< Their owner refuses every SlotRequest for that reason.
     std::atomic<bool> blockRequests{false}; ///< Every SlotRequest waits until it is withdrawn.
     std::atomic<bool> keyValueDown{false};
     std::atomic<bool> loseWrites{false}; ///< Call records are created, but their creation is reported as failed.
@@ -170,8 +170,8 @@
         if (this->refuseRequests) {
             return boost::leaf::new_error(Cyclamen::NoCapacity{"pool", 300});
         }
-        if (this->unreportedEngines.contains(slotRequest.engine)) {
-            return boost::leaf::new_error(Cyclamen::NoCapacity{slotRequest.engine, 100, false});
+        if (this->enginesOutOfUse.contains(slotRequest.engine)) {
+            return boost::leaf::new_error(Cyclamen::NoCapacity{slotRequest.engine, 100, true});
         }
         if (this->blockRequests) {
             const auto isWithdrawn = [this] { return this->withdrawn.load(); };
--- a/src/proxy/proxyserver_test.cpp
+++ b/src/proxy/proxyserver_test.cpp
@@ -165,16 +165,16 @@
     CHECK(fixture.prefill.requests("/v1/prefill").empty());
 }
 
-// Guards against a request that is refused because of engines that crashed a moment ago, although others are free. A
-// crashed engine has no queue, so that it ranks before those that work.
-TEST_CASE("a request is served although the owner has no report of most engines")
+// Guards against a request that is refused because of engines that crashed or began to leave a moment ago, although
+// others are free. Such an engine has no queue, so that it ranks before those that work.
+TEST_CASE("a request is served although most engines are out of use")
 {
     ProxyFixture fixture;
     for (const EngineRole role : {EngineRole::Prefill, EngineRole::Decode}) {
         for (int number = 1; number <= 4; ++number) {
             const std::string address =
                 "127.0.0." + std::to_string(number) + (role == EngineRole::Prefill ? ":1" : ":2");
-            fixture.unreportedEngines.insert(address);
+            fixture.enginesOutOfUse.insert(address);
             fixture.view.backends.push_back({address, BackendKind::Engine, "pool", "m1", role, "z1", {}, true});
         }
     }
