What the review of the new code found

- PlainRequestHandler: a stopping router refuses before the wait for capacity, not only after it.
- BackendStatements: the flag of a limit ends when NamedRateLimits forgets the limit.
The statement stayed until the next answer, and a later restart was logged though nothing was dropped.
- NamedRateLimits: rates below the minimum count as the minimum when permits end.
- EventSplitter: up to 1 KiB of an incomplete event is not counted.
A running stream broke off for a few bytes when other bodies filled the budget.
- StreamRequestHandler: the connection to a prefill engine is released if its permit has ended.

--- a/src/gateway/eventsplitter.cpp
+++ b/src/gateway/eventsplitter.cpp
@@ -38,6 +38,9 @@
 // Bytes that end an event: the end of its last line and an empty line.
 constexpr std::array<std::string_view, 2> EventEnds{"\n\n", "\n\r\n"};
 constexpr std::size_t LongestEventEnd = 3;
+// Incomplete events up to this size are not counted: a stream would break off for a few bytes while others fill the
+// budget.
+constexpr std::size_t FreeBytes = 1024;
 
 }
 
@@ -69,7 +72,7 @@
 
 void EventSplitter::countMemory()
 {
-    const std::size_t bytes = this->buffer.empty() ? 0 : this->buffer.capacity();
+    const std::size_t bytes = this->buffer.size() <= FreeBytes ? 0 : this->buffer.capacity();
     this->memory.shrinkTo(bytes);
     this->refused = !this->memory.growTo(bytes);
     if (this->refused) {
--- a/src/gateway/plainrequesthandler.cpp
+++ b/src/gateway/plainrequesthandler.cpp
@@ -38,6 +38,10 @@
 boost::asio::awaitable<void> PlainRequestHandler::serve()
 {
     this->failure = "no-backend";
+    if (this->isCutByStop()) {
+        co_await this->finishWithFailure("stopping");
+        co_return;
+    }
     while (!this->shouldStop() && this->unreachableCount < MaxUnreachable && !this->shouldHandOn()) {
         const auto candidates = co_await this->waitForCapacity();
         if (!candidates) {
--- a/src/gateway/routerstatestatements.cpp
+++ b/src/gateway/routerstatestatements.cpp
@@ -192,6 +192,7 @@
 {
     this->slowdowns.expire(now);
     this->metrics.set("cyclamencross_told_slow_backends", double(this->slowdowns.slowCount(now)));
+    this->statements.forgetLimits([this](const std::string &id) { return this->namedLimits->isKnown(id); });
     this->statements.expire([this](const std::string &id) { return this->backends.find(id) != nullptr; }, now);
     this->namedLimits->retain([this](const std::string &id) { return this->statements.hasLimit(id); });
     this->metrics.set("cyclamencross_leaving_backends", double(this->statements.leavingCount()));
--- a/src/gateway/streamrequesthandler.cpp
+++ b/src/gateway/streamrequesthandler.cpp
@@ -258,7 +258,11 @@
                                              BackendWork{1, this->request.promptTokens, {}});
     RequestPermit prefillPermit(this->state.namedLimits, server.id);
     const bool open = co_await this->openConnection(server, false);
-    if (!open || this->shouldStop() || !this->state.isUsable(server, Clock::now()) || !prefillPermit.renew()) {
+    if (!open || this->shouldStop() || !this->state.isUsable(server, Clock::now())) {
+        co_return;
+    }
+    if (!prefillPermit.renew()) {
+        this->releaseConnection(server);
         co_return;
     }
     BackendCall call;
--- a/src/include/cyclamencross/route/backendstatements.h
+++ b/src/include/cyclamencross/route/backendstatements.h
@@ -48,6 +48,8 @@
     bool recordPause(const BackendServer &server, Millis length, StatementSource source, TimePoint at);
     /// Records whether NamedRateLimits holds a limit that @p server has named.
     void recordLimit(const BackendServer &server, bool hasLimit);
+    /// Drops the limits of all servers whose id @p isKnown returns false for: NamedRateLimits has forgotten their end.
+    void forgetLimits(const std::function<bool(const std::string &id)> &isKnown);
     /// Records that an answer of a server had a malformed statement.
     /// @return whether it is the first one of this server.
     bool recordMalformed(const std::string &id);
--- a/src/route/backendstatements.cpp
+++ b/src/route/backendstatements.cpp
@@ -66,6 +66,13 @@
     }
 }
 
+void BackendStatements::forgetLimits(const std::function<bool(const std::string &id)> &isKnown)
+{
+    for (auto &[id, statement] : this->statements) {
+        statement.hasLimit = statement.hasLimit && isKnown(id);
+    }
+}
+
 bool BackendStatements::recordMalformed(const std::string &id)
 {
     return this->malformed.insert(id).second;
--- a/src/route/namedratelimits.cpp
+++ b/src/route/namedratelimits.cpp
@@ -49,10 +49,11 @@
     if (requestsPerSecond == NoLimit) {
         limit.requests.clear();
         limit.lastSlot = -1;
-    } else if (before == NoLimit || requestsPerSecond < KeptRateShare * limit.rightsRate) {
+    } else if (before == NoLimit
+               || std::max(MinRequestsPerSecond, requestsPerSecond) < KeptRateShare * limit.rightsRate) {
         limit.requests.clear();
         limit.lowering = ++this->loweringCount;
-        limit.rightsRate = requestsPerSecond;
+        limit.rightsRate = std::max(MinRequestsPerSecond, requestsPerSecond);
     } else {
         limit.rightsRate = std::max(limit.rightsRate, requestsPerSecond);
     }
