Tests of schedules and of returns each use one function for what they repeat

Two cases of exploration_test had the same loop, two of storereturnfaults_test the same watch that ends with a return of the store.

--- a/src/gateway/exploration_test.cpp
+++ b/src/gateway/exploration_test.cpp
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdlib>
+#include <functional>
 #include <iostream>
 
 #include <catch2/catch.hpp>
@@ -26,6 +27,18 @@
         + schedule.toText();
 }
 
+// Runs the schedules that @p generate makes of @p count seeds, and fails with a shortened one if a rule is broken.
+void checkSchedules(std::uint64_t first, std::uint64_t count,
+                    const std::function<ExplorationSchedule(std::uint64_t seed)> &generate)
+{
+    for (std::uint64_t seed = first; seed < first + count; ++seed) {
+        const ExplorationSchedule schedule = generate(seed);
+        if (const auto violation = Explorer(schedule).run()) {
+            FAIL(describe(*violation, Explorer::shorten(schedule, violation->rule)));
+        }
+    }
+}
+
 // Runs a schedule that broke a rule, in the form of ExplorationSchedule::toText().
 void replay(const std::string &text, bool clientsDropIdleConnections = true)
 {
@@ -46,12 +59,7 @@
     const SilentLog silence;
     constexpr std::uint64_t FirstSeed = 1001;
     constexpr std::uint64_t Schedules = 800;
-    for (std::uint64_t seed = FirstSeed; seed < FirstSeed + Schedules; ++seed) {
-        const ExplorationSchedule schedule = ExplorationSchedule::generate(seed);
-        if (const auto violation = Explorer(schedule).run()) {
-            FAIL(describe(*violation, Explorer::shorten(schedule, violation->rule)));
-        }
-    }
+    checkSchedules(FirstSeed, Schedules, ExplorationSchedule::generate);
 }
 
 TEST_CASE("Routers keep their rules on explored schedules in which the store returns from older copies")
@@ -61,12 +69,7 @@
     const SilentLog silence;
     constexpr std::uint64_t FirstSeed = 1;
     constexpr std::uint64_t Schedules = 300;
-    for (std::uint64_t seed = FirstSeed; seed < FirstSeed + Schedules; ++seed) {
-        const ExplorationSchedule schedule = ExplorationSchedule::generateWithReturns(seed);
-        if (const auto violation = Explorer(schedule).run()) {
-            FAIL(describe(*violation, Explorer::shorten(schedule, violation->rule)));
-        }
-    }
+    checkSchedules(FirstSeed, Schedules, ExplorationSchedule::generateWithReturns);
 }
 
 TEST_CASE("Fencing tokens grow over a return of the store that loses a change of leadership")
--- a/src/gateway/storereturnfaults_test.cpp
+++ b/src/gateway/storereturnfaults_test.cpp
@@ -38,6 +38,20 @@
         };
     }
 
+    // The first watch ends because the store has returned as that of @p generation; later ones wait.
+    void returnDuringFirstWatch(std::uint64_t generation)
+    {
+        this->store.watch = [this, generation](std::string /*prefix*/, StoreRevision /*after*/, Millis /*wait*/) {
+            if (this->watches++ > 0) {
+                return block();
+            }
+            return [](std::uint64_t returned) -> StoreAwaitable<StorePage> {
+                co_await sleepFor(Millis(50));
+                co_return StoreFailure{StoreFailure::Kind::HistoryCompacted, "", returned};
+            }(generation);
+        };
+    }
+
     void start()
     {
         this->state.settings.name = "own";
@@ -142,15 +156,7 @@
     // Guards against routers that start after the return and refuse streams, or let them go on at another version.
     ScriptedRouter router;
     router.pages = {StorePage{{}, {1, 10}}, StorePage{{}, {2, 5}}};
-    router.store.watch = [&router](std::string /*prefix*/, StoreRevision /*after*/, Millis /*wait*/) {
-        if (router.watches++ > 0) {
-            return block();
-        }
-        return []() -> StoreAwaitable<StorePage> {
-            co_await sleepFor(Millis(50));
-            co_return StoreFailure{StoreFailure::Kind::HistoryCompacted, "", 2};
-        }();
-    };
+    router.returnDuringFirstWatch(2);
     const auto isNeeded = [](const std::string & /*service*/) { return true; };
     StreamOrigins &origins = router.state.streamOrigins;
     origins.begin("s", 7, "v1", Millis(60000), Clock::now());
@@ -167,15 +173,7 @@
     // the return of a store whose first generation is 0, or which has begun to name generations.
     ScriptedRouter before;
     before.pages = {StorePage{{}, {0, 10}}, StorePage{{}, {1, 5}}};
-    before.store.watch = [&before](std::string /*prefix*/, StoreRevision /*after*/, Millis /*wait*/) {
-        if (before.watches++ > 0) {
-            return block();
-        }
-        return []() -> StoreAwaitable<StorePage> {
-            co_await sleepFor(Millis(50));
-            co_return StoreFailure{StoreFailure::Kind::HistoryCompacted, "", 1};
-        }();
-    };
+    before.returnDuringFirstWatch(1);
     before.start();
     before.context.run_for(Millis(300));
     REQUIRE(before.state.storeGeneration == 1);
