NamedRateLimits computes the rate that counts once; clearer comments

The comments on the share of kept rights, on the number of a right and on the margin for the send buffer now say what they mean.

--- a/src/gateway/plainrequesthandler.cpp
+++ b/src/gateway/plainrequesthandler.cpp
@@ -29,8 +29,7 @@
 constexpr double MaxWaitShare = 0.4;
 // Expected work of a call, for the shares of workspaces: nothing in a call tells more.
 constexpr std::int64_t CallWork = 1;
-// The kernel holds up to 64 KB of an answer when the request has ended for the router: a third of an answer that takes
-// slow callers seconds.
+// The kernel holds up to 64 KB of an answer when the request has ended for the router: a third of an answer of 192 KB.
 constexpr double SendBufferMargin = 1.5;
 
 }
--- a/src/include/cyclamencross/route/namedratelimits.h
+++ b/src/include/cyclamencross/route/namedratelimits.h
@@ -31,8 +31,8 @@
     static constexpr Millis MaxSlotLifetime{6000};
     /// Rate used if a server names a lower one, in requests per second. Only an answer can lift a limit.
     static constexpr double MinRequestsPerSecond = 0.2;
-    /// Share of the highest rate under which rights were given, from which on they stay valid. Otherwise a server whose
-    /// limit varies by a few percent would get less than half of what it allows.
+    /// Rights stay valid while the rate is at least this share of the highest one under which some of them were given.
+    /// Otherwise a server whose limit varies by a few percent would get less than half of what it allows.
     static constexpr double KeptRateShare = 0.8;
     /// How long the end of a limit is remembered: older news about it, from other routers, is ignored.
     static constexpr Millis EndLifetime{10000};
@@ -78,7 +78,7 @@
         double requestsPerSecond = 0; ///< Infinity if there is none any more.
         TimePoint answeredAt;
         double rightsRate = 0; ///< Highest rate since the last time at which all rights ended.
-        std::uint64_t lowering = 0; ///< Number of that time.
+        std::uint64_t lowering = 0; ///< Number of that time; rights with another number are invalid.
         std::int64_t lastSlot = -1; ///< Last slot that was considered; -1 if none was.
         std::deque<TimePoint> requests; ///< When the right to each request expires, in ascending order.
     };
--- a/src/route/namedratelimits.cpp
+++ b/src/route/namedratelimits.cpp
@@ -46,16 +46,16 @@
     Limit &limit = this->limits[backend];
     limit.answeredAt = answeredAt;
     limit.requestsPerSecond = requestsPerSecond;
+    const double rate = std::max(MinRequestsPerSecond, requestsPerSecond);
     if (requestsPerSecond == NoLimit) {
         limit.requests.clear();
         limit.lastSlot = -1;
-    } else if (before == NoLimit
-               || std::max(MinRequestsPerSecond, requestsPerSecond) < KeptRateShare * limit.rightsRate) {
+    } else if (before == NoLimit || rate < KeptRateShare * limit.rightsRate) {
         limit.requests.clear();
         limit.lowering = ++this->loweringCount;
-        limit.rightsRate = std::max(MinRequestsPerSecond, requestsPerSecond);
+        limit.rightsRate = rate;
     } else {
-        limit.rightsRate = std::max(limit.rightsRate, requestsPerSecond);
+        limit.rightsRate = std::max(limit.rightsRate, rate);
     }
     if (requestsPerSecond != before) {
         this->onChange(backend, requestsPerSecond, before);
